--- /dev/null
+++ b/internal/config/snapshot/delta.go
@@ -0,0 +1,207 @@
+package snapshot
+
+import (
+	"bytes"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"banyanlug.example/banyanlug/internal/config/configpb"
+)
+
+// Change is what an operator's plan does to the objects.
+type Change struct {
+	upserts []Object
+	removes []Key
+}
+
+// NewChange returns a change that sets some objects and removes others.
+func NewChange(upserts []Object, removes []Key) Change {
+	return Change{upserts: upserts, removes: removes}
+}
+
+// Upserts returns the objects that are added or replaced.
+func (c Change) Upserts() []Object { return slices.Clone(c.upserts) }
+
+// Removes returns the keys of the objects that are removed.
+func (c Change) Removes() []Key { return slices.Clone(c.removes) }
+
+// Empty reports whether the change does nothing.
+func (c Change) Empty() bool { return len(c.upserts) == 0 && len(c.removes) == 0 }
+
+// Diff returns the change that makes s hold exactly the wanted objects.
+func (s *Snapshot) Diff(wanted []Object) (Change, error) {
+	var c Change
+	keep := make(map[Key]bool, len(wanted))
+	for _, o := range wanted {
+		k := o.Key()
+		keep[k] = true
+		b, err := Encode(o)
+		if err != nil {
+			return Change{}, err
+		}
+		if held, ok := s.objects[k]; !ok || !bytes.Equal(held.bytes, b) {
+			c.upserts = append(c.upserts, o)
+		}
+	}
+	for _, k := range s.Keys() {
+		if !keep[k] {
+			c.removes = append(c.removes, k)
+		}
+	}
+	return c, nil
+}
+
+// Stamp tells who confirmed a version, by which plan and when.
+type Stamp struct {
+	PlanID   string
+	Operator string
+	At       time.Time
+}
+
+// Delta turns one version into the next.
+type Delta struct {
+	message *configpb.Delta
+	bytes   []byte
+}
+
+// Version returns the version the delta leads to.
+func (d *Delta) Version() uint64 { return d.message.GetVersion() }
+
+// Parent returns the digest of the version the delta applies to.
+func (d *Delta) Parent() Digest { return DigestFrom(d.message.GetParentDigest()) }
+
+// Digest returns the digest of the version the delta leads to.
+func (d *Delta) Digest() Digest { return DigestFrom(d.message.GetDigest()) }
+
+// Format returns the format level a program needs to apply the delta.
+func (d *Delta) Format() uint32 { return d.message.GetFormat() }
+
+// Stamp returns who confirmed the version, by which plan and when.
+func (d *Delta) Stamp() Stamp {
+	return Stamp{
+		PlanID: d.message.GetPlanId(), Operator: d.message.GetOperator(),
+		At: time.UnixMilli(d.message.GetConfirmedUnixMs()).UTC(),
+	}
+}
+
+// Bytes returns the delta as stored and distributed.
+func (d *Delta) Bytes() []byte { return d.bytes }
+
+// Touches returns the keys the delta sets or removes.
+func (d *Delta) Touches() ([]Key, error) {
+	var keys []Key
+	for _, b := range d.message.GetUpserts() {
+		k, _, err := newEntry(b)
+		if err != nil {
+			return nil, err
+		}
+		keys = append(keys, k)
+	}
+	for _, text := range d.message.GetRemoves() {
+		k, err := ParseKey(text)
+		if err != nil {
+			return nil, err
+		}
+		keys = append(keys, k)
+	}
+	return keys, nil
+}
+
+// DecodeDelta reads a delta from its bytes.
+func DecodeDelta(b []byte) (*Delta, error) {
+	m := &configpb.Delta{}
+	if err := proto.Unmarshal(b, m); err != nil {
+		return nil, &DecodeError{What: "delta", Err: err}
+	}
+	// The level is looked at before unknown fields, so that an operator reads
+	// "needs a newer program" and not "malformed".
+	if m.GetFormat() > FormatLevel {
+		return nil, &FormatError{Need: m.GetFormat(), Have: FormatLevel}
+	}
+	if m.GetVersion() == 0 || len(m.GetDigest()) != len(Digest{}) || known(m) != nil {
+		return nil, &DecodeError{What: "delta"}
+	}
+	return &Delta{message: m, bytes: b}, nil
+}
+
+// Next builds the delta and the snapshot that a change to s leads to.
+func (s *Snapshot) Next(c Change, stamp Stamp) (*Delta, *Snapshot, error) {
+	m := &configpb.Delta{
+		Format: FormatLevel, Version: s.version + 1, ParentDigest: s.digest[:],
+		PlanId: stamp.PlanID, Operator: stamp.Operator, ConfirmedUnixMs: stamp.At.UnixMilli(),
+	}
+	for _, o := range c.upserts {
+		b, err := Encode(o)
+		if err != nil {
+			return nil, nil, err
+		}
+		m.Upserts = append(m.Upserts, b)
+	}
+	for _, k := range c.removes {
+		m.Removes = append(m.Removes, k.String())
+	}
+	objects, digest, err := s.patch(m)
+	if err != nil {
+		return nil, nil, err
+	}
+	m.Digest = digest[:]
+	next, err := build(m.GetVersion(), digest, stamp.PlanID, objects)
+	if err != nil {
+		return nil, nil, err
+	}
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		return nil, nil, &DecodeError{What: "delta", Err: err}
+	}
+	return &Delta{message: m, bytes: b}, next, nil
+}
+
+// Apply returns the version that d leads to, or an error and no version at
+// all: d must follow s directly, pass every check and end with its digest.
+func (s *Snapshot) Apply(d *Delta) (*Snapshot, error) {
+	if d.Version() != s.version+1 || d.Parent() != s.digest {
+		return nil, &ParentError{Held: s.version, HeldDigest: s.digest, Delta: d.Version(), DeltaParent: d.Parent()}
+	}
+	objects, digest, err := s.patch(d.message)
+	if err != nil {
+		return nil, err
+	}
+	if digest != d.Digest() {
+		return nil, &DigestError{Version: d.Version(), Want: d.Digest(), Got: digest}
+	}
+	return build(d.Version(), digest, d.message.GetPlanId(), objects)
+}
+
+// patch returns the objects after a delta, leaving those of s as they are.
+func (s *Snapshot) patch(m *configpb.Delta) (map[Key]entry, Digest, error) {
+	objects := make(map[Key]entry, len(s.objects)+len(m.GetUpserts()))
+	for k, e := range s.objects {
+		objects[k] = e
+	}
+	digest := s.digest
+	drop := func(k Key) {
+		if old, ok := objects[k]; ok {
+			digest = digest.mix(old.hash)
+			delete(objects, k)
+		}
+	}
+	for _, text := range m.GetRemoves() {
+		k, err := ParseKey(text)
+		if err != nil {
+			return nil, Digest{}, err
+		}
+		drop(k)
+	}
+	for _, b := range m.GetUpserts() {
+		k, e, err := newEntry(b)
+		if err != nil {
+			return nil, Digest{}, err
+		}
+		drop(k)
+		objects[k] = e
+		digest = digest.mix(e.hash)
+	}
+	return objects, digest, nil
+}
--- /dev/null
+++ b/internal/config/snapshot/encode.go
@@ -0,0 +1,147 @@
+package snapshot
+
+import (
+	"encoding/hex"
+	"time"
+
+	"github.com/zeebo/xxh3"
+	"google.golang.org/protobuf/proto"
+
+	"banyanlug.example/banyanlug/internal/config/configpb"
+)
+
+// FormatLevel is the newest form of objects and deltas this program applies.
+const FormatLevel = 1
+
+// Digest stands for the whole content of a version, whatever way it came.
+type Digest [16]byte
+
+// String returns the digest in hexadecimal.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// DigestFrom reads a digest from its bytes; it is zero for any other length.
+func DigestFrom(b []byte) Digest {
+	var d Digest
+	if len(b) == len(d) {
+		copy(d[:], b)
+	}
+	return d
+}
+
+// mix adds or removes one object's hash. Exclusive or makes the digest
+// independent of order, so a delta changes it at the cost of its own objects.
+func (d Digest) mix(h xxh3.Uint128) Digest {
+	b := h.Bytes()
+	for i := range d {
+		d[i] ^= b[i]
+	}
+	return d
+}
+
+// Encode returns the bytes of an object as they are stored and distributed.
+func Encode(o Object) ([]byte, error) {
+	m := &configpb.Object{}
+	switch o := o.(type) {
+	case Organisation:
+		m.Kind = &configpb.Object_Organisation{Organisation: &configpb.Organisation{
+			Name: o.name, Paying: o.class == Paying, KeyHashes: o.keyHashes,
+		}}
+	case Service:
+		m.Kind = &configpb.Object_Service{Service: &configpb.Service{Name: o.name}}
+	case Pool:
+		m.Kind = &configpb.Object_Pool{Pool: &configpb.Pool{
+			Name: o.name, Service: o.service, Slots: uint32(o.slots), Promised: uint32(o.promised),
+			Connections: uint32(o.connections), Upstreams: uint32(o.upstreams),
+		}}
+	case Route:
+		m.Kind = &configpb.Object_Route{Route: &configpb.Route{
+			Name: o.name, Host: o.host, Path: o.path, Methods: o.methods, Service: o.service, Pool: o.pool,
+			Repeatable: o.idempotent, DeadlineMs: o.deadline.Milliseconds(), Retries: uint32(o.retries),
+		}}
+	case Limit:
+		m.Kind = &configpb.Object_Limit{Limit: &configpb.Limit{
+			Organisation: o.organisation, Rate: o.rate, Concurrency: uint32(o.concurrency),
+		}}
+	case Objective:
+		m.Kind = &configpb.Object_Objective{Objective: &configpb.Objective{
+			Service: o.service, Availability: o.availability,
+			LatencyMs: o.latency.Milliseconds(), WindowHours: int64(o.window / time.Hour),
+		}}
+	default:
+		return nil, &DecodeError{What: "object"}
+	}
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		return nil, &DecodeError{What: "object", Err: err}
+	}
+	return b, nil
+}
+
+// Decode reads an object from its bytes; fields or kinds this program does not
+// know are an error, since dropping them would apply a version in part.
+func Decode(b []byte) (Object, error) {
+	var m configpb.Object
+	if err := proto.Unmarshal(b, &m); err != nil {
+		return nil, &DecodeError{What: "object", Err: err}
+	}
+	if len(m.ProtoReflect().GetUnknown()) > 0 {
+		return nil, &DecodeError{What: "object"}
+	}
+	switch k := m.Kind.(type) {
+	case *configpb.Object_Organisation:
+		o := k.Organisation
+		class := Trial
+		if o.GetPaying() {
+			class = Paying
+		}
+		return NewOrganisation(o.GetName(), class, o.GetKeyHashes()...), known(o)
+	case *configpb.Object_Service:
+		return NewService(k.Service.GetName()), known(k.Service)
+	case *configpb.Object_Pool:
+		p := k.Pool
+		return NewPool(p.GetName(), p.GetService(), Slots(int(p.GetSlots())), Promised(int(p.GetPromised())),
+			Connections(int(p.GetConnections())), Upstreams(int(p.GetUpstreams()))), known(p)
+	case *configpb.Object_Route:
+		r := k.Route
+		opts := []RouteOption{
+			Host(r.GetHost()), Methods(r.GetMethods()...), Retries(int(r.GetRetries())),
+			Deadline(time.Duration(r.GetDeadlineMs()) * time.Millisecond),
+		}
+		if r.GetRepeatable() {
+			opts = append(opts, Idempotent())
+		}
+		return NewRoute(r.GetName(), r.GetPath(), r.GetService(), r.GetPool(), opts...), known(r)
+	case *configpb.Object_Limit:
+		l := k.Limit
+		return NewLimit(l.GetOrganisation(), l.GetRate(), int(l.GetConcurrency())), known(l)
+	case *configpb.Object_Objective:
+		o := k.Objective
+		return NewObjective(o.GetService(), o.GetAvailability(), time.Duration(o.GetLatencyMs())*time.Millisecond,
+			time.Duration(o.GetWindowHours())*time.Hour), known(o)
+	default:
+		return nil, &DecodeError{What: "object"}
+	}
+}
+
+func known(m proto.Message) error {
+	if len(m.ProtoReflect().GetUnknown()) > 0 {
+		return &DecodeError{What: "object"}
+	}
+	return nil
+}
+
+// entry is an object with the bytes it came as; a node passes those bytes on
+// unchanged, so that every node computes the same digest.
+type entry struct {
+	object Object
+	bytes  []byte
+	hash   xxh3.Uint128
+}
+
+func newEntry(b []byte) (Key, entry, error) {
+	o, err := Decode(b)
+	if err != nil {
+		return Key{}, entry{}, err
+	}
+	return o.Key(), entry{object: o, bytes: b, hash: xxh3.Hash128(b)}, nil
+}
--- /dev/null
+++ b/internal/config/snapshot/object.go
@@ -0,0 +1,298 @@
+package snapshot
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind tells the kinds of object apart.
+type Kind string
+
+// The kinds of object an operator declares.
+const (
+	KindOrganisation Kind = "organisation"
+	KindService      Kind = "service"
+	KindPool         Kind = "pool"
+	KindRoute        Kind = "route"
+	KindLimit        Kind = "limit"
+	KindObjective    Kind = "objective"
+)
+
+// Key names one object across the configuration.
+type Key struct {
+	Kind Kind
+	Name string
+}
+
+// String returns the key as "kind/name".
+func (k Key) String() string { return string(k.Kind) + "/" + k.Name }
+
+// ParseKey reads a key in the form that String writes.
+func ParseKey(s string) (Key, error) {
+	kind, name, ok := strings.Cut(s, "/")
+	k := Key{Kind(kind), name}
+	switch k.Kind {
+	case KindOrganisation, KindService, KindPool, KindRoute, KindLimit, KindObjective:
+		if ok && name != "" {
+			return k, nil
+		}
+	}
+	return Key{}, &KeyError{Text: s}
+}
+
+func compareKeys(a, b Key) int {
+	if c := strings.Compare(string(a.Kind), string(b.Kind)); c != 0 {
+		return c
+	}
+	return strings.Compare(a.Name, b.Name)
+}
+
+// Object is one declared thing: an Organisation, Service, Pool, Route, Limit
+// or Objective.
+type Object interface {
+	Key() Key
+	isObject()
+}
+
+// Class says whether an organisation's calls may use promised capacity.
+type Class uint8
+
+// The two classes of organisation.
+const (
+	Trial Class = iota
+	Paying
+)
+
+// String returns the word used in declarations.
+func (c Class) String() string {
+	if c == Paying {
+		return "paying"
+	}
+	return "trial"
+}
+
+// Organisation is a customer, known by the hashes of its API keys.
+type Organisation struct {
+	name      string
+	class     Class
+	keyHashes []string
+}
+
+// NewOrganisation returns an organisation; each key hash is the lower-case
+// hexadecimal SHA-256 of one API key.
+func NewOrganisation(name string, class Class, keyHashes ...string) Organisation {
+	return Organisation{name: name, class: class, keyHashes: keyHashes}
+}
+
+// Name returns the organisation's name.
+func (o Organisation) Name() string { return o.name }
+
+// Class returns whether the organisation is on trial or paying.
+func (o Organisation) Class() Class { return o.class }
+
+// KeyHashes returns the hashes of its API keys.
+func (o Organisation) KeyHashes() []string { return slices.Clone(o.keyHashes) }
+
+// Key implements Object.
+func (o Organisation) Key() Key  { return Key{KindOrganisation, o.name} }
+func (o Organisation) isObject() {}
+
+// Service is something that routes lead to and pools serve.
+type Service struct{ name string }
+
+// NewService returns a service.
+func NewService(name string) Service { return Service{name: name} }
+
+// Name returns the service's name.
+func (s Service) Name() string { return s.name }
+
+// Key implements Object.
+func (s Service) Key() Key  { return Key{KindService, s.name} }
+func (s Service) isObject() {}
+
+// Pool is a set of targets of one service with the capacity each brings.
+type Pool struct {
+	name        string
+	service     string
+	slots       int
+	promised    int
+	connections int
+	upstreams   int
+}
+
+// PoolOption sets one property of a pool.
+type PoolOption func(*Pool)
+
+// Slots sets how many calls one target runs at once.
+func Slots(n int) PoolOption { return func(p *Pool) { p.slots = n } }
+
+// Promised sets how many of a target's slots trial calls never take.
+func Promised(n int) PoolOption { return func(p *Pool) { p.promised = n } }
+
+// Connections sets how many connections one target accepts.
+func Connections(n int) PoolOption { return func(p *Pool) { p.connections = n } }
+
+// Upstreams sets how many targets the pool is planned to have.
+func Upstreams(n int) PoolOption { return func(p *Pool) { p.upstreams = n } }
+
+// NewPool returns a pool of targets for service.
+func NewPool(name, service string, opts ...PoolOption) Pool {
+	p := Pool{name: name, service: service, slots: 1, connections: 1, upstreams: 1}
+	for _, opt := range opts {
+		opt(&p)
+	}
+	return p
+}
+
+// Name returns the pool's name.
+func (p Pool) Name() string { return p.name }
+
+// Service returns the name of the service the pool serves.
+func (p Pool) Service() string { return p.service }
+
+// Slots returns how many calls one target runs at once.
+func (p Pool) Slots() int { return p.slots }
+
+// Promised returns how many of a target's slots trial calls never take.
+func (p Pool) Promised() int { return p.promised }
+
+// Connections returns how many connections one target accepts.
+func (p Pool) Connections() int { return p.connections }
+
+// Upstreams returns how many targets the pool is planned to have.
+func (p Pool) Upstreams() int { return p.upstreams }
+
+// Key implements Object.
+func (p Pool) Key() Key  { return Key{KindPool, p.name} }
+func (p Pool) isObject() {}
+
+// Route leads calls for a host, path prefix and set of methods to a pool.
+type Route struct {
+	name       string
+	host       string
+	path       string
+	methods    []string
+	service    string
+	pool       string
+	idempotent bool
+	deadline   time.Duration
+	retries    int
+}
+
+// RouteOption sets one property of a route.
+type RouteOption func(*Route)
+
+// Host limits a route to one host; without it any host matches.
+func Host(h string) RouteOption { return func(r *Route) { r.host = h } }
+
+// Methods limits a route to some methods; without it any method matches.
+func Methods(m ...string) RouteOption { return func(r *Route) { r.methods = m } }
+
+// Idempotent marks the route's calls as safe to run more than once.
+func Idempotent() RouteOption { return func(r *Route) { r.idempotent = true } }
+
+// Deadline sets how long a call on the route may take in all.
+func Deadline(d time.Duration) RouteOption { return func(r *Route) { r.deadline = d } }
+
+// Retries sets how many further attempts a call may get.
+func Retries(n int) RouteOption { return func(r *Route) { r.retries = n } }
+
+// NewRoute returns a route from a path prefix to a pool of service.
+func NewRoute(name, path, service, pool string, opts ...RouteOption) Route {
+	r := Route{name: name, path: path, service: service, pool: pool, deadline: DefaultDeadline}
+	for _, opt := range opts {
+		opt(&r)
+	}
+	return r
+}
+
+// DefaultDeadline is what a route without a deadline gets: longer than any
+// call the users describe, short enough that a stuck one frees its slot.
+const DefaultDeadline = 10 * time.Second
+
+// Name returns the route's name.
+func (r Route) Name() string { return r.name }
+
+// Host returns the host the route is limited to, or "".
+func (r Route) Host() string { return r.host }
+
+// Path returns the path prefix.
+func (r Route) Path() string { return r.path }
+
+// Methods returns the methods the route is limited to, or none for any.
+func (r Route) Methods() []string { return slices.Clone(r.methods) }
+
+// Service returns the name of the service the route leads to.
+func (r Route) Service() string { return r.service }
+
+// Pool returns the name of the pool the route leads to.
+func (r Route) Pool() string { return r.pool }
+
+// Idempotent reports whether the route's calls may run more than once.
+func (r Route) Idempotent() bool { return r.idempotent }
+
+// Deadline returns how long a call may take in all.
+func (r Route) Deadline() time.Duration { return r.deadline }
+
+// Retries returns how many further attempts a call may get.
+func (r Route) Retries() int { return r.retries }
+
+// Key implements Object.
+func (r Route) Key() Key  { return Key{KindRoute, r.name} }
+func (r Route) isObject() {}
+
+// Limit bounds what one organisation may ask of the whole fleet.
+type Limit struct {
+	organisation string
+	rate         float64
+	concurrency  int
+}
+
+// NewLimit returns a limit in calls a second and calls at once; zero is none.
+func NewLimit(organisation string, rate float64, concurrency int) Limit {
+	return Limit{organisation: organisation, rate: rate, concurrency: concurrency}
+}
+
+// Organisation returns the name of the organisation that is limited.
+func (l Limit) Organisation() string { return l.organisation }
+
+// Rate returns the calls a second allowed across the fleet, or 0 for no limit.
+func (l Limit) Rate() float64 { return l.rate }
+
+// Concurrency returns the calls at once allowed across the fleet, or 0.
+func (l Limit) Concurrency() int { return l.concurrency }
+
+// Key implements Object.
+func (l Limit) Key() Key  { return Key{KindLimit, l.organisation} }
+func (l Limit) isObject() {}
+
+// Objective is the service level promised for a service.
+type Objective struct {
+	service      string
+	availability float64
+	latency      time.Duration
+	window       time.Duration
+}
+
+// NewObjective returns an objective: the share of calls, between 0 and 1, that
+// succeed within latency, judged over window.
+func NewObjective(service string, availability float64, latency, window time.Duration) Objective {
+	return Objective{service: service, availability: availability, latency: latency, window: window}
+}
+
+// Service returns the name of the service the objective is for.
+func (o Objective) Service() string { return o.service }
+
+// Availability returns the share of calls that succeed in time.
+func (o Objective) Availability() float64 { return o.availability }
+
+// Latency returns how long a good call takes at most.
+func (o Objective) Latency() time.Duration { return o.latency }
+
+// Window returns the time over which the objective is judged.
+func (o Objective) Window() time.Duration { return o.window }
+
+// Key implements Object.
+func (o Objective) Key() Key  { return Key{KindObjective, o.service} }
+func (o Objective) isObject() {}
--- /dev/null
+++ b/internal/log/event/logger.go
@@ -0,0 +1,66 @@
+package event
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+// Field is one named value of an event.
+type Field struct {
+	name  string
+	value any
+}
+
+// F returns a field; name is in snake case and ends with its unit, if any.
+func F(name string, value any) Field { return Field{name, value} }
+
+// Logger writes events as one JSON object a line.
+type Logger struct{ out *log.Logger }
+
+// New returns a logger that writes to w and marks each event with the node.
+func New(w io.Writer, node string) *Logger {
+	l := &log.Logger{Level: log.InfoLevel, TimeFormat: time.RFC3339Nano, Writer: &log.IOWriter{Writer: w}}
+	if node != "" {
+		l.Context = log.NewContext(nil).Str("node", node).Value()
+	}
+	return &Logger{out: l}
+}
+
+// Discard returns a logger that writes nothing, for tests.
+func Discard() *Logger { return New(io.Discard, "") }
+
+// Emit writes the event with a code, which must be in the catalogue.
+func (l *Logger) Emit(c Code, fields ...Field) {
+	entry, ok := catalogue[c]
+	if !ok {
+		entry = Entry{Level: Error, Text: "event without a catalogue entry"}
+	}
+	var e *log.Entry
+	switch entry.Level {
+	case Warn:
+		e = l.out.Warn()
+	case Error:
+		e = l.out.Error()
+	default:
+		e = l.out.Info()
+	}
+	e = e.Int("event", int(c))
+	for _, f := range fields {
+		switch v := f.value.(type) {
+		case string:
+			e = e.Str(f.name, v)
+		case error:
+			e = e.Str(f.name, v.Error())
+		case time.Duration:
+			e = e.Str(f.name, v.String())
+		case fmt.Stringer:
+			e = e.Str(f.name, v.String())
+		default:
+			e = e.Any(f.name, v)
+		}
+	}
+	e.Msg(entry.Text)
+}
--- /dev/null
+++ b/internal/policy/membership/doc.go
@@ -0,0 +1,3 @@
+// Package membership decides which targets exist and which of them get new
+// work, from announcements that arrive late, twice, reordered or not at all.
+package membership
--- /dev/null
+++ b/internal/policy/membership/record.go
@@ -0,0 +1,101 @@
+package membership
+
+import "net/netip"
+
+// State is where a target is in its life.
+type State uint8
+
+// The states of a target, in the order of a life.
+const (
+	Starting State = iota + 1
+	Ready
+	Draining
+	Gone
+)
+
+// String returns the state's name as status shows it.
+func (s State) String() string {
+	switch s {
+	case Starting:
+		return "starting"
+	case Ready:
+		return "ready"
+	case Draining:
+		return "draining"
+	case Gone:
+		return "gone"
+	default:
+		return "unknown"
+	}
+}
+
+// Record is what one instance last announced of itself.
+type Record struct {
+	instance string
+	domain   string
+	pool     string
+	address  netip.AddrPort
+	boot     uint64
+	seq      uint64
+	state    State
+}
+
+// RecordOption sets one property of a record.
+type RecordOption func(*Record)
+
+// Domain sets the failure domain of the instance.
+func Domain(d string) RecordOption { return func(r *Record) { r.domain = d } }
+
+// Pool sets the pool that the instance's target serves; "" for none.
+func Pool(p string) RecordOption { return func(r *Record) { r.pool = p } }
+
+// Address sets where the instance's node takes calls from other nodes.
+func Address(a netip.AddrPort) RecordOption { return func(r *Record) { r.address = a } }
+
+// Boot sets the number of the process's start, which grows with each start of
+// the instance.
+func Boot(b uint64) RecordOption { return func(r *Record) { r.boot = b } }
+
+// Seq sets the number of the announcement within a boot.
+func Seq(n uint64) RecordOption { return func(r *Record) { r.seq = n } }
+
+// InState sets the announced state.
+func InState(s State) RecordOption { return func(r *Record) { r.state = s } }
+
+// NewRecord returns an announcement by an instance.
+func NewRecord(instance string, opts ...RecordOption) Record {
+	r := Record{instance: instance, state: Starting}
+	for _, opt := range opts {
+		opt(&r)
+	}
+	return r
+}
+
+// Instance returns the name of the instance.
+func (r Record) Instance() string { return r.instance }
+
+// Domain returns the failure domain of the instance.
+func (r Record) Domain() string { return r.domain }
+
+// Pool returns the pool that the instance's target serves, or "".
+func (r Record) Pool() string { return r.pool }
+
+// Address returns where the instance's node takes calls from other nodes.
+func (r Record) Address() netip.AddrPort { return r.address }
+
+// Boot returns the number of the process's start.
+func (r Record) Boot() uint64 { return r.boot }
+
+// Seq returns the number of the announcement within its boot.
+func (r Record) Seq() uint64 { return r.seq }
+
+// State returns the announced state.
+func (r Record) State() State { return r.state }
+
+// Newer reports whether r was announced after other by the same instance.
+func (r Record) Newer(other Record) bool {
+	if r.boot != other.boot {
+		return r.boot > other.boot
+	}
+	return r.seq > other.seq
+}
