Decide membership and the distribution tree, without a network

A node needs to know which targets exist, which get new work, and from whom it pulls. membership merges announcements as the maximum of a total order, so that views agree whatever the order of arrival; the root of a domain turns silence into claims, as one batch, and the members are their own change log. tree ranks members by hash: two readers a domain, levels eight times wider each, parents by rendezvous hashing, other domains along chords of rings within and between regions.

The tree needs no election and no state beyond the members.

--- a/internal/policy/membership/record.go
+++ b/internal/policy/membership/record.go
@@ -1,16 +1,24 @@
 package membership
 
-import "net/netip"
+import (
+	"cmp"
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/zeebo/xxh3"
+)
 
 // State is where a target is in its life.
 type State uint8
 
-// The states of a target, in the order of a life.
+// The states of a target, in the order of a life; Suspect is no part of a life
+// but the claim of its failure domain that the instance has fallen silent.
 const (
 	Starting State = iota + 1
 	Ready
 	Draining
 	Gone
+	Suspect
 )
 
 // String returns the state's name as status shows it.
@@ -24,6 +32,8 @@
 		return "draining"
 	case Gone:
 		return "gone"
+	case Suspect:
+		return "suspect"
 	default:
 		return "unknown"
 	}
@@ -92,10 +102,44 @@
 // State returns the announced state.
 func (r Record) State() State { return r.state }
 
-// Newer reports whether r was announced after other by the same instance.
-func (r Record) Newer(other Record) bool {
-	if r.boot != other.boot {
-		return r.boot > other.boot
+// Newer reports whether r supersedes other, which is about the same instance.
+//
+// A later boot wins. Within a boot Gone is final, so that a delayed "ready"
+// can't bring back what has left; then the later announcement wins, and at the
+// same announcement the claim of silence does, until the instance refutes it
+// by announcing again. The remaining fields only break ties, so that any two
+// views settle on the same record.
+func (r Record) Newer(other Record) bool { return r.compare(other) > 0 }
+
+func (r Record) compare(other Record) int {
+	return cmp.Or(
+		cmp.Compare(r.boot, other.boot),
+		compareBool(r.state == Gone, other.state == Gone),
+		cmp.Compare(r.seq, other.seq),
+		cmp.Compare(r.state, other.state),
+		cmp.Compare(r.pool, other.pool),
+		r.address.Compare(other.address),
+	)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
+// digest identifies what is known of an instance.
+func (r Record) digest() uint64 {
+	b := make([]byte, 0, 128)
+	for _, s := range []string{r.instance, r.domain, r.pool} {
+		b = append(append(b, s...), 0)
 	}
-	return r.seq > other.seq
+	b = r.address.AppendTo(b)
+	b = binary.LittleEndian.AppendUint64(append(b, byte(r.state)), r.boot)
+	return xxh3.Hash(binary.LittleEndian.AppendUint64(b, r.seq))
 }
--- /dev/null
+++ b/internal/policy/tree/tree_test.go
@@ -0,0 +1,248 @@
+package tree
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"banyanlug.example/banyanlug/internal/policy/membership"
+)
+
+func ready(instance, domain string) membership.Record {
+	return inState(instance, domain, membership.Ready)
+}
+
+func inState(instance, domain string, s membership.State) membership.Record {
+	return membership.NewRecord(instance, membership.Domain(domain), membership.Boot(1), membership.InState(s))
+}
+
+// fleet returns the members of n instances in the 22 failure domains of 6
+// regions that the letter's size names.
+func fleet(n int) []membership.Record {
+	out := make([]membership.Record, n)
+	for i := range out {
+		d := i % 22
+		out[i] = ready(fmt.Sprintf("instance-%d", i), fmt.Sprintf("region-%d/domain-%d", d%6, d))
+	}
+	return out
+}
+
+// shape is what the whole fleet's positions come to.
+type shape struct {
+	depth, children, readers, orphans int
+	peers                             map[string][]string
+}
+
+func measure(records []membership.Record) shape {
+	s := shape{peers: map[string][]string{}}
+	children := map[string]int{}
+	rank := map[string]int{}
+	places := make([]Position, len(records))
+	for i, r := range records {
+		places[i] = Place(r.Instance(), r.Domain(), records)
+		rank[r.Instance()] = places[i].Rank()
+	}
+	for i, r := range records {
+		p := places[i]
+		s.depth = max(s.depth, p.Depth())
+		if p.Reader() {
+			s.readers++
+		}
+		for _, peer := range p.Peers() {
+			if peer.Domain() != r.Domain() {
+				s.peers[r.Domain()] = append(s.peers[r.Domain()], peer.Domain())
+			}
+		}
+		if len(p.Parents()) == 0 {
+			s.orphans++
+			continue
+		}
+		for _, parent := range p.Parents() {
+			if rank[parent.Instance()] >= p.Rank() {
+				s.children = 1 << 20
+			}
+		}
+		children[p.Parents()[0].Instance()]++
+	}
+	for _, n := range children {
+		s.children = max(s.children, n)
+	}
+	return s
+}
+
+func TestTheTreeStaysFlatAndNarrowAtTheSizeDesignedFor(t *testing.T) {
+	t.Parallel()
+	for _, tt := range []struct{ instances, maxDepth, maxChildren, maxPeers int }{
+		{22, 0, 1, 5},
+		{110, 1, 3 + Readers, 5},
+		{1000, 2, 2 * Fanout, 5},
+		{4200, 3, 2*Fanout + 3, 5},
+	} {
+		t.Run(fmt.Sprint(tt.instances), func(t *testing.T) {
+			t.Parallel()
+			s := measure(fleet(tt.instances))
+			if s.depth > tt.maxDepth || s.children > tt.maxChildren {
+				t.Errorf("depth %d, most children %d; want at most %d and %d", s.depth, s.children, tt.maxDepth, tt.maxChildren)
+			}
+			if want := 22; s.orphans != want {
+				t.Errorf("%d nodes without a parent, want one for each domain, %d", s.orphans, want)
+			}
+			if want := min(tt.instances, 22*Readers); s.readers != want {
+				t.Errorf("%d readers, want %d", s.readers, want)
+			}
+			for domain, peers := range s.peers {
+				if len(peers) > tt.maxPeers {
+					t.Errorf("%s pulls from %d domains, want at most %d", domain, len(peers), tt.maxPeers)
+				}
+			}
+			t.Logf("%d instances: depth %d, most children %d, pulls between domains %d", tt.instances, s.depth, s.children, pulls(s.peers))
+		})
+	}
+}
+
+func pulls(peers map[string][]string) int {
+	n := 0
+	for _, p := range peers {
+		n += len(p)
+	}
+	return n
+}
+
+// A region or a single domain is lost. The others go on hearing of each other:
+// every domain still reaches every other along the pulls that remain, since
+// each has several ways out of its region.
+func TestDomainsReachEachOtherWithoutAnyOneDomain(t *testing.T) {
+	t.Parallel()
+	peers := measure(fleet(220)).peers
+	domains := make([]string, 0, len(peers))
+	for d := range peers {
+		domains = append(domains, d)
+	}
+	slices.Sort(domains)
+	for _, lost := range append([]string{""}, domains...) {
+		for _, from := range domains {
+			if from == lost {
+				continue
+			}
+			hops := reach(peers, from, lost)
+			for _, to := range domains {
+				if _, ok := hops[to]; !ok && to != lost {
+					t.Errorf("without %q, %s learns nothing of %s", lost, from, to)
+				}
+			}
+			if lost == "" {
+				for to, n := range hops {
+					if n > 5 {
+						t.Errorf("%s is %d hops from %s, want at most 5", from, n, to)
+					}
+				}
+			}
+		}
+	}
+}
+
+func reach(peers map[string][]string, from, lost string) map[string]int {
+	hops := map[string]int{from: 0}
+	for queue := []string{from}; len(queue) > 0; queue = queue[1:] {
+		for _, d := range peers[queue[0]] {
+			if _, ok := hops[d]; !ok && d != lost {
+				hops[d] = hops[queue[0]] + 1
+				queue = append(queue, d)
+			}
+		}
+	}
+	return hops
+}
+
+// A relay dies with all its children. They go to different backups, so that no
+// one node is asked by all of them at once.
+func TestTheChildrenOfALostRelaySpreadOverOthers(t *testing.T) {
+	t.Parallel()
+	records := fleet(22 * 190)
+	byParent := map[string][]Position{}
+	for _, r := range records {
+		if r.Domain() == "region-0/domain-0" {
+			if p := Place(r.Instance(), r.Domain(), records); p.Depth() >= 2 {
+				first := p.Parents()[0].Instance()
+				byParent[first] = append(byParent[first], p)
+			}
+		}
+	}
+	for parent, orphans := range byParent {
+		next := map[string]int{}
+		for _, p := range orphans {
+			next[p.Parents()[1].Instance()]++
+		}
+		for backup, n := range next {
+			if n > max(3, len(orphans)/2) {
+				t.Errorf("%d of %d children of %s have %s next", n, len(orphans), parent, backup)
+			}
+		}
+	}
+}
+
+func TestOneLossMovesFewChildren(t *testing.T) {
+	t.Parallel()
+	records := fleet(22 * 190)
+	var home []membership.Record
+	for _, r := range records {
+		if r.Domain() == "region-0/domain-0" {
+			home = append(home, r)
+		}
+	}
+	total, losses := 0, 0
+	for lost := 0; lost < len(home); lost += 10 {
+		losses++
+		after := slices.Delete(slices.Clone(home), lost, lost+1)
+		for _, r := range after {
+			before := Place(r.Instance(), r.Domain(), home).Parents()
+			now := Place(r.Instance(), r.Domain(), after).Parents()
+			if len(before) > 0 && (len(now) == 0 || before[0].Instance() != now[0].Instance()) {
+				total++
+			}
+		}
+	}
+	// On average a node has one child; the rest are those of the nodes that
+	// move up a level.
+	if mean := float64(total) / float64(losses); mean > 6 {
+		t.Errorf("the loss of one node moves %.1f others on average, want at most 6", mean)
+	} else {
+		t.Logf("the loss of one node moves %.2f of %d others on average", mean, len(home)-1)
+	}
+}
+
+func TestPlaceByStateOfTheMembers(t *testing.T) {
+	t.Parallel()
+	const d = "escazu"
+	for _, tt := range []struct {
+		name    string
+		records []membership.Record
+		self    string
+		root    bool
+		parents []string
+	}{
+		{"a node that knows nobody is the root", nil, "a", true, nil},
+		{"a starting node pulls from a ready one", []membership.Record{inState("a", d, membership.Starting), ready("b", d)}, "a", false, []string{"b"}},
+		{"a ready node does not pull from a starting one", []membership.Record{inState("a", d, membership.Starting), ready("b", d)}, "b", true, nil},
+		{"nobody pulls from one that drains", []membership.Record{inState("a", d, membership.Draining), ready("b", d)}, "b", true, nil},
+		{"one that drains pulls from those that stay", []membership.Record{inState("a", d, membership.Draining), ready("b", d)}, "a", false, []string{"b"}},
+		{"nobody pulls from a suspect", []membership.Record{inState("a", d, membership.Suspect), ready("b", d)}, "b", true, nil},
+		{"one wrongly suspected pulls on", []membership.Record{inState("a", d, membership.Suspect), ready("b", d)}, "a", false, []string{"b"}},
+		{"nobody pulls from one that is gone", []membership.Record{inState("a", d, membership.Gone), ready("b", d)}, "b", true, nil},
+		{"members of other domains are no parents", []membership.Record{ready("a", "cartago"), ready("b", d)}, "b", true, nil},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			p := Place(tt.self, d, tt.records)
+			var got []string
+			for _, r := range p.Parents() {
+				got = append(got, r.Instance())
+			}
+			if diff := cmp.Diff(tt.parents, got); diff != "" || p.Root() != tt.root {
+				t.Errorf("root %v, parents (-want +got):\n%s", p.Root(), diff)
+			}
+		})
+	}
+}
