--- a/internal/policy/membership/record.go
+++ b/internal/policy/membership/record.go
@@ -35,6 +35,7 @@
 	domain   string
 	pool     string
 	address  netip.AddrPort
+	peer     netip.AddrPort
 	boot     uint64
 	seq      uint64
 	state    State
@@ -52,6 +53,9 @@
 // Address sets where the instance's node takes calls from other nodes.
 func Address(a netip.AddrPort) RecordOption { return func(r *Record) { r.address = a } }
 
+// Peer sets where the instance's node answers other nodes' control calls.
+func Peer(a netip.AddrPort) RecordOption { return func(r *Record) { r.peer = a } }
+
 // Boot sets the number of the process's start, which grows with each start of
 // the instance.
 func Boot(b uint64) RecordOption { return func(r *Record) { r.boot = b } }
@@ -83,6 +87,9 @@
 // Address returns where the instance's node takes calls from other nodes.
 func (r Record) Address() netip.AddrPort { return r.address }
 
+// Peer returns where the instance's node answers other nodes' control calls.
+func (r Record) Peer() netip.AddrPort { return r.peer }
+
 // Boot returns the number of the process's start.
 func (r Record) Boot() uint64 { return r.boot }
 
