Add the admission gate of a target: classes, short queue, early refusal

Cause: callers' views of a target lag, so only the target's own node can keep its promised slots; and without a bounded queue a saturated target works for callers that have gone.

Conclusion: promised slots are never lent.

--- /dev/null
+++ b/internal/policy/admission/gate_test.go
@@ -0,0 +1,184 @@
+package admission
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/policy/play"
+)
+
+// script drives a gate by short words and writes down what it says.
+type script struct {
+	gate    *Gate
+	now     time.Time
+	tickets map[string]Ticket
+	names   map[Ticket]string
+	said    []string
+}
+
+func newScript(opts ...Option) *script {
+	return &script{
+		gate: NewGate(play.Start, opts...), now: play.Start,
+		tickets: map[string]Ticket{}, names: map[Ticket]string{},
+	}
+}
+
+// step understands "NAME enters as CLASS by MS", "NAME leaves", "NAME is
+// shed", "MS pass", "drain" and "slots N promised M".
+func (s *script) step(line string) {
+	words := strings.Fields(line)
+	var wakes []Wake
+	switch {
+	case words[0] == "drain":
+		wakes = s.gate.Drain(s.now, nil)
+	case words[0] == "slots":
+		wakes = s.gate.Configure(s.now, nil, Slots(number(words[1])), Promised(number(words[3])))
+	case words[1] == "pass":
+		s.now = s.now.Add(time.Duration(number(words[0])) * ms)
+		wakes = s.gate.Expire(s.now, nil)
+	case words[1] == "leaves":
+		wakes = s.gate.Leave(s.now, s.tickets[words[0]], Done, nil)
+	case words[1] == "is":
+		wakes = s.gate.Leave(s.now, s.tickets[words[0]], Shed, nil)
+	case words[1] == "enters":
+		class := snapshot.Trial
+		if words[3] == "paying" {
+			class = snapshot.Paying
+		}
+		var d Decision
+		org, _, _ := strings.Cut(words[0], "-")
+		d, wakes = s.gate.Enter(s.now, NewRequest(org, class, "r", s.now.Add(time.Duration(number(words[5]))*ms)), nil)
+		s.say(words[0], d)
+	}
+	for _, w := range wakes {
+		s.say(s.names[w.Ticket()], w.Decision())
+	}
+}
+
+func (s *script) say(name string, d Decision) {
+	switch d := d.(type) {
+	case Admitted:
+		s.tickets[name], s.names[d.Ticket()] = d.Ticket(), name
+		s.said = append(s.said, name+" runs")
+	case Queued:
+		s.tickets[name], s.names[d.Ticket()] = d.Ticket(), name
+		s.said = append(s.said, name+" waits")
+	case Refused:
+		s.said = append(s.said, name+" "+d.Reason().String())
+	}
+}
+
+func number(s string) (n int) {
+	fmt.Sscan(s, &n)
+	return n
+}
+
+func TestGate(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name     string
+		slots    int
+		promised int
+		steps    string
+		want     string
+	}{
+		{"a free slot runs a call", 1, 0, "a enters as trial by 50", "a runs"},
+		{"a full gate makes a call wait its turn", 1, 0, "a enters as trial by 50; b enters as trial by 50; a leaves", "a runs, b waits, b runs"},
+		{"the earliest deadline goes first", 1, 0, "a enters as trial by 50; b enters as trial by 90; c enters as trial by 60; a leaves; c leaves", "a runs, b waits, c waits, c runs, b runs"},
+		{"a paying call goes before a trial call", 1, 0, "a enters as trial by 50; b enters as trial by 50; c enters as paying by 90; a leaves", "a runs, b waits, c waits, c runs"},
+		{"the organisation with less running goes first", 2, 0, "a-1 enters as paying by 90; b-1 enters as paying by 90; a-2 enters as paying by 50; c-1 enters as paying by 90; b-1 leaves", "a-1 runs, b-1 runs, a-2 waits, c-1 waits, c-1 runs"},
+		{"a trial call leaves promised slots idle", 2, 1, "a enters as trial by 50; b enters as trial by 50; c enters as paying by 50", "a runs, b waits, c runs"},
+		{"a paying call may use all slots", 2, 1, "a enters as paying by 50; b enters as paying by 50", "a runs, b runs"},
+		{"with all slots promised no trial call is let in", 2, 2, "a enters as trial by 50", "a no_trial_slots"},
+		{"a call past its deadline is refused", 1, 0, "a enters as paying by 0", "a too_late"},
+		{"a call that can't end in time is refused at once", 1, 0, "a enters as paying by 50; 10 pass; a leaves; b enters as paying by 50; c enters as paying by 15", "a runs, b runs, c too_late"},
+		{"a waiting call is refused when it can't end in time any more", 1, 0, "a enters as paying by 50; 10 pass; a leaves; b enters as paying by 90; c enters as paying by 35; 20 pass; 6 pass", "a runs, b runs, c waits, c too_late"},
+		{"the queue is bounded", 1, 0, "a enters as paying by 99; b enters as paying by 99; c enters as paying by 99; d enters as paying by 99", "a runs, b waits, c waits, d queue_full"},
+		{"an organisation with much waiting makes room", 1, 0, "a enters as paying by 99; a-2 enters as paying by 99; a-3 enters as paying by 99; d enters as paying by 99", "a runs, a-2 waits, a-3 waits, d waits, a-3 displaced"},
+		{"a draining gate refuses what waits and what comes", 1, 0, "a enters as paying by 99; b enters as paying by 99; drain; c enters as paying by 99; a leaves", "a runs, b waits, b draining, c draining"},
+		{"a caller that goes away leaves the queue", 1, 0, "a enters as paying by 99; b enters as paying by 99; b leaves; a leaves", "a runs, b waits"},
+		{"a ticket that left already changes nothing", 1, 0, "a enters as paying by 99; b enters as paying by 99; a leaves; a leaves; c enters as paying by 99", "a runs, b waits, b runs, c waits"},
+		{"a version with more slots runs what waits", 1, 0, "a enters as paying by 99; b enters as paying by 99; slots 2 promised 0", "a runs, b waits, b runs"},
+		{"a version with fewer slots fills none that is gone", 2, 0, "a enters as paying by 99; b enters as paying by 99; c enters as paying by 99; slots 1 promised 0; a leaves; b leaves", "a runs, b runs, c waits, c runs"},
+		{"a version with a greater promise refills no trial slot", 2, 0, "a enters as trial by 99; b enters as trial by 99; c enters as trial by 99; slots 2 promised 1; a leaves; b leaves", "a runs, b runs, c waits, c runs"},
+		{"a target that sheds gets fewer calls", 3, 0, "a enters as paying by 99; b enters as paying by 99; c enters as paying by 99; c is shed; d enters as paying by 99", "a runs, b runs, c runs, d waits"},
+		{"a target that sheds keeps the promise before trial slots", 3, 2, "a enters as paying by 99; b enters as paying by 99; c enters as trial by 99; c is shed; a leaves; b leaves; d enters as trial by 99; e enters as paying by 99", "a runs, b runs, c runs, d queue_full, e runs"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newScript(Slots(c.slots), Promised(c.promised))
+			for _, line := range strings.Split(c.steps, "; ") {
+				s.step(line)
+			}
+			if diff := cmp.Diff(c.want, strings.Join(s.said, ", ")); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestEntryOnFreeSlotAllocatesNothing(t *testing.T) {
+	g := NewGate(play.Start, Slots(insurerSlots), Promised(8))
+	r := NewRequest("broker", snapshot.Paying, "quote", play.Start.Add(time.Second))
+	if n := testing.AllocsPerRun(1000, func() {
+		d, _ := g.Enter(play.Start, r, nil)
+		g.Leave(play.Start.Add(ms), d.(Admitted).Ticket(), Done, nil)
+	}); n != 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
+
+func BenchmarkEnterAndLeave(b *testing.B) {
+	for _, orgs := range []int{1, 100, 1000} {
+		b.Run(fmt.Sprintf("organisations=%d", orgs), func(b *testing.B) {
+			g := NewGate(play.Start, Slots(insurerSlots), Promised(8))
+			requests := make([]Request, orgs)
+			for i := range requests {
+				requests[i] = NewRequest(fmt.Sprintf("organisation-%d", i), snapshot.Class(i%2), fmt.Sprintf("route-%d", i%20), play.Start.Add(time.Hour))
+			}
+			now, i := play.Start, 0
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Microsecond)
+				i = (i + 7) % orgs
+				d, _ := g.Enter(now, requests[i], nil)
+				if a, ok := d.(Admitted); ok {
+					g.Leave(now, a.Ticket(), Done, nil)
+				}
+			}
+		})
+	}
+}
+
+// Each call meets a full gate, waits and takes the place of one that leaves.
+func BenchmarkEnterThroughQueue(b *testing.B) {
+	g := NewGate(play.Start, Slots(insurerSlots))
+	now := play.Start
+	var run []Ticket
+	var wakes []Wake
+	enter := func(i int) {
+		d, _ := g.Enter(now, NewRequest("broker", snapshot.Paying, "quote", now.Add(time.Second+time.Duration(i%7)*ms)), nil)
+		if a, ok := d.(Admitted); ok {
+			run = append(run, a.Ticket())
+		}
+	}
+	for i := range 2 * insurerSlots {
+		enter(i)
+	}
+	i := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		i++
+		now = now.Add(10 * time.Microsecond)
+		wakes = g.Leave(now, run[i%len(run)], Done, wakes[:0])
+		for _, w := range wakes {
+			run[i%len(run)] = w.Ticket()
+		}
+		enter(i)
+	}
+}
--- /dev/null
+++ b/internal/policy/admission/queue.go
@@ -0,0 +1,86 @@
+package admission
+
+import (
+	"slices"
+	"sort"
+)
+
+// queue holds the waiting calls of one class, earliest deadline first.
+type queue struct {
+	calls []*call
+	// short counts the calls that are not long.
+	short int
+}
+
+// place returns where a call with a deadline stands.
+func (q *queue) place(deadline int64) int {
+	return sort.Search(len(q.calls), func(i int) bool { return q.calls[i].deadline > deadline })
+}
+
+// ahead returns how many waiting calls of one length have an earlier deadline.
+func (q *queue) ahead(deadline int64, long bool) int {
+	n := 0
+	for _, c := range q.calls[:q.place(deadline)] {
+		if c.long == long {
+			n++
+		}
+	}
+	return n
+}
+
+func (q *queue) push(c *call) {
+	c.state = queued
+	c.org.queued++
+	q.calls = slices.Insert(q.calls, q.place(c.deadline), c)
+	if !c.long {
+		q.short++
+	}
+}
+
+func (q *queue) remove(i int) *call {
+	c := q.calls[i]
+	q.calls = slices.Delete(q.calls, i, i+1)
+	c.org.queued--
+	if !c.long {
+		q.short--
+	}
+	return c
+}
+
+func (q *queue) removeCall(c *call) {
+	if i := slices.Index(q.calls, c); i >= 0 {
+		q.remove(i)
+	}
+}
+
+// next returns the index of the call to run next among those that may: of the
+// organisation with the fewest running calls, the earliest deadline.
+func (q *queue) next(may func(*call) bool) int {
+	best := -1
+	for i, c := range q.calls {
+		if (best < 0 || c.org.running < q.calls[best].org.running) && may(c) {
+			best = i
+			if c.org.running == 0 {
+				break
+			}
+		}
+	}
+	return best
+}
+
+// displaceable returns the index of the call that makes room for a newcomer of
+// the same length: the latest deadline of the organisation with the most
+// waiting, if that is at least two more than the newcomer's has, else -1. With
+// a difference of one the two would take turns in displacing each other.
+func (q *queue) displaceable(newcomer *call) int {
+	best := -1
+	for i, c := range q.calls {
+		if c.long == newcomer.long && (best < 0 || c.org.queued >= q.calls[best].org.queued) {
+			best = i
+		}
+	}
+	if best < 0 || q.calls[best].org.queued < newcomer.org.queued+2 {
+		return -1
+	}
+	return best
+}
