Add the choice of target: two choices, near domains first, ejection, ramps

Cause: targets taken in turn hold up their share of all calls whatever state they are in, and a target's own word about its health lags or misleads.

Conclusion: refused connections act on the next pick, failures after three, latencies within a few answers; what is not seen again fades in seconds.

--- /dev/null
+++ b/internal/policy/balance/balancer.go
@@ -0,0 +1,142 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"banyanlug.example/banyanlug/internal/policy/membership"
+)
+
+// shards is how many locks guard the list of pools: far more than cores that
+// would meet at one.
+const shards = 64
+
+// Balancer picks targets for the calls of one node.
+type Balancer struct {
+	epoch  time.Time
+	domain string
+	tier   func(domain string) int
+	shards [shards]struct {
+		mu    sync.RWMutex
+		pools map[string]*pool
+	}
+
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+// Option sets one property of a balancer.
+type Option func(*Balancer)
+
+// Domain sets the node's own failure domain, whose targets go first.
+func Domain(d string) Option { return func(b *Balancer) { b.domain = d } }
+
+// Tiers sets how far a failure domain is, from 0 for the nearest; without it
+// the own domain is at 0 and all others at 1.
+func Tiers(f func(domain string) int) Option { return func(b *Balancer) { b.tier = f } }
+
+// New returns a balancer without targets that draws from rng.
+func New(now time.Time, rng *rand.Rand, opts ...Option) *Balancer {
+	b := &Balancer{epoch: now, rng: rng}
+	b.tier = func(domain string) int {
+		if domain == b.domain {
+			return 0
+		}
+		return 1
+	}
+	for i := range b.shards {
+		b.shards[i].pools = map[string]*pool{}
+	}
+	for _, opt := range opts {
+		opt(b)
+	}
+	return b
+}
+
+// Update sets which targets a pool has and how many slots each brings. What is
+// known of a target stays while its process does; a new boot starts cold.
+// Targets that are not ready are never picked.
+func (b *Balancer) Update(now time.Time, poolName string, slots int, records []membership.Record) {
+	p := b.pool(poolName)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := make(map[string]*target, len(p.all))
+	for _, t := range p.all {
+		known[t.record.Load().Instance()] = t
+	}
+	p.all = p.all[:0:0]
+	p.tiers = nil
+	for _, r := range records {
+		if r.State() != membership.Ready {
+			continue
+		}
+		t := known[r.Instance()]
+		switch {
+		case t == nil || t.record.Load().Boot() != r.Boot():
+			t = &target{pool: p, coldSince: b.at(now)}
+		case r.Newer(*t.record.Load()):
+			// Only a later announcement outweighs its own word that it leaves.
+			t.leaving = false
+		}
+		t.record.Store(&r)
+		t.slots = float64(max(1, slots))
+		p.all = append(p.all, t)
+		tier := max(0, b.tier(r.Domain()))
+		for len(p.tiers) <= tier {
+			p.tiers = append(p.tiers, nil)
+		}
+		p.tiers[tier] = append(p.tiers[tier], t)
+	}
+}
+
+// Pick returns a target of a pool that this call has not tried, or None.
+func (b *Balancer) Pick(now time.Time, poolName string, a Ask, tried []Picked) Choice {
+	p := b.lookup(poolName)
+	if p == nil {
+		return None{NoTargets, firstEjection}
+	}
+	return p.pick(b.at(now), a, tried)
+}
+
+// Done tells how an attempt ended that took so long.
+func (b *Balancer) Done(now time.Time, p Picked, a Ask, took time.Duration, r Report) {
+	p.t.pool.done(b.at(now), p.t, a, took, r)
+}
+
+// Closed tells that a connection kept for another call has been closed.
+func (b *Balancer) Closed(p Picked) {
+	p.t.pool.mu.Lock()
+	defer p.t.pool.mu.Unlock()
+	p.t.warm = max(0, p.t.warm-1)
+}
+
+func (b *Balancer) at(now time.Time) int64 { return int64(now.Sub(b.epoch)) }
+
+func (b *Balancer) lookup(name string) *pool {
+	s := &b.shards[xxh3.HashString(name)%shards]
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.pools[name]
+}
+
+func (b *Balancer) pool(name string) *pool {
+	s := &b.shards[xxh3.HashString(name)%shards]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pools[name]
+	if p == nil {
+		p = &pool{rng: b.split()}
+		s.pools[name] = p
+	}
+	return p
+}
+
+// split returns a random source of a pool's own, so that pools share no lock.
+func (b *Balancer) split() *rand.Rand {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return rand.New(rand.NewPCG(b.rng.Uint64(), b.rng.Uint64()))
+}
--- /dev/null
+++ b/internal/policy/balance/balancer_test.go
@@ -0,0 +1,277 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/policy/play"
+)
+
+var (
+	broker = NewAsk("broker", snapshot.Paying)
+	free   = NewAsk("free", snapshot.Trial)
+)
+
+func ready(n int) []membership.Record {
+	var out []membership.Record
+	for i := range n {
+		out = append(out, record(i, "sabana", 1, membership.Ready))
+	}
+	return out
+}
+
+func three() *Balancer {
+	b := New(play.Start, play.Rand(1), Domain("sabana"))
+	b.Update(play.Start.Add(-time.Minute), "pool", slots, ready(3))
+	return b
+}
+
+// only picks the target with a number by excluding all others, if it may be
+// picked.
+func only(b *Balancer, now time.Time, a Ask, i int) (Picked, bool) {
+	var tried []Picked
+	defer func() {
+		for _, p := range tried {
+			b.Done(now, p, a, 0, Cancelled())
+		}
+	}()
+	for {
+		p, ok := b.Pick(now, "pool", a, tried).(Picked)
+		if !ok {
+			return Picked{}, false
+		}
+		if p.Record().Instance() == fmt.Sprintf("target-%d", i) {
+			return p, true
+		}
+		tried = append(tried, p)
+	}
+}
+
+func hold(t *testing.T, b *Balancer, now time.Time, a Ask, i int) Picked {
+	t.Helper()
+	p, ok := only(b, now, a, i)
+	if !ok {
+		t.Fatalf("target %d may not be picked", i)
+	}
+	return p
+}
+
+// share returns how many of 300 picks each target gets, none of them loaded.
+func share(b *Balancer, now time.Time, a Ask) map[string]int {
+	got := map[string]int{}
+	for range 300 {
+		switch c := b.Pick(now, "pool", a, nil).(type) {
+		case Picked:
+			got[c.Record().Instance()]++
+			b.Done(now, c, a, 10*ms, Cancelled())
+		case None:
+			got[c.Reason().String()]++
+		}
+	}
+	return got
+}
+
+func TestWhatACallSeesActsAtOnce(t *testing.T) {
+	t.Parallel()
+	at := func(d time.Duration) time.Time { return play.Start.Add(d) }
+	for _, c := range []struct {
+		name    string
+		report  Report
+		times   int
+		ask     Ask
+		after   time.Duration
+		without bool
+	}{
+		{"an answer keeps the target", Answered(), 1, broker, 0, false},
+		{"a refused connection ejects", Unreachable(), 1, broker, 0, true},
+		{"an ejected target comes back", Unreachable(), 1, broker, 2 * time.Second, false},
+		{"two failures don't eject", Failed(), 2, broker, 0, false},
+		{"three failures eject", Failed(), 3, broker, 0, true},
+		{"a draining target gets nothing", Leaving(), 1, broker, time.Hour, true},
+		{"a shedding target is left alone as long as it said", Shed(ForAll, time.Second), 1, free, 999 * ms, true},
+		{"and not longer", Shed(ForAll, time.Second), 1, broker, time.Second, false},
+		{"a refusal to an organisation binds it", Shed(ForOrganisation, time.Second), 1, broker, 0, true},
+		{"and no other", Shed(ForOrganisation, time.Second), 1, NewAsk("other", snapshot.Paying), 0, false},
+		{"a refusal to paying calls binds trial calls", Shed(ForClass, time.Second), 1, free, 0, true},
+		{"no refusal binds for ever", Shed(ForAll, time.Hour), 1, broker, maxShed, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			b := three()
+			for range c.times {
+				b.Done(play.Start, hold(t, b, play.Start, broker, 0), broker, ms, c.report)
+			}
+			got := share(b, at(c.after), c.ask)["target-0"]
+			if c.without && got > 0 {
+				t.Errorf("the target was picked %d times of 300", got)
+			}
+			if _, ok := only(b, at(c.after), c.ask, 0); !c.without && !ok {
+				t.Error("the target may not be picked")
+			}
+		})
+	}
+}
+
+func TestTrialRefusalBindsNoPayingCall(t *testing.T) {
+	t.Parallel()
+	b := three()
+	b.Done(play.Start, hold(t, b, play.Start, free, 0), free, ms, Shed(ForClass, time.Second))
+	if share(b, play.Start, broker)["target-0"] == 0 {
+		t.Error("paying calls avoid a target that refused a trial call")
+	}
+	if share(b, play.Start, free)["target-0"] != 0 {
+		t.Error("trial calls ask a target that refused them")
+	}
+}
+
+func TestUpdate(t *testing.T) {
+	t.Parallel()
+	states := func(first membership.State, boot, seq uint64) []membership.Record {
+		r := ready(3)
+		r[0] = membership.NewRecord("target-0", membership.Domain("sabana"), membership.Pool("pool"),
+			membership.Boot(boot), membership.Seq(seq), membership.InState(first))
+		return r
+	}
+	for _, c := range []struct {
+		name    string
+		records []membership.Record
+		picked  bool
+	}{
+		{"a draining target is not picked", states(membership.Draining, 1, 1), false},
+		{"a starting target is not picked", states(membership.Starting, 2, 0), false},
+		{"a target that is gone is not picked", ready(3)[1:], false},
+		{"an old announcement doesn't outweigh its own word that it leaves", states(membership.Ready, 1, 0), false},
+		{"a later one does", states(membership.Ready, 1, 1), true},
+		{"and a new boot", states(membership.Ready, 2, 0), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			b := three()
+			b.Done(play.Start, hold(t, b, play.Start, broker, 0), broker, ms, Leaving())
+			b.Update(play.Start, "pool", slots, c.records)
+			if got := share(b, play.Start, broker)["target-0"]; (got > 0) != c.picked {
+				t.Errorf("the target was picked %d times of 300", got)
+			}
+		})
+	}
+}
+
+func TestNone(t *testing.T) {
+	t.Parallel()
+	b := New(play.Start, play.Rand(1))
+	want := None{NoTargets, firstEjection}
+	if diff := cmp.Diff(Choice(want), b.Pick(play.Start, "pool", broker, nil), cmp.AllowUnexported(None{})); diff != "" {
+		t.Error(diff)
+	}
+	b.Update(play.Start, "pool", slots, ready(2))
+	var tried []Picked
+	for range 2 {
+		tried = append(tried, b.Pick(play.Start, "pool", broker, tried).(Picked))
+	}
+	if tried[0].Record().Instance() == tried[1].Record().Instance() {
+		t.Error("a target is tried twice")
+	}
+	if none, ok := b.Pick(play.Start, "pool", broker, tried).(None); !ok || none.Reason() != AllTried {
+		t.Errorf("picked %v with all tried", none)
+	}
+	for _, p := range tried {
+		b.Done(play.Start, p, broker, ms, Shed(ForAll, 300*ms))
+	}
+	if none, ok := b.Pick(play.Start, "pool", broker, nil).(None); !ok || none.Reason() != AllShed || none.RetryAfter() != 300*ms {
+		t.Errorf("%v with all shedding", none)
+	}
+}
+
+// All targets refuse connections. Each may be probed by one call at a time, so
+// that the end of the fault is seen, and further calls hear that none is left.
+func TestEjectedPoolIsProbedOneCallATime(t *testing.T) {
+	t.Parallel()
+	b := three()
+	for i := range 3 {
+		b.Done(play.Start, hold(t, b, play.Start, broker, i), broker, ms, Unreachable())
+	}
+	probes := map[string]int{}
+	for range 3 {
+		probes[b.Pick(play.Start, "pool", broker, nil).(Picked).Record().Instance()]++
+	}
+	if len(probes) != 3 {
+		t.Errorf("probed %v", probes)
+	}
+	if none, ok := b.Pick(play.Start, "pool", broker, nil).(None); !ok || none.Reason() != AllEjected || none.RetryAfter() <= 0 {
+		t.Errorf("%v with all probed", none)
+	}
+}
+
+func TestNewTargetRampsUp(t *testing.T) {
+	t.Parallel()
+	b := three()
+	records := append(ready(3), record(3, "sabana", 1, membership.Ready))
+	b.Update(play.Start, "pool", slots, records)
+	early, late := share(b, play.Start, broker)["target-3"], share(b, play.Start.Add(coldFor), broker)["target-3"]
+	if early == 0 || early > 30 || late < 50 {
+		t.Errorf("picked %d times of 300 at first and %d in the end", early, late)
+	}
+}
+
+func TestWarmConnectionIsPreferred(t *testing.T) {
+	t.Parallel()
+	b := three()
+	p := hold(t, b, play.Start, broker, 0)
+	b.Done(play.Start, p, broker, 10*ms, Answered(Kept()))
+	got, other := 0, 0
+	for range 300 {
+		p := b.Pick(play.Start, "pool", broker, nil).(Picked)
+		if p.Record().Instance() == "target-0" {
+			got++
+			b.Done(play.Start, p, broker, 10*ms, Answered(Kept()))
+			continue
+		}
+		other++
+		b.Done(play.Start, p, broker, 10*ms, Answered())
+	}
+	if got < 3*other/2 {
+		t.Errorf("the warm target was picked %d times, the two others %d", got, other)
+	}
+}
+
+func TestPickAllocatesNothing(t *testing.T) {
+	b := three()
+	if n := testing.AllocsPerRun(1000, func() {
+		p := b.Pick(play.Start, "pool", broker, nil).(Picked)
+		b.Done(play.Start, p, broker, ms, Answered())
+	}); n != 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
+
+// The planned fleet: 4200 targets in 280 pools.
+func BenchmarkPickAndDone(b *testing.B) {
+	for _, c := range []struct{ pools, targets int }{{28, 420}, {280, 4200}, {280, 42000}} {
+		b.Run(fmt.Sprintf("pools=%d/targets=%d", c.pools, c.targets), func(b *testing.B) {
+			balancer := New(play.Start, play.Rand(1), Domain("domain-0"))
+			names := make([]string, c.pools)
+			for p := range names {
+				names[p] = fmt.Sprintf("pool-%d", p)
+				var records []membership.Record
+				for i := range c.targets / c.pools {
+					records = append(records, membership.NewRecord(fmt.Sprintf("target-%d-%d", p, i),
+						membership.Pool(names[p]), membership.Domain(fmt.Sprintf("domain-%d", i%22)), membership.InState(membership.Ready)))
+				}
+				balancer.Update(play.Start.Add(-time.Hour), names[p], slots, records)
+			}
+			now, i := play.Start, 0
+			b.ReportAllocs()
+			for b.Loop() {
+				i = (i + 7) % c.pools
+				now = now.Add(time.Microsecond)
+				p := balancer.Pick(now, names[i], broker, nil).(Picked)
+				balancer.Done(now, p, broker, 10*ms, Answered(Load(0.3), Kept()))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/policy/balance/pool.go
@@ -0,0 +1,252 @@
+package balance
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	// spillAt is the utilisation of the better of two near targets beyond
+	// which farther ones are looked at too. With a dozen slots at four fifths
+	// a call still finds one free nineteen times in twenty; beyond, the near
+	// queue costs more than the millisecond or two of a farther domain.
+	spillAt = 0.8
+	// maxEjected is the part of a pool that failures may eject. If more of it
+	// fails, the cause is seldom the targets, and leaving them all would turn
+	// one fault into an outage.
+	maxEjected = 0.5
+	// draws is how often a free target is drawn blindly before all are looked
+	// at in turn; with half of a pool out, one in 256 picks gets there.
+	draws = 8
+	// initialLatency stands until the first answer of a pool.
+	initialLatency = float64(10 * time.Millisecond)
+	// usualShare is the weight of one answer in the pool's latency: its mean
+	// must not follow one slow target.
+	usualShare = 1.0 / 64
+)
+
+// pool holds the targets of one pool in tiers by distance.
+type pool struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	all     []*target
+	tiers   [][]*target
+	latency float64
+}
+
+// usual returns the pool's usual latency.
+func (p *pool) usual() float64 {
+	if p.latency == 0 {
+		return initialLatency
+	}
+	return p.latency
+}
+
+func (p *pool) pick(at int64, a Ask, tried []Picked) Choice {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best, bestCost := (*target)(nil), math.Inf(1)
+	for _, tier := range p.tiers {
+		t, cost := p.two(at, tier, a, tried)
+		if cost < bestCost {
+			best, bestCost = t, cost
+		}
+		if t != nil && t.utilisation(at) <= spillAt {
+			break
+		}
+	}
+	if best == nil {
+		return p.none(at, a, tried)
+	}
+	best.back(at)
+	best.outstanding++
+	if best.warm > 0 {
+		best.warm--
+	}
+	return Picked{best}
+}
+
+// two draws two targets and returns the cheaper. One that is always the
+// cheapest of all by lagging knowledge would get every caller's calls at once;
+// the cheaper of two random ones gets at most twice its share. A target to probe
+// is taken when it is drawn, or its old failures would keep it out for good.
+func (p *pool) two(at int64, tier []*target, a Ask, tried []Picked) (*target, float64) {
+	first := p.draw(at, tier, a, tried, nil)
+	if first == nil {
+		return nil, math.Inf(1)
+	}
+	cost := first.cost(at, p.usual())
+	if first.probing(at) {
+		return first, cost
+	}
+	second := p.draw(at, tier, a, tried, first)
+	if second == nil {
+		return first, cost
+	}
+	if c := second.cost(at, p.usual()); c < cost || second.probing(at) {
+		return second, c
+	}
+	return first, cost
+}
+
+// draw returns a random target that may be picked, a cold one more rarely, or
+// nil.
+func (p *pool) draw(at int64, tier []*target, a Ask, tried []Picked, not *target) *target {
+	n := len(tier)
+	if n == 0 || (n == 1 && tier[0] == not) {
+		return nil
+	}
+	for range draws {
+		t := tier[p.rng.IntN(n)]
+		if t != not && usable(at, t, a, tried) && p.warmEnough(at, t) {
+			return t
+		}
+	}
+	from := p.rng.IntN(n)
+	for i := range n {
+		if t := tier[(from+i)%n]; t != not && usable(at, t, a, tried) {
+			return t
+		}
+	}
+	return nil
+}
+
+func (p *pool) warmEnough(at int64, t *target) bool {
+	if t.probing(at) {
+		return p.rng.Float64() < coldShare
+	}
+	c := t.cold(at)
+	return c == 1 || p.rng.Float64() < c
+}
+
+func usable(at int64, t *target, a Ask, tried []Picked) bool {
+	return !t.leaving && t.open(at) && t.shedUntil(a) <= at && !among(tried, t)
+}
+
+func among(tried []Picked, t *target) bool {
+	for i := range tried {
+		if tried[i].t == t {
+			return true
+		}
+	}
+	return false
+}
+
+// none says why no target may be picked, unless one is merely ejected and not
+// being asked: a call that would fail anyway may as well probe it.
+func (p *pool) none(at int64, a Ask, tried []Picked) Choice {
+	none := None{reason: NoTargets, retryAfter: firstEjection}
+	soonest := int64(math.MaxInt64)
+	var probe *target
+	for _, t := range p.all {
+		if t.leaving {
+			continue
+		}
+		if among(tried, t) {
+			if none.reason == NoTargets {
+				none.reason = AllTried
+			}
+			continue
+		}
+		until, reason := t.shedUntil(a), AllShed
+		if until <= at {
+			if t.outstanding == 0 && (probe == nil || t.ejectedUntil < probe.ejectedUntil) {
+				probe = t
+			}
+			until, reason = max(t.ejectedUntil, at+int64(time.Millisecond)), AllEjected
+		}
+		if until < soonest {
+			soonest = until
+			none = None{reason, time.Duration(until - at)}
+		}
+	}
+	if probe != nil {
+		probe.outstanding++
+		return Picked{probe}
+	}
+	return none
+}
+
+func (p *pool) done(at int64, t *target, a Ask, took time.Duration, r Report) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t.outstanding--
+	if r.kept {
+		t.warm++
+	}
+	if r.loaded {
+		t.load, t.loadAt = r.load, at
+	}
+	switch r.kind {
+	case answered:
+		p.observe(at, t, float64(took))
+		t.failures -= newestFailure * t.failures
+		if t.ejected && at >= t.ejectedUntil {
+			t.ejected, t.failures = false, 0
+			t.coldSince = max(t.coldSince, t.ejectedUntil)
+		}
+		if at-t.failedAt > int64(maxEjection) {
+			t.ejections = 0
+		}
+	case failed:
+		p.censor(at, t, float64(took))
+		p.fail(at, t)
+	case unreachable:
+		// Nothing listens there, so the call has not run and asking again is
+		// sure to fail: no need for three.
+		t.warm = 0
+		t.failures, t.failedAt = 1, at
+		if !t.ejected || t.probing(at) {
+			t.eject(at, p.rng)
+		}
+	case shed:
+		t.heed(at, a, r.scope, r.retryAfter)
+	case leaving:
+		t.leaving = true
+	case cancelled:
+		p.censor(at, t, float64(took))
+	}
+}
+
+func (p *pool) observe(at int64, t *target, took float64) {
+	if p.latency == 0 {
+		p.latency = took
+	}
+	p.latency += usualShare * (took - p.latency)
+	now := t.latencyNow(at, p.usual())
+	if t.latency == 0 {
+		now = took
+	}
+	t.latency, t.seenAt = now+newestLatency*(took-now), at
+}
+
+// censor takes in a call that got no answer: it would have taken at least as
+// long. Without it a target that only times out keeps its good latency.
+func (p *pool) censor(at int64, t *target, took float64) {
+	if now := t.latencyNow(at, p.usual()); took > now {
+		t.latency, t.seenAt = now+newestLatency*(took-now), at
+	}
+}
+
+func (p *pool) fail(at int64, t *target) {
+	t.failures += newestFailure * (1 - t.failures)
+	t.failedAt = at
+	if t.probing(at) {
+		t.eject(at, p.rng)
+		return
+	}
+	if t.ejected || t.failures <= ejectAt {
+		return
+	}
+	out := 1
+	for _, other := range p.all {
+		if other.ejected {
+			out++
+		}
+	}
+	if float64(out) <= maxEjected*float64(len(p.all)) {
+		t.eject(at, p.rng)
+	}
+}
