--- /dev/null
+++ b/internal/policy/retry/stateful_test.go
@@ -0,0 +1,73 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"banyanlug.example/banyanlug/internal/policy/play"
+)
+
+// The oracle keeps for each call whether an attempt may have run, and for the
+// service how many attempts its fresh calls have paid for.
+func TestStatefulRetriesNeverRepeatWhatMayNotBe(t *testing.T) {
+	t.Parallel()
+	type open struct {
+		call       Call
+		idempotent bool
+		mayHaveRun bool
+		retries    int
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBudgets(play.Rand(1))
+		var calls []*open
+		paid, spent := float64(2*firstTokens), 0
+		t.Repeat(map[string]func(*rapid.T){
+			"call": func(t *rapid.T) {
+				o := &open{idempotent: rapid.Bool().Draw(t, "idempotent"), retries: rapid.IntRange(0, 5).Draw(t, "retries")}
+				depth := rapid.IntRange(0, 11).Draw(t, "depth")
+				opts := []CallOption{Retries(o.retries), Depth(depth), Carried(rapid.IntRange(0, 1).Draw(t, "carried"))}
+				if o.idempotent {
+					opts = append(opts, Idempotent())
+				}
+				o.call = NewCall("quote", play.Start.Add(time.Minute), opts...)
+				for range rapid.IntRange(1, 50).Draw(t, "alike") {
+					b.Fresh(&o.call)
+					paid += repeatShareAt(depth) + refusedShare
+				}
+				calls = append(calls, o)
+			},
+			"end": func(t *rapid.T) {
+				if len(calls) == 0 {
+					t.Skip("no call")
+				}
+				i := rapid.IntRange(0, len(calls)-1).Draw(t, "call")
+				o := calls[i]
+				outcome := rapid.SampledFrom([]Outcome{Moved(), Refused(ms), Nowhere(ms), Broken(), Erred()}).Draw(t, "outcome")
+				o.mayHaveRun = o.mayHaveRun || outcome.kind == broken || outcome.kind == erred
+				switch d := b.After(play.Start, &o.call, outcome).(type) {
+				case Retry:
+					if o.mayHaveRun && !o.idempotent {
+						t.Fatal("a call that may not be repeated is, after it may have run")
+					}
+					if outcome.kind != moved {
+						spent++
+						o.retries--
+					}
+					if o.retries < 0 {
+						t.Fatal("more retries than the route allows")
+					}
+				case GiveUp:
+					if (d.Answer() == NotRun) == o.mayHaveRun {
+						t.Fatalf("told %v of a call that may have run: %v", d.Answer(), o.mayHaveRun)
+					}
+					calls = append(calls[:i], calls[i+1:]...)
+				}
+				if float64(spent) > paid {
+					t.Fatalf("%d retries, paid for %.2f", spent, paid)
+				}
+			},
+		})
+	})
+}
