A call's path: caller's node, hop, target's node, on real sockets

Cause: calls need a path that says "not run" only where nothing was sent to the target's process, and whose hops cost less than http.Transport's goroutines.

internal/traffic/http1 serves connections on one goroutine each with net/http's parser; hop sends over pooled connections on the calling goroutine; caller and target are the stages of a call at either node.

--- /dev/null
+++ b/internal/standin/target/call.go
@@ -0,0 +1,157 @@
+package target
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"banyanlug.example/banyanlug/internal/traffic/hop"
+)
+
+// What a call can ask of the stand-in, in its query.
+const (
+	// askSize is the length of the answer's body; without it the body is the
+	// request's.
+	askSize = "size"
+	// askSleep is how long the call runs.
+	askSleep = "sleep"
+	// askStatus is the answer's status.
+	askStatus = "status"
+	// askFault is one of the faults below.
+	askFault = "fault"
+)
+
+// The faults a call can ask for.
+const (
+	faultCrash    = "crash"    // the process ends before it answers
+	faultTruncate = "truncate" // half of the declared answer, then the end
+	faultDrop     = "drop"     // the connection ends without an answer
+	faultUnframed = "unframed" // an answer that only the connection's end ends
+)
+
+// maxAskedSize bounds what one call can make the stand-in send.
+const maxAskedSize = 64 << 20
+
+func (s *Server) call(w http.ResponseWriter, r *http.Request) {
+	busy := s.busy.Add(1)
+	defer s.busy.Add(-1)
+	if s.draining.Load() || s.slots > 0 && busy > int64(s.slots) {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "shed", http.StatusServiceUnavailable)
+		return
+	}
+	s.count(r.Header.Get(hop.KeyHeader), busy)
+	q := r.URL.Query()
+	if q.Get(askFault) == faultCrash {
+		s.crash()
+		panic(http.ErrAbortHandler)
+	}
+	if d := s.duration(q.Get(askSleep)); d > 0 {
+		if s.clk.Sleep(r.Context(), d) != nil {
+			return
+		}
+	}
+	// An echo answers while it reads; without this the server would throw away
+	// up to 256 KiB of the request once the answer begins.
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	body := bodyOf(r, q.Get(askSize))
+	status, err := strconv.Atoi(q.Get(askStatus))
+	if err != nil {
+		status = http.StatusOK
+	}
+	switch q.Get(askFault) {
+	case faultDrop:
+		panic(http.ErrAbortHandler)
+	case faultTruncate:
+		truncate(w, status, body)
+	case faultUnframed:
+		unframed(w)
+	default:
+		answer(w, r, status, body)
+	}
+}
+
+func (s *Server) count(key string, busy int64) {
+	for {
+		most := s.most.Load()
+		if busy <= most || s.most.CompareAndSwap(most, busy) {
+			break
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all++
+	if key != "" {
+		s.runs[key]++
+	}
+}
+
+func (s *Server) duration(text string) time.Duration {
+	d, _ := time.ParseDuration(text)
+	if s.clk.Since(s.started) < s.cold {
+		d = time.Duration(float64(d) * s.coldRate)
+	}
+	return d + time.Duration(s.slow.Load())
+}
+
+func bodyOf(r *http.Request, size string) io.Reader {
+	n, err := strconv.ParseInt(size, 10, 64)
+	if err != nil {
+		return r.Body
+	}
+	n = min(max(n, 0), maxAskedSize)
+	return io.LimitReader(pattern{}, n)
+}
+
+// pattern is an endless body.
+type pattern struct{}
+
+func (pattern) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	return len(p), nil
+}
+
+func answer(w http.ResponseWriter, r *http.Request, status int, body io.Reader) {
+	h := w.Header()
+	for _, name := range []string{hop.OrganisationHeader, hop.ClassHeader, hop.DeadlineHeader, hop.CallHeader} {
+		// Told back under another name: nodes take theirs out of answers.
+		if v := r.Header.Get(name); v != "" {
+			h.Set("Seen-"+name, v)
+		}
+	}
+	if l, ok := body.(*io.LimitedReader); ok {
+		h.Set("Content-Length", strconv.FormatInt(l.N, 10))
+	} else if r.ContentLength >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
+	}
+	w.WriteHeader(status)
+	_, _ = io.Copy(w, body)
+}
+
+func truncate(w http.ResponseWriter, status int, body io.Reader) {
+	whole, err := io.ReadAll(io.LimitReader(body, maxAskedSize))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(whole)))
+	w.WriteHeader(status)
+	_, _ = io.Copy(w, bytes.NewReader(whole[:len(whole)/2]))
+	panic(http.ErrAbortHandler)
+}
+
+func unframed(w http.ResponseWriter) {
+	h, ok := w.(http.Hijacker)
+	if !ok {
+		panic(http.ErrAbortHandler)
+	}
+	conn, _, err := h.Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart of it")
+	_ = conn.Close()
+}
--- /dev/null
+++ b/internal/traffic/caller/metrics.go
@@ -0,0 +1,143 @@
+package caller
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/traffic/http1"
+)
+
+// Ending says how a call ended, as metrics and reports show it.
+type Ending string
+
+// The endings of a call.
+const (
+	EndOK          Ending = "ok"
+	EndTargetError Ending = "target_error"
+	EndNotRun      Ending = "not_run"
+	EndUnknown     Ending = "unknown"
+)
+
+var endings = [...]Ending{EndOK, EndTargetError, EndNotRun, EndUnknown}
+
+// Observation is one call that has ended.
+type Observation struct {
+	service string
+	class   snapshot.Class
+	ending  Ending
+	cause   string
+	took    time.Duration
+}
+
+// Service returns the name of the service, or "" where no route was found.
+func (o Observation) Service() string { return o.service }
+
+// Class returns the class of the organisation.
+func (o Observation) Class() snapshot.Class { return o.class }
+
+// Ending returns how the call ended.
+func (o Observation) Ending() Ending { return o.ending }
+
+// Cause returns the type of the refusal, or "" for an answer of the target.
+func (o Observation) Cause() string { return o.cause }
+
+// Took returns how long the call took.
+func (o Observation) Took() time.Duration { return o.took }
+
+// meters counts calls. The handles of a version's services are looked up once
+// a version: to build the name of a metric for each call would cost more than
+// the rest of the pipe.
+type meters struct {
+	set     *metrics.Set
+	observe func(Observation)
+	handles atomic.Pointer[handles]
+}
+
+type handles struct {
+	snap     *snapshot.Snapshot
+	services map[string]*serviceMeters
+}
+
+type serviceMeters [2]classMeters
+
+type classMeters struct {
+	calls   [len(endings)]*metrics.Counter
+	seconds *metrics.Histogram
+}
+
+func newMeters() *meters {
+	return &meters{set: metrics.NewSet(), observe: func(Observation) {}}
+}
+
+// end counts a call; refusal is nil where its target answered.
+func (m *meters) end(c *call, status int, refusal *http1.Refusal) {
+	o := Observation{service: c.rt.Service(), class: c.org.Class(), took: c.h.clk.Since(c.began)}
+	o.ending = endingOf(status, refusal)
+	if refusal != nil {
+		o.cause = refusal.Type
+		m.set.GetOrCreateCounter(fmt.Sprintf(
+			`banyanlug_call_failures_total{service=%q,class=%q,type=%q}`, o.service, o.class, o.cause)).Inc()
+	}
+	if s := m.of(c.snap, o.service); s != nil {
+		s[o.class].count(o)
+	}
+	m.observe(o)
+}
+
+func endingOf(status int, refusal *http1.Refusal) Ending {
+	switch {
+	case refusal == nil && status < http.StatusInternalServerError:
+		return EndOK
+	case refusal == nil:
+		return EndTargetError
+	case refusal.Outcome == http1.NotRun:
+		return EndNotRun
+	default:
+		return EndUnknown
+	}
+}
+
+func (s *classMeters) count(o Observation) {
+	s.seconds.Update(o.took.Seconds())
+	for i, e := range endings {
+		if e == o.ending {
+			s.calls[i].Inc()
+		}
+	}
+}
+
+// of returns the handles of a service in a version.
+func (m *meters) of(snap *snapshot.Snapshot, service string) *serviceMeters {
+	h := m.handles.Load()
+	if h == nil || h.snap != snap {
+		h = m.resolve(snap)
+		m.handles.Store(h)
+	}
+	return h.services[service]
+}
+
+func (m *meters) resolve(snap *snapshot.Snapshot) *handles {
+	h := &handles{snap: snap, services: map[string]*serviceMeters{}}
+	for _, o := range snap.Objects() {
+		svc, ok := o.(snapshot.Service)
+		if !ok {
+			continue
+		}
+		s := &serviceMeters{}
+		for _, class := range []snapshot.Class{snapshot.Trial, snapshot.Paying} {
+			for i, e := range endings {
+				s[class].calls[i] = m.set.GetOrCreateCounter(fmt.Sprintf(
+					`banyanlug_calls_total{service=%q,class=%q,outcome=%q}`, svc.Name(), class, e))
+			}
+			s[class].seconds = m.set.GetOrCreateHistogram(fmt.Sprintf(
+				`banyanlug_call_seconds{service=%q,class=%q}`, svc.Name(), class))
+		}
+		h.services[svc.Name()] = s
+	}
+	return h
+}
--- /dev/null
+++ b/internal/traffic/caller/rig_test.go
@@ -0,0 +1,186 @@
+package caller_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/policy/membership"
+	standin "banyanlug.example/banyanlug/internal/standin/target"
+	"banyanlug.example/banyanlug/internal/traffic/caller"
+	"banyanlug.example/banyanlug/internal/traffic/hop"
+	"banyanlug.example/banyanlug/internal/traffic/http1"
+	"banyanlug.example/banyanlug/internal/traffic/target"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	fleetKey  = "the fleet's key"
+	payingKey = "paying key"
+	trialKey  = "trial key"
+)
+
+// rig is a caller's node and some targets, each with its node, on loopback.
+type rig struct {
+	t       *testing.T
+	ctx     context.Context
+	clk     *timer.Service
+	url     string
+	caller  *http1.Server
+	handler *caller.Handler
+	targets []*spot
+	config  *fixedConfig
+
+	mu    sync.Mutex
+	ready []membership.Record
+}
+
+// spot is one instance: a target and the node beside it.
+type spot struct {
+	app    *standin.Server
+	local  netip.AddrPort
+	node   *http1.Server
+	record membership.Record
+}
+
+type fixedConfig struct{ snap *snapshot.Snapshot }
+
+func (c *fixedConfig) Current() *snapshot.Snapshot { return c.snap }
+
+func (r *rig) Targets(string) []membership.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ready
+}
+
+type rigOptions struct {
+	targets int
+	app     []standin.Option
+	caller  []caller.Option
+	server  []http1.Option
+	target  func(i int) []target.Option
+}
+
+func newRig(t *testing.T, o rigOptions) *rig {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &rig{t: t, ctx: ctx, clk: timer.New(), config: &fixedConfig{snap: testSnapshot(t)}}
+	ticks := make(chan error, 1)
+	go r.clk.Run(ctx, ticks)
+	t.Cleanup(func() { cancel(); <-ticks })
+	for i := range o.targets {
+		r.addTarget(i, o)
+	}
+	client := r.client(hop.WithCredential(hop.NewCredential(fleetKey)), hop.AskFirst())
+	r.handler = caller.New(r.config, r, client, hop.NewSealer(fleetKey), r.clk, o.caller...)
+	r.caller = http1.New(r.handler, r.clk, o.server...)
+	r.url = "http://" + r.serve(r.caller).String()
+	return r
+}
+
+func (r *rig) client(opts ...hop.Option) *hop.Client {
+	c := hop.NewClient(r.clk, opts...)
+	r.run(c.Run)
+	return c
+}
+
+// run starts a part that ends with the rig.
+func (r *rig) run(f func(context.Context, chan<- error)) {
+	ctx, cancel := context.WithCancel(r.ctx)
+	done := make(chan error, 1)
+	go f(ctx, done)
+	r.t.Cleanup(func() { cancel(); <-done })
+}
+
+func (r *rig) serve(s *http1.Server) netip.AddrPort {
+	ln := listen(r.t)
+	r.run(func(ctx context.Context, done chan<- error) { s.Serve(ctx, ln, done) })
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+func (r *rig) addTarget(i int, o rigOptions) *spot {
+	r.t.Helper()
+	s := &spot{app: standin.New(r.clk, o.app...)}
+	ln := listen(r.t)
+	s.local = netip.MustParseAddrPort(ln.Addr().String())
+	done := make(chan error, 1)
+	go s.app.Serve(ln, done)
+	r.t.Cleanup(func() { _ = s.app.Close(); <-done })
+	var opts []target.Option
+	if o.target != nil {
+		opts = o.target(i)
+	}
+	h := target.New("quotes", s.local, r.client(), hop.NewCredential(fleetKey), hop.NewSealer(fleetKey), r.clk, opts...)
+	s.node = target.NewServer(h, r.clk)
+	s.record = membership.NewRecord("t"+strconv.Itoa(i), membership.Pool("quotes"),
+		membership.Address(r.serve(s.node)), membership.InState(membership.Ready))
+	r.mu.Lock()
+	r.targets = append(r.targets, s)
+	r.ready = append(r.ready, s.record)
+	r.mu.Unlock()
+	return s
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+func testSnapshot(t *testing.T) *snapshot.Snapshot {
+	t.Helper()
+	c := snapshot.NewChange([]snapshot.Object{
+		snapshot.NewOrganisation("harbour", snapshot.Paying, hashOf(payingKey)),
+		snapshot.NewOrganisation("visitor", snapshot.Trial, hashOf(trialKey)),
+		snapshot.NewService("quoting"),
+		snapshot.NewPool("quotes", "quoting", snapshot.Slots(12), snapshot.Promised(8), snapshot.Connections(120), snapshot.Upstreams(5)),
+		snapshot.NewRoute("read", "/read", "quoting", "quotes", snapshot.Idempotent(), snapshot.Retries(2), snapshot.Deadline(5*time.Second)),
+		snapshot.NewRoute("short", "/short", "quoting", "quotes", snapshot.Idempotent(), snapshot.Deadline(150*time.Millisecond)),
+		snapshot.NewRoute("bind", "/bind", "quoting", "quotes", snapshot.Retries(2), snapshot.Deadline(5*time.Second)),
+	}, nil)
+	_, snap, err := snapshot.Empty().Next(c, snapshot.Stamp{PlanID: "p1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return snap
+}
+
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// newRequest returns a call by the paying organisation.
+func (r *rig) newRequest(method, path string, h map[string]string) *http.Request {
+	req, err := http.NewRequestWithContext(r.ctx, method, r.url+path, nil)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+payingKey)
+	for k, v := range h {
+		req.Header.Set(k, v)
+	}
+	return req
+}
+
+// browser returns a client of its own, so that tests share no connections.
+func (r *rig) browser() *http.Client {
+	tr := &http.Transport{}
+	r.t.Cleanup(tr.CloseIdleConnections)
+	return &http.Client{Transport: tr}
+}
--- /dev/null
+++ b/internal/traffic/caller/route.go
@@ -0,0 +1,75 @@
+package caller
+
+import (
+	"strings"
+
+	"banyanlug.example/banyanlug/internal/traffic/hop"
+)
+
+// route finds where the call leads, how deep it is and how long it may take.
+func (c *call) route() error {
+	path := c.r.URL.Path
+	if ambiguous(path) {
+		return &PathError{Path: path}
+	}
+	rt, ok := c.snap.Match(hostOf(c.r.Host), path, c.r.Method)
+	if !ok {
+		return &NoRouteError{Host: c.r.Host, Method: c.r.Method, Path: path}
+	}
+	c.rt = rt
+	depth := 1
+	if c.parent != nil {
+		depth = c.parent.Depth() + 1
+	}
+	if depth > c.h.maxDepth {
+		return &DepthError{Depth: depth, Max: c.h.maxDepth}
+	}
+	if err := c.setDeadline(); err != nil {
+		return err
+	}
+	hop.Strip(c.r.Header)
+	c.meta = hop.NewMeta(hop.Depth(depth), hop.For(c.org.Name(), c.org.Class()), hop.By(rt))
+	return nil
+}
+
+// setDeadline takes the earliest of the route's deadline, what the caller asks
+// for and that of the call it is part of: work for anyone who has stopped
+// waiting is lost work.
+func (c *call) setDeadline() error {
+	c.until = c.began.Add(c.rt.Deadline())
+	asked, ok, err := hop.CallerDeadline(c.r.Header)
+	if err != nil {
+		return err
+	}
+	if at := c.began.Add(asked); ok && at.Before(c.until) {
+		c.until = at
+	}
+	if c.parent != nil && c.parent.Until().Before(c.until) {
+		c.until = c.parent.Until()
+	}
+	return nil
+}
+
+// ambiguous reports whether a target could read the path as another one: it
+// would then be judged by one route and run as another.
+func ambiguous(path string) bool {
+	if !strings.HasPrefix(path, "/") {
+		return true
+	}
+	if !strings.Contains(path, "/.") && !strings.Contains(path, "//") {
+		return false
+	}
+	for segment := range strings.SplitSeq(path[1:], "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return strings.Contains(path, "//")
+}
+
+func hostOf(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/internal/traffic/hop/pool.go
@@ -0,0 +1,175 @@
+package hop
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"io"
+	"math"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"banyanlug.example/banyanlug/internal/traffic/http1"
+)
+
+const (
+	// maxIdle is how many connections to one peer are kept warm; above the
+	// slots of a target, so that a full target costs no new connections.
+	maxIdle = 32
+	// idleTimeout is a quarter of what the far node allows, so that a pooled
+	// connection is closed by the side that would use it.
+	idleTimeout = 30 * time.Second
+	// reapPeriod is how often idle connections are looked at.
+	reapPeriod = 5 * time.Second
+	// dialTimeout covers one lost packet on the longest way; a peer that takes
+	// longer is better tried later.
+	dialTimeout = 1200 * time.Millisecond
+	// maxAnswerHead bounds an answer's status line and headers.
+	maxAnswerHead = 64 << 10
+	shardCount    = 16
+)
+
+// link is one connection to a peer.
+type link struct {
+	to      netip.AddrPort
+	conn    net.Conn
+	br      *bufio.Reader
+	bw      *bufio.Writer
+	counter *counter
+	proved  bool
+	since   time.Time
+}
+
+// counter counts what the kernel took of a call and bounds what is read of an
+// answer's head.
+type counter struct {
+	conn  net.Conn
+	wrote int64
+	left  int64
+}
+
+// Write implements io.Writer.
+func (c *counter) Write(p []byte) (int, error) {
+	n, err := c.conn.Write(p)
+	c.wrote += int64(n)
+	return n, err
+}
+
+// Read implements io.Reader.
+func (c *counter) Read(p []byte) (int, error) {
+	if c.left <= 0 {
+		return 0, io.ErrShortBuffer
+	}
+	n, err := c.conn.Read(p[:min(int64(len(p)), c.left)])
+	c.left -= int64(n)
+	return n, err
+}
+
+func newLink(to netip.AddrPort, conn net.Conn) *link {
+	c := &counter{conn: conn, left: math.MaxInt64}
+	return &link{to: to, conn: conn, br: bufio.NewReader(c), bw: bufio.NewWriter(c), counter: c}
+}
+
+type peers struct {
+	mu   sync.Mutex
+	idle map[netip.AddrPort][]*link
+}
+
+func (c *Client) shard(to netip.AddrPort) *peers {
+	a := to.Addr().As16()
+	return &c.shards[(uint(a[15])^uint(a[14])<<1^uint(to.Port()))%shardCount]
+}
+
+// take returns a warm connection, or opens one.
+func (c *Client) take(ctx context.Context, to netip.AddrPort, until time.Time) (*link, error) {
+	for {
+		l := c.pop(to)
+		if l == nil {
+			return c.dial(ctx, to, until)
+		}
+		if http1.Quiet(l.conn) {
+			return l, nil
+		}
+		_ = l.conn.Close()
+	}
+}
+
+// pop returns the connection used last, which is the warmest.
+func (c *Client) pop(to netip.AddrPort) *link {
+	p := c.shard(to)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[to]
+	if len(idle) == 0 {
+		return nil
+	}
+	l := idle[len(idle)-1]
+	idle[len(idle)-1] = nil
+	p.idle[to] = idle[:len(idle)-1]
+	return l
+}
+
+// put keeps a connection whose last answer was read to its end.
+func (c *Client) put(l *link) {
+	l.since = c.clk.Now()
+	p := c.shard(l.to)
+	p.mu.Lock()
+	full := c.closed.Load() || len(p.idle[l.to]) >= maxIdle
+	if !full {
+		p.idle[l.to] = append(p.idle[l.to], l)
+	}
+	p.mu.Unlock()
+	if full {
+		_ = l.conn.Close()
+	}
+}
+
+func (c *Client) dial(ctx context.Context, to netip.AddrPort, until time.Time) (*link, error) {
+	if limit := c.clk.Now().Add(dialTimeout); limit.Before(until) {
+		until = limit
+	}
+	d := net.Dialer{Deadline: until}
+	conn, err := d.DialContext(ctx, "tcp", to.String())
+	if err != nil {
+		return nil, &DialError{To: to, Err: err}
+	}
+	if c.tls == nil {
+		return newLink(to, conn), nil
+	}
+	t := tls.Client(conn, c.tls)
+	_ = conn.SetDeadline(until)
+	if err := t.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, &DialError{To: to, Err: err}
+	}
+	return newLink(to, t), nil
+}
+
+// reap closes connections that were idle too long or that their peer closed.
+func (c *Client) reap(now time.Time) {
+	for i := range c.shards {
+		p := &c.shards[i]
+		p.mu.Lock()
+		var old []*link
+		for to, idle := range p.idle {
+			keep := idle[:0]
+			for _, l := range idle {
+				if now.Sub(l.since) < idleTimeout {
+					keep = append(keep, l)
+				} else {
+					old = append(old, l)
+				}
+			}
+			clear(idle[len(keep):])
+			if p.idle[to] = keep; len(keep) == 0 {
+				delete(p.idle, to)
+			}
+		}
+		p.mu.Unlock()
+		for _, l := range old {
+			_ = l.conn.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/traffic/target/answer.go
@@ -0,0 +1,51 @@
+package target
+
+import (
+	"errors"
+	"net/http"
+
+	"banyanlug.example/banyanlug/internal/traffic/hop"
+	"banyanlug.example/banyanlug/internal/traffic/http1"
+)
+
+// finish answers a call that got no answer of the target.
+func (c *call) finish(began bool, err error) {
+	if err == nil {
+		return
+	}
+	if began {
+		// What was passed on must not look whole.
+		panic(http.ErrAbortHandler)
+	}
+	http1.Refuse(c.w, refusalOf(err))
+}
+
+// refusalOf is the one place that decides how a failure is told to nodes.
+func refusalOf(err error) *http1.Refusal {
+	var (
+		stranger *StrangerError
+		pool     *PoolError
+		refused  *RefusedError
+		header   *hop.HeaderError
+		refusal  *http1.Refusal
+		failure  hop.Failure
+	)
+	r := &http1.Refusal{Message: err.Error(), Outcome: http1.NotRun}
+	switch {
+	case errors.As(err, &refusal):
+		return refusal
+	case errors.As(err, &failure):
+		return hop.RefusalOf(failure)
+	case errors.As(err, &stranger):
+		r.Status, r.Type = http.StatusUnauthorized, "not-of-the-fleet"
+	case errors.As(err, &pool):
+		r.Status, r.Type = http.StatusMisdirectedRequest, "wrong-pool"
+	case errors.As(err, &header):
+		r.Status, r.Type = http.StatusBadRequest, "bad-header"
+	case errors.As(err, &refused):
+		r.Status, r.Type, r.RetryAfter = http.StatusServiceUnavailable, refused.Reason, refused.RetryAfter
+	default:
+		r.Status, r.Type = http.StatusInternalServerError, "internal"
+	}
+	return r
+}
--- /dev/null
+++ b/internal/traffic/target/errors.go
@@ -0,0 +1,26 @@
+package target
+
+import (
+	"fmt"
+	"time"
+)
+
+// StrangerError tells of a connection that has not proved to be of the fleet.
+type StrangerError struct{ From string }
+
+func (e *StrangerError) Error() string { return "no proof of the fleet's key" }
+
+// PoolError tells of a call for a pool that this target does not serve.
+type PoolError struct{ Asked, Serves string }
+
+func (e *PoolError) Error() string {
+	return fmt.Sprintf("call for pool %s came to a target of %s", e.Asked, e.Serves)
+}
+
+// RefusedError tells of a call that the target's slots have no room for.
+type RefusedError struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+func (e *RefusedError) Error() string { return "the target takes no further call: " + e.Reason }
--- /dev/null
+++ b/internal/traffic/target/read.go
@@ -0,0 +1,21 @@
+package target
+
+import "banyanlug.example/banyanlug/internal/traffic/hop"
+
+// read takes in what the other node tells of the call, and a short body.
+func (c *call) read() error {
+	meta, err := hop.ReadMeta(c.r.Header)
+	if err != nil {
+		return err
+	}
+	// An instance may have been replaced by one of another pool at the same
+	// address while the other node still held the earlier record.
+	if meta.Pool() != c.h.pool {
+		return &PoolError{Asked: meta.Pool(), Serves: c.h.pool}
+	}
+	c.meta = meta
+	c.until = c.h.clk.Now().Add(meta.Left())
+	hop.Strip(c.r.Header)
+	c.body, err = hop.ReadBody(c.w, c.r, c.until)
+	return err
+}
