--- a/internal/config/snapshot/check.go
+++ b/internal/config/snapshot/check.go
@@ -14,6 +14,7 @@
 const (
 	maxNameBytes   = 63
 	maxPathBytes   = 512
+	maxHostBytes   = 253 // as the domain name system allows
 	maxSlots       = 10_000
 	maxConnections = 100_000
 	maxUpstreams   = 100_000
@@ -28,6 +29,13 @@
 	maxWindow      = 90 * 24 * time.Hour
 )
 
+// What an encoded object keeps of a time. A finer one is refused, since it
+// would be cut off without a word and the plan would show what no proxy has.
+const (
+	deadlineStep = time.Millisecond
+	windowStep   = time.Hour
+)
+
 // check returns every fault of a set of objects. It depends on nothing else,
 // so that the check command, the plan, the confirm and each proxy agree.
 func check(objects map[Key]entry) error {
@@ -78,8 +86,8 @@
 		if math.IsNaN(o.availability) || o.availability <= 0 || o.availability >= 1 {
 			c.value(k, "availability", "must lie between 0 and 1, both excluded")
 		}
-		c.between(k, "latency", o.latency, minDeadline, maxDeadline)
-		c.between(k, "window", o.window, minWindow, maxWindow)
+		c.between(k, "latency", o.latency, minDeadline, maxDeadline, deadlineStep)
+		c.between(k, "window", o.window, minWindow, maxWindow, windowStep)
 	default:
 		c.faults = append(c.faults, &DecodeError{What: "object"})
 	}
@@ -109,21 +117,26 @@
 	if !strings.HasPrefix(o.path, "/") || len(o.path) > maxPathBytes || strings.ContainsAny(o.path, "?#% \t\r\n") {
 		c.value(k, "path", "must start with / and have at most %d bytes and none of ? # %% or space", maxPathBytes)
 	}
-	if o.host != strings.ToLower(o.host) || strings.ContainsAny(o.host, "/ :@") {
-		c.value(k, "host", "must be a lower-case host name without a port")
+	if o.host != strings.ToLower(o.host) || strings.ContainsAny(o.host, "/ :@") || len(o.host) > maxHostBytes {
+		c.value(k, "host", "must be a lower-case host name without a port, of at most %d bytes", maxHostBytes)
 	}
-	c.between(k, "deadline", o.deadline, minDeadline, maxDeadline)
+	c.between(k, "deadline", o.deadline, minDeadline, maxDeadline, deadlineStep)
 	c.within(k, "retries", o.retries, 0, maxRetries)
-	methods := o.methods
-	if len(methods) == 0 {
-		methods = []string{"*"}
-	}
-	for _, m := range methods {
-		if m != "*" && !knownMethods[m] {
-			c.value(k, "methods", "%q is no method", m)
+	for _, m := range o.methods {
+		// "*" is refused too: calls are matched by equal methods, so a route
+		// for it would look right and take no call at all.
+		if !knownMethods[m] {
+			c.value(k, "methods", "%q is no method; leave methods out for any", m)
 		}
-		c.claim(c.matches, k, o.host+" "+o.path+" "+m, strings.TrimSpace(o.host+" "+m+" "+o.path))
+		c.match(k, o, m)
 	}
+	if len(o.methods) == 0 {
+		c.match(k, o, "*")
+	}
+}
+
+func (c *checker) match(k Key, o Route, method string) {
+	c.claim(c.matches, k, o.host+" "+o.path+" "+method, strings.TrimSpace(o.host+" "+method+" "+o.path))
 }
 
 var knownMethods = map[string]bool{
@@ -158,9 +171,11 @@
 	}
 }
 
-func (c *checker) between(k Key, field string, d, low, high time.Duration) {
+func (c *checker) between(k Key, field string, d, low, high, step time.Duration) {
 	if d < low || d > high {
 		c.value(k, field, "is %v, must be between %v and %v", d, low, high)
+	} else if d%step != 0 {
+		c.value(k, field, "is %v, must be a multiple of %v", d, step)
 	}
 }
 
--- a/internal/config/snapshot/encode.go
+++ b/internal/config/snapshot/encode.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"math"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -40,6 +41,9 @@
 
 // Encode returns the bytes of an object as they are stored and distributed.
 func Encode(o Object) ([]byte, error) {
+	if !fits(o) {
+		return nil, &DecodeError{What: "object " + o.Key().String()}
+	}
 	m := &configpb.Object{}
 	switch o := o.(type) {
 	case Organisation:
@@ -77,6 +81,26 @@
 	return b, nil
 }
 
+// fits reports whether an object's counts survive encoding. A count that wraps
+// in 32 bits would come back as another one that passes every check.
+func fits(o Object) bool {
+	var counts []int
+	switch o := o.(type) {
+	case Pool:
+		counts = []int{o.slots, o.promised, o.connections, o.upstreams}
+	case Route:
+		counts = []int{o.retries}
+	case Limit:
+		counts = []int{o.concurrency}
+	}
+	for _, n := range counts {
+		if n < 0 || n > math.MaxUint32 {
+			return false
+		}
+	}
+	return true
+}
+
 // Decode reads an object from its bytes; fields or kinds this program does not
 // know are an error, since dropping them would apply a version in part.
 func Decode(b []byte) (Object, error) {
