Plan and confirm: intents, effects, conflicts by name, the operators' API

An intent becomes a plan with each object added, changed or removed, the routes that move, capacity by class before and after, and the digests of all that it read: what it writes, what that refers to and what refers to it. A confirm builds the plan's change on the newest version. What is no longer as the plan read it, or newly refers to what it writes, is a conflict that names object, version and operator; unrelated versions in between do not matter.

Two faults of the first draft, found while its stories were written: a confirm overtaken by another confirm of the same plan took that one's change for a rival's; and "expired" could be said while an earlier confirm was still publishing. The first looks up the outcome before it says conflict, the second abandons the plan first.

--- a/internal/config/snapshot/check.go
+++ b/internal/config/snapshot/check.go
@@ -44,7 +44,7 @@
 	for k := range objects {
 		keys = append(keys, k)
 	}
-	slices.SortFunc(keys, compareKeys)
+	slices.SortFunc(keys, CompareKeys)
 	for _, k := range keys {
 		c.object(k, objects[k].object)
 	}
--- a/internal/config/snapshot/object.go
+++ b/internal/config/snapshot/object.go
@@ -41,7 +41,8 @@
 	return Key{}, &KeyError{Text: s}
 }
 
-func compareKeys(a, b Key) int {
+// CompareKeys orders keys by kind and name.
+func CompareKeys(a, b Key) int {
 	if c := strings.Compare(string(a.Kind), string(b.Kind)); c != 0 {
 		return c
 	}
@@ -55,6 +56,22 @@
 	isObject()
 }
 
+// Refers returns the keys of the objects that o needs.
+func Refers(o Object) []Key {
+	switch o := o.(type) {
+	case Pool:
+		return []Key{{KindService, o.service}}
+	case Route:
+		return []Key{{KindService, o.service}, {KindPool, o.pool}}
+	case Limit:
+		return []Key{{KindOrganisation, o.organisation}}
+	case Objective:
+		return []Key{{KindService, o.service}}
+	default:
+		return nil
+	}
+}
+
 // Class says whether an organisation's calls may use promised capacity.
 type Class uint8
 
--- a/internal/config/snapshot/snapshot.go
+++ b/internal/config/snapshot/snapshot.go
@@ -56,9 +56,17 @@
 // ObjectBytes returns an object's encoded bytes, or nil if there is none.
 func (s *Snapshot) ObjectBytes(k Key) []byte { return s.objects[k].bytes }
 
+// ObjectDigest returns the digest of one object's bytes, zero if there is none.
+func (s *Snapshot) ObjectDigest(k Key) Digest {
+	if e, ok := s.objects[k]; ok {
+		return Digest{}.mix(e.hash)
+	}
+	return Digest{}
+}
+
 // Keys returns all keys in order.
 func (s *Snapshot) Keys() []Key {
-	return slices.SortedFunc(maps.Keys(s.objects), compareKeys)
+	return slices.SortedFunc(maps.Keys(s.objects), CompareKeys)
 }
 
 // Objects returns all objects in the order of their keys.
--- /dev/null
+++ b/internal/control/operator/server.go
@@ -0,0 +1,250 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/alexedwards/flow"
+
+	"banyanlug.example/banyanlug/internal/config/declaration"
+	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/log/event"
+)
+
+const (
+	// maxBodyBytes is what a whole set of declarations may have.
+	maxBodyBytes = 16 << 20
+	// defaultHistory fills a screen; mostHistory bounds the store's reads.
+	defaultHistory = 20
+	mostHistory    = 200
+)
+
+// Server answers operators over HTTP.
+type Server struct {
+	service *Service
+	tokens  tokens
+}
+
+// NewHandler returns the operators' API over a service, open to the holders of
+// tokens and nobody else.
+func NewHandler(service *Service, tokens ...Token) http.Handler {
+	s := &Server{service: service, tokens: tokens}
+	mux := flow.New()
+	mux.NotFound = s.refuse(&PathError{})
+	mux.MethodNotAllowed = s.refuse(&MethodError{})
+	mux.Handle("/v1/plans", s.handle(s.plan), "POST")
+	mux.Handle("/v1/plans/:id", s.handle(s.planStatus), "GET")
+	mux.Handle("/v1/plans/:id/confirm", s.handle(s.confirm), "POST")
+	mux.Handle("/v1/status", s.handle(s.status), "GET")
+	mux.Handle("/v1/history", s.handle(s.history), "GET")
+	return mux
+}
+
+// request is an operator's request with the body read.
+type request struct {
+	ctx      context.Context
+	operator string
+	http     *http.Request
+	body     []byte
+}
+
+// handle lets operators in, reads the body and writes the answer.
+func (s *Server) handle(do func(request) (status int, answer any, err error)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		status, answer, err := s.serve(w, r, do)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		writeJSON(w, status, answer)
+	})
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, do func(request) (int, any, error)) (int, any, error) {
+	name, err := s.tokens.operator(r)
+	if err != nil {
+		s.service.log.Emit(event.OperatorRefused, event.F("from", r.RemoteAddr), event.F("path", r.URL.Path))
+		return 0, nil, err
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return 0, nil, &TooLargeError{What: "the request", Most: maxBodyBytes}
+	}
+	if err != nil {
+		return 0, nil, &RequestError{Reason: "the body ended early"}
+	}
+	return do(request{ctx: r.Context(), operator: name, http: r, body: body})
+}
+
+// intentText is an intent as it travels: one of the two.
+type intentText struct {
+	Declarations json.RawMessage `json:"declarations,omitempty"`
+	Edit         *editText       `json:"edit,omitempty"`
+}
+
+type editText struct {
+	Set    json.RawMessage `json:"set,omitempty"`
+	Remove []string        `json:"remove,omitempty"`
+}
+
+func (s *Server) plan(r request) (int, any, error) {
+	intent, err := readIntent(r.body)
+	if err != nil {
+		return 0, nil, err
+	}
+	p, err := s.service.Plan(r.ctx, r.operator, intent)
+	if err != nil {
+		return 0, nil, err
+	}
+	if p.id == "" {
+		return http.StatusOK, p, nil
+	}
+	return http.StatusCreated, p, nil
+}
+
+func readIntent(body []byte) (Intent, error) {
+	var t intentText
+	if err := strict(body, &t); err != nil {
+		return nil, &RequestError{Reason: err.Error()}
+	}
+	switch {
+	case (t.Declarations != nil) == (t.Edit != nil):
+		return nil, &RequestError{Reason: `needs either "declarations" or "edit"`}
+	case t.Declarations != nil:
+		set, err := declaration.Decode("declarations", t.Declarations)
+		if err != nil {
+			return nil, err
+		}
+		// A set of nothing would remove all there is, which is what a client
+		// sends that failed to read its folder.
+		if len(set.Objects()) == 0 {
+			return nil, &IntentError{Reason: "declares nothing"}
+		}
+		return NewWhole(set.Objects()), nil
+	default:
+		return t.Edit.intent()
+	}
+}
+
+func (t editText) intent() (Intent, error) {
+	var set []snapshot.Object
+	if t.Set != nil {
+		decoded, err := declaration.Decode("set", t.Set)
+		if err != nil {
+			return nil, err
+		}
+		set = decoded.Objects()
+	}
+	var remove []snapshot.Key
+	for _, text := range t.Remove {
+		k, err := snapshot.ParseKey(text)
+		if err != nil {
+			return nil, err
+		}
+		remove = append(remove, k)
+	}
+	return NewEdit(set, remove), nil
+}
+
+func (s *Server) planStatus(r request) (int, any, error) {
+	st, err := s.service.Status(r.ctx, r.http.PathValue("id"))
+	return http.StatusOK, st, err
+}
+
+// Confirmation is the answer to a confirm; its version is 0 if that could not
+// be looked up.
+type Confirmation struct {
+	Plan    string `json:"plan"`
+	State   State  `json:"state"`
+	Version uint64 `json:"version,omitempty"`
+}
+
+func (s *Server) confirm(r request) (int, any, error) {
+	if len(r.body) > 0 {
+		if err := strict(r.body, &struct{}{}); err != nil {
+			return 0, nil, &RequestError{Reason: "a confirm has no fields"}
+		}
+	}
+	id := r.http.PathValue("id")
+	version, err := s.service.Confirm(r.ctx, r.operator, id)
+	return http.StatusOK, Confirmation{Plan: id, State: Confirmed, Version: version}, err
+}
+
+// FleetStatus is the newest version and the nodes that should hold it.
+type FleetStatus struct {
+	Version uint64       `json:"version"`
+	Digest  string       `json:"digest"`
+	Plan    string       `json:"plan"`
+	Nodes   []NodeStatus `json:"nodes"`
+}
+
+// NodeStatus is one node of the fleet.
+type NodeStatus struct {
+	Name    string `json:"name"`
+	Domain  string `json:"domain"`
+	Version uint64 `json:"version"`
+	State   string `json:"state"`
+	AgeMS   int64  `json:"age_ms"`
+	Format  uint32 `json:"format"`
+}
+
+// Age returns how long ago the node was last heard of.
+func (n NodeStatus) Age() time.Duration { return time.Duration(n.AgeMS) * time.Millisecond }
+
+func (s *Server) status(r request) (int, any, error) {
+	head, err := s.service.Newest(r.ctx)
+	if err != nil {
+		return 0, nil, err
+	}
+	nodes, err := s.service.Nodes(r.ctx)
+	if err != nil {
+		return 0, nil, err
+	}
+	st := FleetStatus{Version: head.Version(), Digest: head.Digest().String(), Plan: head.PlanID(), Nodes: []NodeStatus{}}
+	for _, n := range nodes {
+		st.Nodes = append(st.Nodes, NodeStatus{n.Name, n.Domain, n.Version, n.State, n.Age.Milliseconds(), n.Format})
+	}
+	return http.StatusOK, st, nil
+}
+
+type historyText struct {
+	Versions []Record `json:"versions"`
+}
+
+func (s *Server) history(r request) (int, any, error) {
+	n := defaultHistory
+	if text := r.http.URL.Query().Get("n"); text != "" {
+		var err error
+		if n, err = strconv.Atoi(text); err != nil || n < 1 || n > mostHistory {
+			return 0, nil, &RequestError{Reason: "n must be between 1 and " + strconv.Itoa(mostHistory)}
+		}
+	}
+	records, err := s.service.History(r.ctx, n)
+	if records == nil {
+		records = []Record{}
+	}
+	return http.StatusOK, historyText{records}, err
+}
+
+func (s *Server) refuse(err error) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { writeError(w, err) })
+}
+
+func writeJSON(w http.ResponseWriter, status int, answer any) {
+	b, err := json.Marshal(answer)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)+1))
+	w.WriteHeader(status)
+	// A client that has gone asks again; nothing else depends on the answer.
+	_, _ = w.Write(append(b, '\n'))
+}
--- a/internal/log/event/catalogue.go
+++ b/internal/log/event/catalogue.go
@@ -41,6 +41,12 @@
 	VersionApplied Code = 1101
 	VersionRefused Code = 1102
 	StoreIsOlder   Code = 1103
+
+	PlanMade        Code = 1501
+	PlanConfirmed   Code = 1502
+	PlanRefused     Code = 1503
+	PlanUnknown     Code = 1504
+	OperatorRefused Code = 1505
 )
 
 var catalogue = map[Code]Entry{
@@ -53,6 +59,12 @@
 	VersionApplied: {Info, "configuration version applied", "nothing"},
 	VersionRefused: {Error, "configuration version refused; the version held stays in force", "read the error; a format error asks for a newer program on this node"},
 	StoreIsOlder:   {Error, "the platform store holds an older version than the fleet", "see docs/operators/versions.md; the fleet keeps its version"},
+
+	PlanMade:        {Info, "plan made", "nothing"},
+	PlanConfirmed:   {Info, "plan confirmed and in force", "nothing"},
+	PlanRefused:     {Warn, "confirm refused; the plan is not in force", "read the error; a conflict names who changed what, so plan again"},
+	PlanUnknown:     {Error, "it is not known whether a plan is in force", "confirm the same plan again once the store answers, which settles it"},
+	OperatorRefused: {Warn, "request without a valid operator token refused", "if it was an operator, compare the token with the hash in the node's settings"},
 }
 
 // Markdown returns the catalogue as the page docs/EVENTS.md.
