--- a/cmd/banyanlug/main.go
+++ b/cmd/banyanlug/main.go
@@ -2,6 +2,18 @@
 // drives the mesh's configuration.
 package main
 
-import "fmt"
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
 
-func main() { fmt.Println("banyanlug") }
+	"banyanlug.example/banyanlug/internal/cli/command"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := command.New().Run(ctx, os.Args[1:])
+	stop()
+	os.Exit(code)
+}
--- a/internal/config/declaration/encode.go
+++ b/internal/config/declaration/encode.go
@@ -130,7 +130,6 @@
 	return structFields(text)
 }
 
-
 func structFields(text any) []Field {
 	v := reflect.ValueOf(text)
 	var out []Field
--- a/internal/control/operator/client.go
+++ b/internal/control/operator/client.go
@@ -134,7 +134,7 @@
 
 // History asks for up to n of the newest versions.
 func (c *Client) History(ctx context.Context, n int) ([]Record, error) {
-	var h historyText
+	var h History
 	err := c.ask(ctx, "GET", "/v1/history?n="+strconv.Itoa(n), nil, &h)
 	return h.Versions, err
 }
--- a/internal/control/operator/server.go
+++ b/internal/control/operator/server.go
@@ -213,7 +213,8 @@
 	return http.StatusOK, st, nil
 }
 
-type historyText struct {
+// History is the newest versions, the newest first.
+type History struct {
 	Versions []Record `json:"versions"`
 }
 
@@ -229,7 +230,7 @@
 	if records == nil {
 		records = []Record{}
 	}
-	return http.StatusOK, historyText{records}, err
+	return http.StatusOK, History{records}, err
 }
 
 func (s *Server) refuse(err error) http.Handler {
