--- /dev/null
+++ b/internal/cli/command/command_test.go
@@ -0,0 +1,275 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rogpeppe/go-internal/testscript"
+	"go.uber.org/goleak"
+
+	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/config/declaration"
+	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/control/operator"
+)
+
+// leakless runs the tests and then looks for goroutines left behind.
+type leakless struct{ m *testing.M }
+
+func (l leakless) Run() int {
+	code := l.m.Run()
+	if err := goleak.Find(); err != nil && code == 0 {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return code
+}
+
+func TestMain(m *testing.M) {
+	testscript.Main(leakless{m}, map[string]func(){
+		name: func() { os.Exit(New().Run(context.Background(), os.Args[1:])) },
+	})
+}
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// store is a store of versions in memory; a script sets its next failure.
+type store struct {
+	mu        sync.Mutex
+	head      *snapshot.Snapshot
+	plans     map[string][]byte
+	published map[string]uint64
+	records   []operator.Record
+	failure   string
+}
+
+type downError struct{}
+
+func (downError) Error() string { return "store down" }
+
+func (s *store) fails(call string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failure == call
+}
+
+func (s *store) Load(context.Context) (*snapshot.Snapshot, error) {
+	if s.fails("down") {
+		return nil, downError{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.head, nil
+}
+
+func (s *store) Publish(_ context.Context, d *snapshot.Delta, next *snapshot.Snapshot) error {
+	lost := s.fails("lost")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	touches, err := d.Touches()
+	if err != nil {
+		return err
+	}
+	s.head, s.published[d.Stamp().PlanID] = next, d.Version()
+	s.records = append([]operator.Record{operator.NewRecord(d.Version(), d.Stamp(), touches)}, s.records...)
+	if lost {
+		return &operator.OutcomeUnknownError{PlanID: d.Stamp().PlanID, Err: downError{}}
+	}
+	return nil
+}
+
+func (s *store) Outcome(_ context.Context, id string) (operator.Outcome, error) {
+	if s.fails("down") || s.fails("lost") && len(s.published) > 1 {
+		return nil, downError{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if v := s.published[id]; v > 0 {
+		return operator.Published{Version: v}, nil
+	}
+	return operator.NotPublished{}, nil
+}
+
+func (s *store) Abandon(context.Context, string) (operator.Outcome, error) {
+	return operator.NotPublished{Abandoned: true}, nil
+}
+
+func (s *store) SavePlan(_ context.Context, id string, b []byte, _ time.Duration) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.plans[id] = b
+	return nil
+}
+
+func (s *store) LoadPlan(_ context.Context, id string) ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b, ok := s.plans[id]; ok {
+		return b, nil
+	}
+	return nil, &operator.PlanNotFoundError{PlanID: id}
+}
+
+func (s *store) History(_ context.Context, n int) ([]operator.Record, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.records[:min(n, len(s.records))], nil
+}
+
+// fleet is three nodes, one of which lags.
+type fleet struct{ *store }
+
+func (f fleet) Nodes(ctx context.Context) ([]operator.Node, error) {
+	s, err := f.Load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return []operator.Node{
+		{Name: "n1", Domain: "songino", Version: s.Version(), State: "ready", Age: time.Second, Format: 1},
+		{Name: "n2", Domain: "khan-uul", Version: s.Version(), State: "draining", Age: 35 * time.Second, Format: 1},
+		{Name: "n3", Domain: "khan-uul", Version: 0, State: "ready", Age: time.Second, Format: 1},
+	}, nil
+}
+
+func (f fleet) LowestFormat(context.Context) (uint32, string, error) {
+	if f.fails("format") {
+		return 0, "n3", nil
+	}
+	return snapshot.FormatLevel, "n3", nil
+}
+
+// mesh is the node that a script's commands ask.
+type mesh struct {
+	store   *store
+	service *operator.Service
+	clock   *timer.Service
+}
+
+// newMesh starts a node whose configuration is the climbing example.
+func newMesh(env *testscript.Env) error {
+	set, err := declaration.Load(os.DirFS(env.Getenv("EXAMPLES") + "/khadtai"))
+	if err != nil {
+		return err
+	}
+	m := &mesh{
+		store: &store{head: snapshot.Empty(), plans: map[string][]byte{}, published: map[string]uint64{}},
+		clock: timer.NewManual(start),
+	}
+	m.service = operator.New(m.store, fleet{m.store}, operator.Clock(m.clock), operator.Random(rand.NewChaCha8([32]byte{1})))
+	if err := m.change("setup", operator.NewWhole(set.Objects())); err != nil {
+		return err
+	}
+	key := keyOf("s3cret")
+	token, err := operator.ParseToken("ana:" + key.Hash)
+	if err != nil {
+		return err
+	}
+	srv := httptest.NewServer(operator.NewHandler(m.service, token))
+	env.Defer(srv.Close)
+	env.Setenv("BANYANLUG_NODE", srv.URL)
+	env.Setenv("BANYANLUG_TOKEN", "s3cret")
+	env.Values["mesh"] = m
+	return nil
+}
+
+func (m *mesh) change(by string, intent operator.Intent) error {
+	p, err := m.service.Plan(context.Background(), by, intent)
+	if err != nil {
+		return err
+	}
+	_, err = m.service.Confirm(context.Background(), by, p.ID())
+	return err
+}
+
+// exits runs a command and fails unless it ends with the exit code.
+func exits(ts *testscript.TestScript, neg bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	got := 0
+	var exit *exec.ExitError
+	if err := ts.Exec(args[1], args[2:]...); errors.As(err, &exit) {
+		got = exit.ExitCode()
+	}
+	if got != want || neg {
+		ts.Fatalf("exit code %d, want %d", got, want)
+	}
+}
+
+// failing sets what befalls the store from now on.
+func failing(ts *testscript.TestScript, _ bool, args []string) {
+	s := ts.Value("mesh").(*mesh).store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failure = strings.Join(args, " ")
+}
+
+// rival sets a file's objects as another operator.
+func rival(ts *testscript.TestScript, _ bool, args []string) {
+	set, err := declaration.Decode(args[0], []byte(ts.ReadFile(args[0])))
+	ts.Check(err)
+	ts.Check(ts.Value("mesh").(*mesh).change("bo", operator.NewEdit(set.Objects(), nil)))
+}
+
+// later moves the node's clock on by a duration.
+func later(ts *testscript.TestScript, _ bool, args []string) {
+	d, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	ts.Value("mesh").(*mesh).clock.Advance(d)
+}
+
+func TestScripts(t *testing.T) {
+	t.Parallel()
+	examples, err := filepath.Abs("../../../examples")
+	if err != nil {
+		t.Fatal(err)
+	}
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("EXAMPLES", examples)
+			// The race detector lets each command linger for a second before it
+			// ends, in case another goroutine still races.
+			env.Setenv("GORACE", "atexit_sleep_ms=50")
+			return newMesh(env)
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"exits": exits, "failing": failing, "rival": rival, "later": later,
+		},
+	})
+}
+
+// A subcommand that another package adds gets help, the environment and exit
+// codes as the others do.
+func TestAddedSubcommand(t *testing.T) {
+	t.Setenv("BANYANLUG_WORD", "from the environment")
+	var out, failures strings.Builder
+	app := New(Streams(strings.NewReader(""), &out, &failures), Subcommand(func(a *App) *ffcli.Command {
+		fs := a.Flags("echo")
+		word := fs.String("word", "", "a `word`")
+		return &ffcli.Command{Name: "echo", FlagSet: fs, Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return &SettingError{"word", "is given as a flag"}
+			}
+			_, err := fmt.Fprint(a.Stdout(), *word)
+			return err
+		}}
+	}))
+	if code := app.Run(context.Background(), []string{"echo"}); code != exitDone || out.String() != "from the environment" {
+		t.Errorf("got %d, %q, %q", code, out.String(), failures.String())
+	}
+	if code := app.Run(context.Background(), []string{"echo", "x"}); code != exitUsage || !strings.Contains(failures.String(), "-word (BANYANLUG_WORD): ") {
+		t.Errorf("got %d, %q", code, failures.String())
+	}
+}
