--- a/cmd/banyanlug/main.go
+++ b/cmd/banyanlug/main.go
@@ -13,7 +13,10 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := command.New().Run(ctx, os.Args[1:])
+	code := app().Run(ctx, os.Args[1:])
 	stop()
 	os.Exit(code)
 }
+
+// app returns the command with every subcommand.
+func app() *command.App { return command.New() }
--- a/internal/config/declaration/load_test.go
+++ b/internal/config/declaration/load_test.go
@@ -313,3 +313,59 @@
 		}
 	})
 }
+
+// The page's own example is whole, and the page names each field there is.
+func TestPageIsTheFormat(t *testing.T) {
+	t.Parallel()
+	page, err := os.ReadFile("../../../docs/DECLARATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(page), "```yaml\n")
+	example, _, _ := strings.Cut(rest, "```")
+	set, err := Load(files("page.yaml", example))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := len(set.Objects()); n != 6 {
+		t.Errorf("the example has %d objects, want one of each kind", n)
+	}
+	for _, o := range set.Objects() {
+		for _, f := range Fields(o) {
+			if !strings.Contains(string(page), "`"+f.Name+"`") || f.Value == "" {
+				t.Errorf("%s: the page lacks field %s, or its example a value", o.Key(), f.Name)
+			}
+		}
+	}
+}
+
+func TestEncodedObjectsAreDeclarations(t *testing.T) {
+	t.Parallel()
+	for _, folder := range []string{"insurer", "khadtai"} {
+		set, err := Load(os.DirFS("../../../examples/" + folder))
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := Encode(set.Objects())
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := Decode("encoded", b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		change, err := built(t, set.Objects()).Diff(got.Objects())
+		if err != nil || !change.Empty() {
+			t.Errorf("%s: what was encoded reads as another set: %v, %v", folder, change, err)
+		}
+	}
+}
+
+func built(t *testing.T, objects []snapshot.Object) *snapshot.Snapshot {
+	t.Helper()
+	_, s, err := snapshot.Empty().Next(snapshot.NewChange(objects, nil), snapshot.Stamp{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
