Refuse control characters in paths and hosts

A path with a DEL passed every check, while the JSON in which an edit travels holds it raw and the reader refuses that: the operator read "is no text" for what check had called right. Control characters are now a fault of the field.

--- a/internal/config/declaration/load_test.go
+++ b/internal/config/declaration/load_test.go
@@ -7,8 +7,10 @@
 	"strings"
 	"testing"
 	"testing/fstest"
+	"unicode/utf8"
 
 	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
 
 	"banyanlug.example/banyanlug/internal/config/snapshot"
 )
@@ -118,6 +120,8 @@
 		{"a relative path", routeWith("/walls", "walls"), []string{"ValueError a.yaml:12"}},
 		{"a path with a query", routeWith("/walls", "/walls?x=1"), []string{"ValueError a.yaml:12"}},
 		{"a path too long", routeWith("/walls", "/"+strings.Repeat("w", 600)), []string{"ValueError a.yaml:12"}},
+		{"a path with a control character", routeWith("/walls", `"/walls\x7f"`), []string{"ValueError a.yaml:12"}},
+		{"a host with a control character", routeWith("path: /walls", `path: /walls`+"\n    host: \"gyms\\n\""), []string{"ValueError a.yaml:13"}},
 		{"a host with a port", routeWith("path: /walls", "path: /walls\n    host: gyms:80"), []string{"ValueError a.yaml:13"}},
 		{"a method that is none", routeWith("path: /walls", "path: /walls\n    methods: [FETCH]"), []string{"ValueError a.yaml:13"}},
 		{"a method that is any", routeWith("path: /walls", "path: /walls\n    methods: [\"*\"]"), []string{"ValueError a.yaml:13"}},
@@ -361,6 +365,30 @@
 	}
 }
 
+// Paths are the one free text; whatever a right one holds must survive the
+// way from an operator's command to a node, which is JSON read as YAML.
+func TestEncodedPathsSurvive(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		r := snapshot.NewRoute("r", "/"+rapid.String().Draw(t, "path"), "s", "p")
+		objects := []snapshot.Object{snapshot.NewService("s"), snapshot.NewPool("p", "s"), r}
+		if snapshot.Check(objects) != nil || !utf8.ValidString(r.Path()) {
+			t.Skip("no right path")
+		}
+		b, err := Encode(objects)
+		if err != nil {
+			t.Fatal(err)
+		}
+		set, err := Decode("encoded", b)
+		if err != nil {
+			t.Fatalf("%q: %v", r.Path(), err)
+		}
+		if got := set.Objects()[2].(snapshot.Route).Path(); got != r.Path() {
+			t.Fatalf("sent %q, read %q", r.Path(), got)
+		}
+	})
+}
+
 func built(t *testing.T, objects []snapshot.Object) *snapshot.Snapshot {
 	t.Helper()
 	_, s, err := snapshot.Empty().Next(snapshot.NewChange(objects, nil), snapshot.Stamp{})
--- a/internal/config/snapshot/check.go
+++ b/internal/config/snapshot/check.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"time"
+	"unicode"
 )
 
 // Bounds of declared values. They keep one object small and one version well
@@ -114,10 +115,10 @@
 			c.value(k, "pool", "%s serves %s, not %s", o.pool, p.service, o.service)
 		}
 	}
-	if !strings.HasPrefix(o.path, "/") || len(o.path) > maxPathBytes || strings.ContainsAny(o.path, "?#% \t\r\n") {
-		c.value(k, "path", "must start with / and have at most %d bytes and none of ? # %% or space", maxPathBytes)
+	if !strings.HasPrefix(o.path, "/") || len(o.path) > maxPathBytes || hasAny(o.path, "?#% ") {
+		c.value(k, "path", "must start with / and have at most %d bytes and none of ? # %% space or control characters", maxPathBytes)
 	}
-	if o.host != strings.ToLower(o.host) || strings.ContainsAny(o.host, "/ :@") || len(o.host) > maxHostBytes {
+	if o.host != strings.ToLower(o.host) || hasAny(o.host, "/ :@") || len(o.host) > maxHostBytes {
 		c.value(k, "host", "must be a lower-case host name without a port, of at most %d bytes", maxHostBytes)
 	}
 	c.between(k, "deadline", o.deadline, minDeadline, maxDeadline, deadlineStep)
@@ -139,6 +140,12 @@
 	c.claim(c.matches, k, o.host+" "+o.path+" "+method, strings.TrimSpace(o.host+" "+method+" "+o.path))
 }
 
+// hasAny reports whether s has one of some characters or a control character,
+// which no request has and no log line should.
+func hasAny(s, chars string) bool {
+	return strings.ContainsAny(s, chars) || strings.ContainsFunc(s, unicode.IsControl)
+}
+
 var knownMethods = map[string]bool{
 	"GET": true, "HEAD": true, "POST": true, "PUT": true, "PATCH": true, "DELETE": true, "OPTIONS": true,
 }
--- a/internal/control/operator/confirm.go
+++ b/internal/control/operator/confirm.go
@@ -30,6 +30,9 @@
 
 func (c *confirmation) run(ctx context.Context) (uint64, error) {
 	out, err := c.s.versions.Outcome(ctx, c.planID)
+	if is[*PlanNotFoundError](err) {
+		return 0, err
+	}
 	if err != nil {
 		// Not "unavailable": this may be the second confirm after a first
 		// whose answer was lost, and then the plan may be in force.
@@ -47,7 +50,7 @@
 		// been in the part that was lost: to publish it now could do it twice.
 		return 0, &OutcomeUnknownError{PlanID: c.planID}
 	}
-	if err := c.life.fire(ctx, begin); err != nil {
+	if err := c.life.fire(ctx, triggerBegin); err != nil {
 		return 0, err
 	}
 	version, err := c.settle(ctx, out)
@@ -211,24 +214,24 @@
 func triggerOf(err error) trigger {
 	switch {
 	case err == nil:
-		return publish
+		return triggerPublish
 	case is[*OutcomeUnknownError](err):
-		return lose
+		return triggerLose
 	case is[*ConflictError](err):
-		return conflict
+		return triggerConflict
 	case is[*ExpiredError](err), is[*AbandonedError](err):
-		return expire
+		return triggerExpire
 	default:
-		return refuse
+		return triggerRefuse
 	}
 }
 
 func (c *confirmation) report(version uint64, err error) {
 	fields := []event.Field{event.F("plan", c.planID), event.F("operator", c.operator)}
 	switch triggerOf(err) {
-	case publish:
+	case triggerPublish:
 		c.s.log.Emit(event.PlanConfirmed, append(fields, event.F("version", version))...)
-	case lose:
+	case triggerLose:
 		c.s.log.Emit(event.PlanUnknown, append(fields, event.F("error", err))...)
 	default:
 		c.s.log.Emit(event.PlanRefused, append(fields, event.F("error", err))...)
--- a/internal/control/operator/confirm_test.go
+++ b/internal/control/operator/confirm_test.go
@@ -279,13 +279,13 @@
 		from State
 		t    trigger
 	}{
-		{Confirmed, expire},
-		{Confirmed, conflict},
-		{Confirmed, lose},
-		{Conflicted, publish},
-		{Uncertain, expire},
-		{Planned, publish},
-		{Drafted, begin},
+		{Confirmed, triggerExpire},
+		{Confirmed, triggerConflict},
+		{Confirmed, triggerLose},
+		{Conflicted, triggerPublish},
+		{Uncertain, triggerExpire},
+		{Planned, triggerPublish},
+		{Drafted, triggerBegin},
 	} {
 		l := newLife(tt.from)
 		if e := as[*LifeError](t, l.fire(context.Background(), tt.t)); e.State != tt.from || l.state() != tt.from {
--- a/internal/control/operator/life.go
+++ b/internal/control/operator/life.go
@@ -24,13 +24,13 @@
 type trigger string
 
 const (
-	save     trigger = "save"
-	begin    trigger = "begin"
-	publish  trigger = "publish"
-	conflict trigger = "conflict"
-	expire   trigger = "expire"
-	refuse   trigger = "refuse"
-	lose     trigger = "lose"
+	triggerSave     trigger = "save"
+	triggerBegin    trigger = "begin"
+	triggerPublish  trigger = "publish"
+	triggerConflict trigger = "conflict"
+	triggerExpire   trigger = "expire"
+	triggerRefuse   trigger = "refuse"
+	triggerLose     trigger = "lose"
 )
 
 // life holds a plan to the steps that it may take: none leaves Confirmed,
@@ -41,14 +41,14 @@
 
 func newLife(from State) life {
 	m := stateless.NewStateMachine(from)
-	m.Configure(Drafted).Permit(save, Planned)
-	m.Configure(Planned).Permit(begin, Confirming)
+	m.Configure(Drafted).Permit(triggerSave, Planned)
+	m.Configure(Planned).Permit(triggerBegin, Confirming)
 	m.Configure(Confirming).
-		Permit(publish, Confirmed).Permit(conflict, Conflicted).
-		Permit(expire, Expired).Permit(refuse, Planned).Permit(lose, Uncertain)
-	m.Configure(Uncertain).Permit(begin, Confirming)
-	m.Configure(Expired).Permit(begin, Confirming)
-	m.Configure(Confirmed).Ignore(begin).Ignore(publish)
+		Permit(triggerPublish, Confirmed).Permit(triggerConflict, Conflicted).
+		Permit(triggerExpire, Expired).Permit(triggerRefuse, Planned).Permit(triggerLose, Uncertain)
+	m.Configure(Uncertain).Permit(triggerBegin, Confirming)
+	m.Configure(Expired).Permit(triggerBegin, Confirming)
+	m.Configure(Confirmed).Ignore(triggerBegin).Ignore(triggerPublish)
 	return life{m}
 }
 
--- a/internal/control/operator/server.go
+++ b/internal/control/operator/server.go
@@ -24,8 +24,8 @@
 	mostHistory    = 200
 )
 
-// Server answers operators over HTTP.
-type Server struct {
+// server answers operators over HTTP.
+type server struct {
 	service *Service
 	tokens  tokens
 }
@@ -33,7 +33,7 @@
 // NewHandler returns the operators' API over a service, open to the holders of
 // tokens and nobody else.
 func NewHandler(service *Service, tokens ...Token) http.Handler {
-	s := &Server{service: service, tokens: tokens}
+	s := &server{service: service, tokens: tokens}
 	mux := flow.New()
 	mux.NotFound = s.refuse(&PathError{})
 	mux.MethodNotAllowed = s.refuse(&MethodError{})
@@ -54,7 +54,7 @@
 }
 
 // handle lets operators in, reads the body and writes the answer.
-func (s *Server) handle(do func(request) (status int, answer any, err error)) http.Handler {
+func (s *server) handle(do func(request) (status int, answer any, err error)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		status, answer, err := s.serve(w, r, do)
 		if err != nil {
@@ -65,7 +65,7 @@
 	})
 }
 
-func (s *Server) serve(w http.ResponseWriter, r *http.Request, do func(request) (int, any, error)) (int, any, error) {
+func (s *server) serve(w http.ResponseWriter, r *http.Request, do func(request) (int, any, error)) (int, any, error) {
 	name, err := s.tokens.operator(r)
 	if err != nil {
 		s.service.log.Emit(event.OperatorRefused, event.F("from", r.RemoteAddr), event.F("path", r.URL.Path))
@@ -93,7 +93,7 @@
 	Remove []string        `json:"remove,omitempty"`
 }
 
-func (s *Server) plan(r request) (int, any, error) {
+func (s *server) plan(r request) (int, any, error) {
 	intent, err := readIntent(r.body)
 	if err != nil {
 		return 0, nil, err
@@ -152,7 +152,7 @@
 	return NewEdit(set, remove), nil
 }
 
-func (s *Server) planStatus(r request) (int, any, error) {
+func (s *server) planStatus(r request) (int, any, error) {
 	st, err := s.service.Status(r.ctx, r.http.PathValue("id"))
 	return http.StatusOK, st, err
 }
@@ -165,7 +165,7 @@
 	Version uint64 `json:"version,omitempty"`
 }
 
-func (s *Server) confirm(r request) (int, any, error) {
+func (s *server) confirm(r request) (int, any, error) {
 	if len(r.body) > 0 {
 		if err := strict(r.body, &struct{}{}); err != nil {
 			return 0, nil, &RequestError{Reason: "a confirm has no fields"}
@@ -197,7 +197,7 @@
 // Age returns how long ago the node was last heard of.
 func (n NodeStatus) Age() time.Duration { return time.Duration(n.AgeMS) * time.Millisecond }
 
-func (s *Server) status(r request) (int, any, error) {
+func (s *server) status(r request) (int, any, error) {
 	head, err := s.service.Newest(r.ctx)
 	if err != nil {
 		return 0, nil, err
@@ -218,7 +218,7 @@
 	Versions []Record `json:"versions"`
 }
 
-func (s *Server) history(r request) (int, any, error) {
+func (s *server) history(r request) (int, any, error) {
 	n := defaultHistory
 	if text := r.http.URL.Query().Get("n"); text != "" {
 		var err error
@@ -233,7 +233,7 @@
 	return http.StatusOK, History{records}, err
 }
 
-func (s *Server) refuse(err error) http.Handler {
+func (s *server) refuse(err error) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { writeError(w, err) })
 }
 
--- a/internal/control/operator/service.go
+++ b/internal/control/operator/service.go
@@ -25,8 +25,9 @@
 	// plan came first. Each loss means that someone else's plan won, so ten in
 	// a row need ten operators who confirm within one round trip.
 	maxTries = 10
-	// maxHistory bounds the search for who changed an object.
-	maxHistory = 1000
+	// maxHistory bounds the search for who changed an object, which reads the
+	// store once for each version.
+	maxHistory = 200
 	planIDLen  = 10
 )
 
@@ -125,7 +126,7 @@
 	if err := s.versions.SavePlan(ctx, p.id, b, s.ttl+keepAfter); err != nil {
 		return unavailable("save the plan", err)
 	}
-	return l.fire(ctx, save)
+	return l.fire(ctx, triggerSave)
 }
 
 // PlanStatus is a plan and what became of it.
