--- a/internal/control/operator/stateful_test.go
+++ b/internal/control/operator/stateful_test.go
@@ -10,7 +10,11 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"banyanlug.example/banyanlug/internal/clock/timer"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/control/platform"
+	"banyanlug.example/banyanlug/internal/control/publish"
+	"banyanlug.example/banyanlug/internal/standin/store"
 )
 
 // drill plays operators over a failing store against an oracle, which holds
@@ -19,8 +23,8 @@
 type drill struct {
 	*bench
 	plans []*trial
-	// pools is what is in force, from the store's own swaps.
-	pools map[string]int
+	// inForce reads the history, oldest last, and the newest version.
+	inForce func() ([]Record, *snapshot.Snapshot)
 }
 
 // trial is a plan with all that was said of it.
@@ -45,7 +49,8 @@
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		objects := []snapshot.Object{snapshot.NewService("s")}
-		d := &drill{bench: newBench(t, objects...), pools: map[string]int{}}
+		d := &drill{bench: newBench(t, objects...)}
+		d.inForce = func() ([]Record, *snapshot.Snapshot) { return d.store.records, d.store.head }
 		t.Repeat(map[string]func(*rapid.T){
 			"":        d.invariants,
 			"plan":    d.draft,
@@ -102,7 +107,8 @@
 		}
 		// A conflict may pass if the objects are set back, an expiry may not.
 		tr.denied = typ == TypeExpired
-		if d.store.published[tr.plan.ID()] != 0 {
+		records, _ := d.inForce()
+		if slices.ContainsFunc(records, func(r Record) bool { return r.Stamp().PlanID == tr.plan.ID() }) {
 			t.Fatalf("plan of %s is in force and was refused: %v", tr.pool, err)
 		}
 	default:
@@ -131,10 +137,10 @@
 func (d *drill) land(t *rapid.T) { d.store.land(d.pick(t).plan.ID()) }
 
 func (d *drill) invariants(t *rapid.T) {
-	versions := map[string]uint64{}
-	d.pools = map[string]int{}
-	for i, r := range slices.Backward(d.store.records) {
-		if want := uint64(len(d.store.records) - i); r.Version() != want {
+	records, head := d.inForce()
+	versions, pools := map[string]uint64{}, map[string]int{}
+	for i, r := range slices.Backward(records) {
+		if want := uint64(len(records) - i); r.Version() != want {
 			t.Fatalf("version %d follows %d", r.Version(), want-1)
 		}
 		if versions[r.Stamp().PlanID] != 0 {
@@ -145,10 +151,10 @@
 			if tr.plan.ID() != r.Stamp().PlanID {
 				continue
 			}
-			if d.pools[tr.pool] != tr.saw {
-				t.Fatalf("version %d overwrites size %d of pool %s, shown as %d", r.Version(), d.pools[tr.pool], tr.pool, tr.saw)
+			if pools[tr.pool] != tr.saw {
+				t.Fatalf("version %d overwrites size %d of pool %s, shown as %d", r.Version(), pools[tr.pool], tr.pool, tr.saw)
 			}
-			d.pools[tr.pool] = tr.size
+			pools[tr.pool] = tr.size
 		}
 	}
 	for _, tr := range d.plans {
@@ -158,12 +164,78 @@
 		}
 	}
 	held := map[string]int{}
-	for _, o := range d.store.head.Objects() {
+	for _, o := range head.Objects() {
 		if p, ok := o.(snapshot.Pool); ok {
 			held[p.Name()] = p.Slots()
 		}
 	}
-	if diff := cmp.Diff(fmt.Sprint(d.pools), fmt.Sprint(held)); diff != "" {
+	if diff := cmp.Diff(fmt.Sprint(pools), fmt.Sprint(held)); diff != "" {
 		t.Fatalf("the head holds other pools than the history's plans set:\n%s", diff)
 	}
 }
+
+// TestStatefulPlansAndConfirmsOverTheLog is the same drill over the real log
+// in a stand-in of the platform's store, where any call may be refused, lose
+// its answer or itself, or take effect late.
+func TestStatefulPlansAndConfirmsOverTheLog(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		clock := timer.NewManual(start)
+		st := store.New(clock)
+		newLog := func() *publish.Log { return publish.New(st, clock, publish.ResolveFor(0), publish.FullEvery(1000)) }
+		service := New(FromLog(newLog()), &fleet{lowest: snapshot.FormatLevel}, Clock(clock), Random(seeded(1)))
+		d := &drill{bench: &bench{tb: t, clock: clock, Service: service}}
+		d.confirmed("setup", set(snapshot.NewService("s")))
+		var plan func(store.Call) store.Fault
+		d.inForce = func() ([]Record, *snapshot.Snapshot) {
+			st.SetPlan(nil)
+			defer func() { st.SetPlan(plan) }()
+			log := FromLog(newLog())
+			records, err := log.History(context.Background(), 1000)
+			if err != nil {
+				t.Fatal(err)
+			}
+			head, err := log.Load(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			return records, head
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"":        d.invariants,
+			"plan":    d.draft,
+			"confirm": d.ask,
+			"again":   d.ask,
+			"fault": func(t *rapid.T) {
+				plan = drawFaults(t)
+				st.SetPlan(plan)
+			},
+			"mend": func(*rapid.T) {
+				plan = nil
+				st.SetPlan(nil)
+			},
+			"land": func(*rapid.T) { st.LandLate() },
+			"time": func(t *rapid.T) { clock.Advance(time.Duration(rapid.IntRange(1, 45).Draw(t, "min")) * time.Minute) },
+		})
+	})
+}
+
+// drawFaults draws what befalls one of the next calls of one kind.
+func drawFaults(t *rapid.T) func(store.Call) store.Fault {
+	kind := rapid.SampledFrom([]platform.Kind{platform.KindGet, platform.KindSwap, platform.KindSwap, platform.KindGrant}).Draw(t, "kind")
+	f := store.Refuse
+	if kind != platform.KindGet {
+		f = rapid.SampledFrom([]store.Fault{store.Refuse, store.LoseAnswer, store.LoseRequest, store.Late}).Draw(t, "fault")
+	}
+	skip, last := rapid.IntRange(0, 6).Draw(t, "skip"), rapid.IntRange(1, 4).Draw(t, "last")
+	return func(c store.Call) store.Fault {
+		if c.Kind() != kind {
+			return store.Pass
+		}
+		skip--
+		if skip >= 0 || skip < -last {
+			return store.Pass
+		}
+		return f
+	}
+}
