--- a/internal/cli/command/command_test.go
+++ b/internal/cli/command/command_test.go
@@ -23,6 +23,9 @@
 	"banyanlug.example/banyanlug/internal/config/declaration"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
 	"banyanlug.example/banyanlug/internal/control/operator"
+	"banyanlug.example/banyanlug/internal/control/platform"
+	"banyanlug.example/banyanlug/internal/control/publish"
+	"banyanlug.example/banyanlug/internal/standin/store"
 )
 
 // leakless runs the tests and then looks for goroutines left behind.
@@ -45,106 +48,24 @@
 
 var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 
-// store is a store of versions in memory; a script sets its next failure.
-type store struct {
-	mu        sync.Mutex
-	head      *snapshot.Snapshot
-	plans     map[string][]byte
-	published map[string]uint64
-	records   []operator.Record
-	failure   string
-}
-
-type downError struct{}
-
-func (downError) Error() string { return "store down" }
-
-func (s *store) fails(call string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.failure == call
-}
-
-func (s *store) Load(context.Context) (*snapshot.Snapshot, error) {
-	if s.fails("down") {
-		return nil, downError{}
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.head, nil
-}
-
-func (s *store) Publish(_ context.Context, d *snapshot.Delta, next *snapshot.Snapshot) error {
-	lost := s.fails("lost")
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	touches, err := d.Touches()
-	if err != nil {
-		return err
-	}
-	s.head, s.published[d.Stamp().PlanID] = next, d.Version()
-	s.records = append([]operator.Record{operator.NewRecord(d.Version(), d.Stamp(), touches)}, s.records...)
-	if lost {
-		return &operator.OutcomeUnknownError{PlanID: d.Stamp().PlanID, Err: downError{}}
-	}
-	return nil
-}
-
-func (s *store) Outcome(_ context.Context, id string) (operator.Outcome, error) {
-	if s.fails("down") || s.fails("lost") && len(s.published) > 1 {
-		return nil, downError{}
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if v := s.published[id]; v > 0 {
-		return operator.Published{Version: v}, nil
-	}
-	return operator.NotPublished{}, nil
-}
-
-func (s *store) Abandon(context.Context, string) (operator.Outcome, error) {
-	return operator.NotPublished{Abandoned: true}, nil
-}
-
-func (s *store) SavePlan(_ context.Context, id string, b []byte, _ time.Duration) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.plans[id] = b
-	return nil
-}
-
-func (s *store) LoadPlan(_ context.Context, id string) ([]byte, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if b, ok := s.plans[id]; ok {
-		return b, nil
-	}
-	return nil, &operator.PlanNotFoundError{PlanID: id}
-}
-
-func (s *store) History(_ context.Context, n int) ([]operator.Record, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.records[:min(n, len(s.records))], nil
-}
-
 // fleet is three nodes, one of which lags.
-type fleet struct{ *store }
+type fleet struct {
+	mu  sync.Mutex
+	old bool
+}
 
-func (f fleet) Nodes(ctx context.Context) ([]operator.Node, error) {
-	s, err := f.Load(ctx)
-	if err != nil {
-		return nil, err
-	}
+func (f *fleet) Nodes(context.Context) ([]operator.Node, error) {
 	return []operator.Node{
-		{Name: "n1", Domain: "songino", Version: s.Version(), State: "ready", Age: time.Second, Format: 1},
-		{Name: "n2", Domain: "khan-uul", Version: s.Version(), State: "draining", Age: 35 * time.Second, Format: 1},
+		{Name: "n1", Domain: "songino", Version: 1, State: "ready", Age: time.Second, Format: 1},
+		{Name: "n2", Domain: "khan-uul", Version: 1, State: "draining", Age: 35 * time.Second, Format: 1},
 		{Name: "n3", Domain: "khan-uul", Version: 0, State: "ready", Age: time.Second, Format: 1},
 	}, nil
 }
 
-func (f fleet) LowestFormat(context.Context) (uint32, string, error) {
-	if f.fails("format") {
+func (f *fleet) LowestFormat(context.Context) (uint32, string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.old {
 		return 0, "n3", nil
 	}
 	return snapshot.FormatLevel, "n3", nil
@@ -152,7 +73,8 @@
 
 // mesh is the node that a script's commands ask.
 type mesh struct {
-	store   *store
+	store   *store.Store
+	fleet   *fleet
 	service *operator.Service
 	clock   *timer.Service
 }
@@ -163,11 +85,10 @@
 	if err != nil {
 		return err
 	}
-	m := &mesh{
-		store: &store{head: snapshot.Empty(), plans: map[string][]byte{}, published: map[string]uint64{}},
-		clock: timer.NewManual(start),
-	}
-	m.service = operator.New(m.store, fleet{m.store}, operator.Clock(m.clock), operator.Random(rand.NewChaCha8([32]byte{1})))
+	m := &mesh{fleet: &fleet{}, clock: timer.NewManual(start)}
+	m.store = store.New(m.clock)
+	log := publish.New(m.store, m.clock, publish.ResolveFor(0))
+	m.service = operator.New(operator.FromLog(log), m.fleet, operator.Clock(m.clock), operator.Random(rand.NewChaCha8([32]byte{1})))
 	if err := m.change("setup", operator.NewWhole(set.Objects())); err != nil {
 		return err
 	}
@@ -207,12 +128,20 @@
 	}
 }
 
-// failing sets what befalls the store from now on.
+// failing sets what befalls the mesh from now on: the store "down", the swaps
+// that decide versions "lost", a node with an "old" program, or "nothing".
 func failing(ts *testscript.TestScript, _ bool, args []string) {
-	s := ts.Value("mesh").(*mesh).store
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.failure = strings.Join(args, " ")
+	m := ts.Value("mesh").(*mesh)
+	m.store.SetDown(args[0] == "down")
+	m.store.SetPlan(func(c store.Call) store.Fault {
+		if args[0] == "lost" && c.Kind() == platform.KindSwap && strings.HasSuffix(c.Key(), "head") {
+			return store.LoseRequest
+		}
+		return store.Pass
+	})
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	m.fleet.old = args[0] == "old"
 }
 
 // rival sets a file's objects as another operator.
