--- a/internal/cli/command/command_test.go
+++ b/internal/cli/command/command_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/pem"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -99,6 +100,13 @@
 	}
 	srv := httptest.NewServer(operator.NewHandler(m.service, token))
 	env.Defer(srv.Close)
+	secure := httptest.NewTLSServer(srv.Config.Handler)
+	env.Defer(secure.Close)
+	env.Setenv("SECURE_NODE", secure.URL)
+	cert := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: secure.Certificate().Raw})
+	if err := os.WriteFile(filepath.Join(env.WorkDir, "ca.pem"), cert, 0o600); err != nil {
+		return err
+	}
 	env.Setenv("BANYANLUG_NODE", srv.URL)
 	env.Setenv("BANYANLUG_TOKEN", "s3cret")
 	env.Values["mesh"] = m
