--- a/internal/control/operator/confirm_test.go
+++ b/internal/control/operator/confirm_test.go
@@ -249,6 +249,22 @@
 	}
 }
 
+// The publish succeeds and the look-up of the version after it fails. The
+// operator reads "confirmed", without a version rather than with a wrong one:
+// another node may have published the plan as an earlier version.
+func TestConfirmedWithoutAVersion(t *testing.T) {
+	t.Parallel()
+	b := newBench(t, walls()...)
+	p := b.planned("ana", set(pool("maps", "maps", 20, 11)))
+	b.store.before["publish"] = func() { b.store.next["outcome"] = down }
+	if v, err := b.Confirm(context.Background(), "ana", p.ID()); v != 0 || err != nil {
+		t.Errorf("version %d, %v", v, err)
+	}
+	if got := b.confirm(p); got != "v2" {
+		t.Error(got)
+	}
+}
+
 func TestPlanStatusFollowsItsLife(t *testing.T) {
 	t.Parallel()
 	for _, tt := range []struct {
