Heads that can be read in two ways are refused; standin measures overhead

Cause: ReadRequest alone takes a space before a colon and a control character in a value, which http.Server refuses in a step of its own; a next hop may read such a head otherwise. The server's tests found the first.

standin measure overhead makes the same calls direct and through two nodes, all parts as processes of their own.

--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,87 @@
+// Command standin runs the stand-ins for what surrounds banyanlug in tests, and
+// the project's measurements.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"banyanlug.example/banyanlug/internal/standin/measure"
+	"banyanlug.example/banyanlug/internal/standin/target"
+)
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// command is one thing the binary does.
+type command struct {
+	name string
+	help string
+	run  func(ctx context.Context, args []string, out io.Writer) error
+}
+
+var commands = []command{
+	{"target", "run a stand-in target", runTarget},
+	{"proxy", "run one side of the call path with a fixed configuration", runProxy},
+	{"measure overhead", "what the nodes on the way add to a call", measure.Overhead},
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	c, args, ok := find(os.Args[1:])
+	if !ok {
+		usage(os.Stderr)
+		return exitUsage
+	}
+	err := c.run(ctx, args, os.Stdout)
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, flag.ErrHelp):
+		return exitUsage
+	default:
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		return exitFailed
+	}
+}
+
+// find returns the command that the arguments begin with.
+func find(args []string) (command, []string, bool) {
+	for _, c := range commands {
+		for n := range 3 {
+			if n <= len(args) && c.name == strings.Join(args[:n], " ") {
+				return c, args[n:], true
+			}
+		}
+	}
+	return command{}, nil, false
+}
+
+func usage(w io.Writer) {
+	fmt.Fprintln(w, "usage: standin COMMAND [flags]; -h after a command lists its flags")
+	for _, c := range commands {
+		fmt.Fprintf(w, "  %-18s %s\n", c.name, c.help)
+	}
+}
+
+func runTarget(ctx context.Context, args []string, out io.Writer) error {
+	return target.Command(ctx, args, out, func(address string) error {
+		return measure.Attend(os.Stdin, out, measure.Told{Address: address})
+	})
+}
+
+func runProxy(ctx context.Context, args []string, out io.Writer) error {
+	return measure.Proxy(ctx, args, os.Stdin, out)
+}
--- /dev/null
+++ b/internal/standin/measure/overhead.go
@@ -0,0 +1,290 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/peterbourgon/ff/v3"
+
+	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/traffic/hop"
+)
+
+const (
+	// window is how long one kind of call is made before the next kind has its
+	// turn, so that what else the machine does meets all kinds alike.
+	window = time.Second
+	// callTimeout is far above any latency that is measured.
+	callTimeout = 10 * time.Second
+	// nodesPerCall is how many nodes one call passes: its caller's and its
+	// target's.
+	nodesPerCall = 2
+	maxMicros    = 60_000_000
+	writeBytes   = 256
+	answerBytes  = 512
+)
+
+// Overhead measures what the nodes on the way add to a call.
+func Overhead(ctx context.Context, args []string, out io.Writer) error {
+	fs := flag.NewFlagSet("measure overhead", flag.ContinueOnError)
+	fs.SetOutput(out)
+	rate := fs.Float64("rate", 62, "calls a second, of one kind at a time")
+	hops := fs.Int("hops", nodesPerCall, "nodes on the way, an even number; more than 2 makes targets call on")
+	length := fs.Duration("for", 20*time.Second, "how long each of four kinds of call is made in all")
+	seed := fs.Uint64("seed", 1, "seed of the arrival times")
+	server := fs.String("server", "own", "how the caller's node serves: own or net/http")
+	procs := fs.Int("procs", 0, "GOMAXPROCS of the nodes, 0 for their own choice")
+	asJSON := fs.Bool("json", false, "print one line of JSON only")
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("STANDIN_OVERHEAD")); err != nil {
+		return fmt.Errorf("overhead: %w", err)
+	}
+	if *hops < nodesPerCall || *hops%nodesPerCall != 0 || *hops > nodesPerCall*11 || *rate <= 0 {
+		return fmt.Errorf("overhead: %w", &SettingError{Text: "-hops is even, from 2 to 22, and -rate above 0"})
+	}
+	o := &overhead{rate: *rate, deep: *hops/nodesPerCall - 1, rng: rand.New(rand.NewPCG(*seed, 0)), seed: *seed}
+	g := newGroup(ctx)
+	defer g.stop()
+	o.clk = timer.New()
+	g.start(o.clk.Run)
+	o.client = startClient(g, o.clk)
+	stop, err := o.startParts(ctx, *server, *procs)
+	if err != nil {
+		return fmt.Errorf("overhead: %w", err)
+	}
+	defer stop()
+	if err := o.run(ctx, *length); err != nil {
+		return fmt.Errorf("overhead: %w", err)
+	}
+	return o.tell(out, *asJSON)
+}
+
+// overhead is one run of the measurement.
+type overhead struct {
+	rate   float64
+	deep   int
+	rng    *rand.Rand
+	seed   uint64
+	clk    *timer.Service
+	client *hop.Client
+	nodes  []*part
+	direct netip.AddrPort
+	mesh   netip.AddrPort
+	series [4]series
+}
+
+// series is the calls of one kind.
+type series struct {
+	mesh, write bool
+	mu          sync.Mutex
+	latency     *hdrhistogram.Histogram
+	failed      int
+	cpu         time.Duration
+}
+
+// startParts starts the target, its node and the caller's node, through which
+// the target's own calls go too.
+func (o *overhead) startParts(ctx context.Context, server string, procs int) (stop func(), err error) {
+	var parts []*part
+	stop = func() {
+		for i := len(parts) - 1; i >= 0; i-- {
+			parts[i].stop()
+		}
+	}
+	start := func(name string, args ...string) (netip.AddrPort, error) {
+		p, err := startPart(ctx, name, args...)
+		if err != nil {
+			return netip.AddrPort{}, err
+		}
+		parts = append(parts, p)
+		return netip.ParseAddrPort(p.told.Address)
+	}
+	fail := func(err error) (func(), error) { stop(); return nil, err }
+	if o.direct, err = start("target", "target", "-attached"); err != nil {
+		return fail(err)
+	}
+	node, err := start("target's node", "proxy", "-side", "target", "-next", o.direct.String(), "-procs", strconv.Itoa(procs))
+	if err != nil {
+		return fail(err)
+	}
+	if o.mesh, err = start("caller's node", "proxy", "-side", "caller", "-next", node.String(), "-server", server, "-procs", strconv.Itoa(procs)); err != nil {
+		return fail(err)
+	}
+	o.nodes = parts[1:]
+	return stop, o.setNext(ctx)
+}
+
+// setNext tells the target where its own calls go.
+func (o *overhead) setNext(ctx context.Context) error {
+	r := hop.NewRequest(http.MethodGet, "/standin/next?url=http://"+o.mesh.String(), o.direct.String(), http.Header{}, hop.None{})
+	a, err := o.client.Do(ctx, o.direct, r, o.clk.Now().Add(callTimeout))
+	if err != nil {
+		return err
+	}
+	defer a.Close()
+	_, err = io.Copy(io.Discard, a)
+	return err
+}
+
+// run makes calls of each kind in turn.
+func (o *overhead) run(ctx context.Context, length time.Duration) error {
+	for i := range o.series {
+		o.series[i].mesh, o.series[i].write = i%2 == 1, i/2 == 1
+		o.series[i].latency = hdrhistogram.New(1, maxMicros, 3)
+		// Connections, caches and the target's own start belong to no kind.
+		warm := &series{mesh: o.series[i].mesh, write: o.series[i].write, latency: hdrhistogram.New(1, maxMicros, 3)}
+		if err := o.burst(ctx, warm, window/2); err != nil {
+			return err
+		}
+	}
+	for done := time.Duration(0); done < length; done += window {
+		for i := range o.series {
+			if err := o.burst(ctx, &o.series[i], window); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// burst makes calls of one kind at random times: each on its own goroutine, so
+// that a slow one holds back none that come after it.
+func (o *overhead) burst(ctx context.Context, s *series, length time.Duration) error {
+	before, err := o.cpu()
+	if err != nil {
+		return err
+	}
+	var wg sync.WaitGroup
+	end := o.clk.Now().Add(length)
+	for next := o.clk.Now(); next.Before(end); {
+		next = next.Add(time.Duration(o.rng.ExpFloat64() / o.rate * float64(time.Second)))
+		if err := o.clk.Sleep(ctx, next.Sub(o.clk.Now())); err != nil {
+			return err
+		}
+		wg.Go(func() { o.call(ctx, s) })
+	}
+	wg.Wait()
+	after, err := o.cpu()
+	s.cpu += after - before
+	return err
+}
+
+func (o *overhead) cpu() (time.Duration, error) {
+	var total time.Duration
+	for _, p := range o.nodes {
+		d, err := p.cpu()
+		if err != nil {
+			return 0, err
+		}
+		total += d
+	}
+	return total, nil
+}
+
+func (o *overhead) call(ctx context.Context, s *series) {
+	to := o.direct
+	if s.mesh {
+		to = o.mesh
+	}
+	method, path, body := http.MethodGet, "/service-0/read", hop.Body(hop.None{})
+	h := http.Header{"X-Api-Key": {apiKey}}
+	if s.write {
+		method, path, body = http.MethodPost, "/service-0/write", hop.NewWhole(make([]byte, writeBytes))
+	}
+	uri := fmt.Sprintf("%s?size=%d&deep=%d", path, answerBytes, o.deep)
+	began := o.clk.Now()
+	n, err := o.fetch(ctx, to, hop.NewRequest(method, uri, to.String(), h, body))
+	took := o.clk.Since(began)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil || n != answerBytes {
+		s.failed++
+		return
+	}
+	_ = s.latency.RecordValue(took.Microseconds())
+}
+
+func (o *overhead) fetch(ctx context.Context, to netip.AddrPort, r *hop.Request) (int64, error) {
+	a, err := o.client.Do(ctx, to, r, o.clk.Now().Add(callTimeout))
+	if err != nil {
+		return 0, err
+	}
+	defer a.Close()
+	if a.Status() != http.StatusOK {
+		return 0, &StatusError{Status: a.Status()}
+	}
+	return io.Copy(io.Discard, a)
+}
+
+// figures is what the measurement ends with; once_ figures are of calls that
+// may not be repeated.
+type figures struct {
+	Rate         float64 `json:"rate"`
+	Hops         int     `json:"hops"`
+	Seed         uint64  `json:"seed"`
+	Calls        int64   `json:"calls"`
+	Failed       int     `json:"failed"`
+	DirectP50    float64 `json:"direct_ms_p50"`
+	DirectP99    float64 `json:"direct_ms_p99"`
+	MeshP50      float64 `json:"mesh_ms_p50"`
+	MeshP99      float64 `json:"mesh_ms_p99"`
+	AddedP50     float64 `json:"added_ms_p50"`
+	AddedP99     float64 `json:"added_ms_p99"`
+	CPU          float64 `json:"cpu_us_per_call"`
+	OnceDirP50   float64 `json:"once_direct_ms_p50"`
+	OnceDirP99   float64 `json:"once_direct_ms_p99"`
+	OnceMeshP50  float64 `json:"once_mesh_ms_p50"`
+	OnceMeshP99  float64 `json:"once_mesh_ms_p99"`
+	OnceAddedP50 float64 `json:"once_added_ms_p50"`
+	OnceAddedP99 float64 `json:"once_added_ms_p99"`
+	OnceCPU      float64 `json:"once_cpu_us_per_call"`
+}
+
+func (o *overhead) tell(out io.Writer, asJSON bool) error {
+	f := figures{Rate: o.rate, Hops: (o.deep + 1) * nodesPerCall, Seed: o.seed}
+	f.DirectP50, f.DirectP99, f.MeshP50, f.MeshP99, f.CPU = o.compare(0)
+	f.AddedP50, f.AddedP99 = f.MeshP50-f.DirectP50, f.MeshP99-f.DirectP99
+	f.OnceDirP50, f.OnceDirP99, f.OnceMeshP50, f.OnceMeshP99, f.OnceCPU = o.compare(2)
+	f.OnceAddedP50, f.OnceAddedP99 = f.OnceMeshP50-f.OnceDirP50, f.OnceMeshP99-f.OnceDirP99
+	for i := range o.series {
+		f.Calls += o.series[i].latency.TotalCount()
+		f.Failed += o.series[i].failed
+	}
+	if !asJSON {
+		fmt.Fprintf(out, "%d calls, %d failed; added by %d nodes at %g calls/s: p50 %.3f ms, p99 %.3f ms; not to be repeated: p50 %.3f ms, p99 %.3f ms\n",
+			f.Calls, f.Failed, f.Hops, f.Rate, f.AddedP50, f.AddedP99, f.OnceAddedP50, f.OnceAddedP99)
+	}
+	if err := json.NewEncoder(out).Encode(f); err != nil {
+		return fmt.Errorf("overhead: %w", err)
+	}
+	return nil
+}
+
+// compare returns the latencies of a pair of series in ms, and the nodes'
+// processor time for each call in us.
+func (o *overhead) compare(i int) (directP50, directP99, meshP50, meshP99, cpu float64) {
+	direct, mesh := &o.series[i], &o.series[i+1]
+	ms := func(s *series, q float64) float64 { return float64(s.latency.ValueAtQuantile(q)) / 1000 }
+	calls := max(1, mesh.latency.TotalCount())
+	cpu = float64(mesh.cpu.Microseconds()) / float64(calls)
+	return ms(direct, 50), ms(direct, 99), ms(mesh, 50), ms(mesh, 99), cpu
+}
+
+// SettingError tells of a setting that can't be.
+type SettingError struct{ Text string }
+
+func (e *SettingError) Error() string { return e.Text }
+
+// StatusError tells of an answer of another status than the measured one.
+type StatusError struct{ Status int }
+
+func (e *StatusError) Error() string { return fmt.Sprintf("answer has status %d", e.Status) }
--- /dev/null
+++ b/internal/standin/measure/proxy.go
@@ -0,0 +1,133 @@
+package measure
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/traffic/caller"
+	"banyanlug.example/banyanlug/internal/traffic/hop"
+	"banyanlug.example/banyanlug/internal/traffic/http1"
+	"banyanlug.example/banyanlug/internal/traffic/target"
+)
+
+const (
+	fleetKey = "the key of a measurement's fleet"
+	apiKey   = "the key of a measurement's organisation"
+	poolName = "service-0-pool"
+	// The configuration has the letter's size, so that lookups cost what they
+	// will.
+	serviceCount      = 280
+	organisationCount = 1000
+	// proxySlots is ample: overhead is measured without waiting.
+	proxySlots = 1000
+)
+
+// Proxy runs one side of the call path with a fixed configuration: the node of
+// a caller, which sends to -next, or the node of a target at -next.
+func Proxy(ctx context.Context, args []string, in io.Reader, out io.Writer) error {
+	fs := flag.NewFlagSet("proxy", flag.ContinueOnError)
+	fs.SetOutput(out)
+	side := fs.String("side", "caller", "caller or target")
+	next := fs.String("next", "", "address of the target's node, or of the target")
+	server := fs.String("server", "own", "own or net/http")
+	procs := fs.Int("procs", 0, "GOMAXPROCS, 0 for the runtime's own choice")
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("STANDIN_PROXY")); err != nil {
+		return fmt.Errorf("proxy: %w", err)
+	}
+	if *procs > 0 {
+		runtime.GOMAXPROCS(*procs)
+	}
+	to, err := netip.ParseAddrPort(*next)
+	if err != nil {
+		return fmt.Errorf("proxy: -next: %w", err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("proxy: %w", err)
+	}
+	snap, err := sizedSnapshot()
+	if err != nil {
+		return fmt.Errorf("proxy: %w", err)
+	}
+	g := newGroup(ctx)
+	defer g.stop()
+	clk := timer.New()
+	g.start(clk.Run)
+	switch {
+	case *side == "target":
+		h := target.New(target.NewSlots(fixed{snap}, poolName, clk), to, startClient(g, clk),
+			hop.NewCredential(fleetKey), hop.NewSealer(fleetKey), clk)
+		s := target.NewServer(h, clk)
+		g.start(func(ctx context.Context, done chan<- error) { s.Serve(ctx, ln, done) })
+	case *server == "net/http":
+		h := callerHandler(g, snap, to, clk)
+		g.start(func(ctx context.Context, done chan<- error) { serveNetHTTP(ctx, ln, h, done) })
+	default:
+		s := http1.New(callerHandler(g, snap, to, clk), clk)
+		g.start(func(ctx context.Context, done chan<- error) { s.Serve(ctx, ln, done) })
+	}
+	return Attend(in, out, Told{Address: ln.Addr().String()})
+}
+
+func serveNetHTTP(ctx context.Context, ln net.Listener, h http.Handler, done chan<- error) {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	done <- s.Serve(ln)
+}
+
+func callerHandler(g *group, snap *snapshot.Snapshot, to netip.AddrPort, clk *timer.Service) http.Handler {
+	client := startClient(g, clk, hop.WithCredential(hop.NewCredential(fleetKey)), hop.AskFirst())
+	records := oneTarget{membership.NewRecord("t0", membership.Pool(poolName), membership.Address(to), membership.InState(membership.Ready))}
+	return caller.New(fixed{snap}, records, client, hop.NewSealer(fleetKey), clk)
+}
+
+func startClient(g *group, clk *timer.Service, opts ...hop.Option) *hop.Client {
+	c := hop.NewClient(clk, opts...)
+	g.start(c.Run)
+	return c
+}
+
+type fixed struct{ snap *snapshot.Snapshot }
+
+func (f fixed) Current() *snapshot.Snapshot { return f.snap }
+
+type oneTarget []membership.Record
+
+func (t oneTarget) Targets(string) []membership.Record { return t }
+
+func sizedSnapshot() (*snapshot.Snapshot, error) {
+	var objects []snapshot.Object
+	for i := range serviceCount {
+		name := fmt.Sprintf("service-%d", i)
+		objects = append(objects, snapshot.NewService(name),
+			snapshot.NewPool(name+"-pool", name, snapshot.Slots(proxySlots), snapshot.Promised(proxySlots/2),
+				snapshot.Connections(proxySlots), snapshot.Upstreams(15)),
+			snapshot.NewRoute(name+"-read", "/"+name+"/read", name, name+"-pool", snapshot.Idempotent(), snapshot.Retries(2)),
+			snapshot.NewRoute(name+"-write", "/"+name+"/write", name, name+"-pool", snapshot.Retries(2)))
+	}
+	for i := range organisationCount {
+		key := fmt.Sprintf("%s %d", apiKey, i)
+		if i == 0 {
+			key = apiKey
+		}
+		sum := sha256.Sum256([]byte(key))
+		objects = append(objects, snapshot.NewOrganisation(fmt.Sprintf("organisation-%d", i), snapshot.Paying, hex.EncodeToString(sum[:])))
+	}
+	_, snap, err := snapshot.Empty().Next(snapshot.NewChange(objects, nil), snapshot.Stamp{PlanID: "measure"})
+	return snap, err
+}
--- a/internal/standin/target/call.go
+++ b/internal/standin/target/call.go
@@ -19,6 +19,9 @@
 	askSleep = "sleep"
 	// askStatus is the answer's status.
 	askStatus = "status"
+	// askDeep is how many further calls, each made by the one before, the call
+	// leads to.
+	askDeep = "deep"
 	// askFault is one of the faults below.
 	askFault = "fault"
 )
@@ -53,10 +56,11 @@
 			return
 		}
 	}
-	// An echo answers while it reads; without this the server would throw away
-	// up to 256 KiB of the request once the answer begins.
-	_ = http.NewResponseController(w).EnableFullDuplex()
-	body := bodyOf(r, q.Get(askSize))
+	if deep, _ := strconv.Atoi(q.Get(askDeep)); deep > 0 {
+		s.callOn(w, r, deep-1)
+		return
+	}
+	body := bodyOf(w, r, q.Get(askSize))
 	status, err := strconv.Atoi(q.Get(askStatus))
 	if err != nil {
 		status = http.StatusOK
@@ -96,13 +100,18 @@
 	return d + time.Duration(s.slow.Load())
 }
 
-func bodyOf(r *http.Request, size string) io.Reader {
+// bodyOf returns the body of the answer: the request's own, or one of the size
+// asked for.
+func bodyOf(w http.ResponseWriter, r *http.Request, size string) io.Reader {
 	n, err := strconv.ParseInt(size, 10, 64)
 	if err != nil {
+		// An echo answers while it reads; without this the server would throw
+		// away up to 256 KiB of the request once the answer begins.
+		_ = http.NewResponseController(w).EnableFullDuplex()
 		return r.Body
 	}
-	n = min(max(n, 0), maxAskedSize)
-	return io.LimitReader(pattern{}, n)
+	_, _ = io.Copy(io.Discard, r.Body)
+	return io.LimitReader(pattern{}, min(max(n, 0), maxAskedSize))
 }
 
 // pattern is an endless body.
@@ -155,3 +164,39 @@
 	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart of it")
 	_ = conn.Close()
 }
+
+// callOn makes the same call once more, one deeper: through the node if the
+// call came by one, which its sealed context tells, else to the target itself.
+func (s *Server) callOn(w http.ResponseWriter, r *http.Request, deep int) {
+	base, sealed := "http://"+r.Host, r.Header.Get(hop.CallHeader)
+	if sealed != "" {
+		s.mu.Lock()
+		base = s.next
+		s.mu.Unlock()
+	}
+	q := r.URL.Query()
+	q.Set(askDeep, strconv.Itoa(deep))
+	req, err := http.NewRequestWithContext(r.Context(), r.Method, base+r.URL.Path+"?"+q.Encode(), r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	req.ContentLength = r.ContentLength
+	if sealed != "" {
+		req.Header.Set(hop.CallHeader, sealed)
+	}
+	if key := r.Header.Get(hop.KeyHeader); key != "" {
+		req.Header.Set(hop.KeyHeader, key+"/"+strconv.Itoa(deep))
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.ContentLength >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	}
+	w.WriteHeader(resp.StatusCode)
+	_, _ = io.Copy(w, resp.Body)
+}
--- a/internal/standin/target/server.go
+++ b/internal/standin/target/server.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,7 @@
 	lag      time.Duration
 	health   Health
 	crash    func()
+	client   *http.Client
 
 	busy     atomic.Int64
 	most     atomic.Int64
@@ -32,6 +34,7 @@
 	slow     atomic.Int64
 
 	mu   sync.Mutex
+	next string
 	runs map[string]int
 	all  int
 	seen []state
@@ -76,9 +79,18 @@
 // return normally in a process of its own.
 func OnCrash(f func()) Option { return func(s *Server) { s.crash = f } }
 
+// Next sets the node that calls further down go to.
+func Next(url string) Option { return func(s *Server) { s.next = url } }
+
+// crashCode is the exit code of a target that a call has crashed.
+const crashCode = 70
+
+func exit() { os.Exit(crashCode) }
+
 // New returns a stand-in target.
 func New(clk *timer.Service, opts ...Option) *Server {
 	s := &Server{clk: clk, started: clk.Now(), runs: map[string]int{}, coldRate: 1}
+	s.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	s.crash = func() { _ = s.http.Close() }
 	for _, opt := range opts {
 		opt(s)
@@ -91,7 +103,10 @@
 func (s *Server) Serve(ln net.Listener, done chan<- error) { done <- s.http.Serve(ln) }
 
 // Close ends the target at once, as a crash does.
-func (s *Server) Close() error { return s.http.Close() }
+func (s *Server) Close() error {
+	s.client.CloseIdleConnections()
+	return s.http.Close()
+}
 
 // Shutdown refuses new connections and lets calls end.
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
@@ -102,6 +117,12 @@
 // SetSlow adds d to each call from now on.
 func (s *Server) SetSlow(d time.Duration) { s.slow.Store(int64(d)) }
 
+func (s *Server) setNext(url string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next = url
+}
+
 // Runs returns how many calls ran, by idempotency key.
 func (s *Server) Runs() map[string]int {
 	s.mu.Lock()
@@ -120,6 +141,9 @@
 	return s.all
 }
 
+// Busy returns how many calls run now.
+func (s *Server) Busy() int64 { return s.busy.Load() }
+
 // Most returns the most calls that ran at once.
 func (s *Server) Most() int64 { return s.most.Load() }
 
@@ -135,6 +159,9 @@
 		d, _ := time.ParseDuration(r.URL.Query().Get("by"))
 		s.SetSlow(d)
 		writeJSON(w, http.StatusOK, struct{}{})
+	case "/standin/next":
+		s.setNext(r.URL.Query().Get("url"))
+		writeJSON(w, http.StatusOK, struct{}{})
 	case "/healthz", "/readyz", "/load":
 		s.tellHealth(w)
 	default:
--- a/internal/traffic/caller/rig_test.go
+++ b/internal/traffic/caller/rig_test.go
@@ -51,7 +51,8 @@
 type spot struct {
 	app    *standin.Server
 	local  netip.AddrPort
-	node   *http1.Server
+	slots  *target.Slots
+	node   *target.Server
 	record membership.Record
 }
 
@@ -104,7 +105,10 @@
 	r.t.Cleanup(func() { cancel(); <-done })
 }
 
-func (r *rig) serve(s *http1.Server) netip.AddrPort {
+func (r *rig) serve(s interface {
+	Serve(context.Context, net.Listener, chan<- error)
+},
+) netip.AddrPort {
 	ln := listen(r.t)
 	r.run(func(ctx context.Context, done chan<- error) { s.Serve(ctx, ln, done) })
 	return netip.MustParseAddrPort(ln.Addr().String())
@@ -122,7 +126,8 @@
 	if o.target != nil {
 		opts = o.target(i)
 	}
-	h := target.New("quotes", s.local, r.client(), hop.NewCredential(fleetKey), hop.NewSealer(fleetKey), r.clk, opts...)
+	s.slots = target.NewSlots(r.config, "quotes", r.clk)
+	h := target.New(s.slots, s.local, r.client(), hop.NewCredential(fleetKey), hop.NewSealer(fleetKey), r.clk, opts...)
 	s.node = target.NewServer(h, r.clk)
 	s.record = membership.NewRecord("t"+strconv.Itoa(i), membership.Pool("quotes"),
 		membership.Address(r.serve(s.node)), membership.InState(membership.Ready))
--- a/internal/traffic/http1/conn.go
+++ b/internal/traffic/http1/conn.go
@@ -51,7 +51,7 @@
 		return true
 	}
 	t := tls.Server(c.rwc, c.s.tls)
-	_ = c.rwc.SetDeadline(c.s.clk.Now().Add(headTimeout))
+	_ = c.rwc.SetDeadline(c.s.clk.Now().Add(c.s.head))
 	if t.HandshakeContext(ctx) != nil {
 		return false
 	}
@@ -113,7 +113,7 @@
 
 // call serves one call and reports whether the connection can carry another.
 func (c *conn) call(ctx context.Context) bool {
-	_ = c.rwc.SetReadDeadline(c.s.clk.Now().Add(headTimeout))
+	_ = c.rwc.SetReadDeadline(c.s.clk.Now().Add(c.s.head))
 	r, err := readHead(c.br)
 	if err != nil {
 		c.refuseHead(err)
--- a/internal/traffic/http1/head.go
+++ b/internal/traffic/http1/head.go
@@ -50,10 +50,12 @@
 	}
 }
 
-// checkFraming refuses a head whose body length two parsers could read in two
-// ways. The parser that follows lets Transfer-Encoding win over
-// Content-Length and takes a bare LF for a line's end, silently; a next hop
-// that decides otherwise would read part of the body as a further call.
+// checkFraming refuses a head that two parsers could read in two ways: one
+// that states the length of its body twice, or that has a line only some take
+// for a header. The parser that follows is lenient in these: it lets
+// Transfer-Encoding win over Content-Length and takes a bare LF for a line's
+// end. A next hop that decides otherwise would read part of the body as a
+// further call.
 func checkFraming(head []byte) error {
 	lengths, encodings := 0, 0
 	line, rest, _ := bytes.Cut(head, []byte("\n"))
@@ -62,16 +64,18 @@
 		if !bytes.HasSuffix(line, []byte("\r")) {
 			return malformed("a line of the head does not end with CR LF")
 		}
+		line, rest, _ = bytes.Cut(rest, []byte("\n"))
 		if len(rest) == 0 {
 			break
 		}
-		line, rest, _ = bytes.Cut(rest, []byte("\n"))
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		if !isToken(name) || !isText(value) {
+			return malformed("a line of the head is no header")
+		}
 		switch {
-		case line[0] == ' ' || line[0] == '\t':
-			return malformed("a header is folded over two lines")
-		case hasName(line, "content-length"):
+		case isName(name, "content-length"):
 			lengths++
-		case hasName(line, "transfer-encoding"):
+		case isName(name, "transfer-encoding"):
 			encodings++
 		}
 	}
@@ -81,10 +85,39 @@
 	return nil
 }
 
-func hasName(line []byte, name string) bool {
-	return len(line) > len(name) && line[len(name)] == ':' && strings.EqualFold(string(line[:len(name)]), name)
+func isName(b []byte, name string) bool {
+	return len(b) == len(name) && strings.EqualFold(string(b), name)
+}
+
+// isToken reports whether b can name a header; a space, as at the start of a
+// folded line or before the colon, can't be part of it.
+func isToken(b []byte) bool {
+	for _, c := range b {
+		if !tokenBytes[c] {
+			return false
+		}
+	}
+	return len(b) > 0
 }
 
+// isText reports whether b holds no control character but the tab and the CR
+// at its end.
+func isText(b []byte) bool {
+	for i, c := range b {
+		if c < ' ' && c != '\t' && (c != '\r' || i != len(b)-1) || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+var tokenBytes = func() (t [256]bool) {
+	for _, c := range "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz" {
+		t[c] = true
+	}
+	return t
+}()
+
 func checkRequest(r *http.Request) error {
 	switch {
 	case r.ProtoMajor != 1:
--- a/internal/traffic/http1/server.go
+++ b/internal/traffic/http1/server.go
@@ -52,6 +52,8 @@
 	onFault     func(error)
 	drainRefuse *Refusal
 	idle        time.Duration
+	head        time.Duration
+	body        time.Duration
 	maxBody     int64
 
 	draining atomic.Bool
@@ -107,7 +109,7 @@
 // New returns a server for handler.
 func New(handler http.Handler, clk *timer.Service, opts ...Option) *Server {
 	s := &Server{
-		handler: handler, clk: clk, idle: defaultIdle, maxBody: defaultMaxBody,
+		handler: handler, clk: clk, idle: defaultIdle, head: headTimeout, body: bodyTimeout, maxBody: defaultMaxBody,
 		connContext: func(ctx context.Context, _ net.Conn) context.Context { return ctx },
 		onFault:     func(error) {},
 		drainRefuse: &Refusal{
@@ -190,8 +192,10 @@
 	if ln != nil {
 		_ = ln.Close()
 	}
-	// Connections taken while the others ended are refused, not served.
-	cut += s.finish(ctx)
+	if cut == 0 {
+		// Connections taken while the others ended are refused, not served.
+		cut = s.finish(ctx)
+	}
 	if cut == 0 {
 		return nil
 	}
--- /dev/null
+++ b/internal/traffic/http1/server_test.go
@@ -0,0 +1,413 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+
+	"banyanlug.example/banyanlug/internal/clock/timer"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// served is a server on loopback that ends with the test.
+type served struct {
+	*Server
+	t    *testing.T
+	addr string
+	done chan error
+}
+
+func serve(t *testing.T, h http.HandlerFunc, adjust func(*Server)) *served {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	clk := timer.New()
+	ticks := make(chan error, 1)
+	go clk.Run(ctx, ticks)
+	s := &served{Server: New(h, clk), t: t, done: make(chan error, 1)}
+	if adjust != nil {
+		adjust(s.Server)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.addr = ln.Addr().String()
+	ended := make(chan error, 1)
+	go s.Serve(ctx, ln, ended)
+	t.Cleanup(func() { cancel(); <-ended; <-ticks })
+	return s
+}
+
+// peer is a raw connection to the server.
+type peer struct {
+	t *testing.T
+	net.Conn
+	br *bufio.Reader
+}
+
+func (s *served) dial() *peer {
+	s.t.Helper()
+	c, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = c.Close() })
+	return &peer{t: s.t, Conn: c, br: bufio.NewReader(c)}
+}
+
+func (p *peer) send(text string) {
+	p.t.Helper()
+	if _, err := io.WriteString(p, text); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// answer reads one answer, its body and what it says of the outcome.
+func (p *peer) answer(method string) (status int, body string, outcome Outcome) {
+	p.t.Helper()
+	resp, err := http.ReadResponse(p.br, &http.Request{Method: method})
+	if err != nil {
+		p.t.Fatalf("no answer: %v", err)
+	}
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		p.t.Fatalf("answer is cut off: %v", err)
+	}
+	return resp.StatusCode, string(b), Outcome(resp.Header.Get(OutcomeHeader))
+}
+
+func (p *peer) wantEnd() {
+	p.t.Helper()
+	if b, err := p.br.ReadByte(); err == nil {
+		p.t.Errorf("the connection goes on with %q", b)
+	}
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(b)
+}
+
+// The caller sends a head that two programs on the way could read in two ways,
+// so that the body of one call would be the next call for one of them. It must
+// get a typed refusal, nothing of it may reach a handler, and the connection
+// must end, since what follows on it can't be trusted either.
+func TestAmbiguousOrOversizeHeadsAreRefused(t *testing.T) {
+	t.Parallel()
+	var ran atomic.Int64
+	s := serve(t, func(http.ResponseWriter, *http.Request) { ran.Add(1) }, nil)
+	for _, tc := range []struct {
+		name, head, kind string
+		status           int
+	}{
+		{"length and chunks", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n", "malformed", 400},
+		{"chunks and length", "POST / HTTP/1.1\r\nHost: a\r\ntransfer-encoding: chunked\r\ncontent-length: 4\r\n\r\n", "malformed", 400},
+		{"two lengths", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n", "malformed", 400},
+		{"one length twice", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\n", "malformed", 400},
+		{"a list of lengths", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4, 4\r\n\r\n", "malformed", 400},
+		{"a signed length", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +4\r\n\r\n", "malformed", 400},
+		{"chunks twice", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", "malformed", 400},
+		{"chunks in HTTP/1.0", "POST / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n", "malformed", 400},
+		{"another encoding", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n", "malformed", 400},
+		{"space before the colon", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length : 4\r\n\r\n", "malformed", 400},
+		{"a header without a name", "POST / HTTP/1.1\r\nHost: a\r\n: 4\r\n\r\n", "malformed", 400},
+		{"a line without a colon", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length\r\n\r\n", "malformed", 400},
+		{"a control character", "POST / HTTP/1.1\r\nHost: a\r\nX: a\x00b\r\n\r\n", "malformed", 400},
+		{"a lone carriage return", "POST / HTTP/1.1\r\nHost: a\r\nX: a\rb\r\n\r\n", "malformed", 400},
+		{"a folded header", "POST / HTTP/1.1\r\nHost: a\r\nX: 1\r\n Content-Length: 4\r\n\r\n", "malformed", 400},
+		{"a bare line feed", "POST / HTTP/1.1\r\nHost: a\nContent-Length: 4\r\n\r\n", "malformed", 400},
+		{"no host", "GET / HTTP/1.1\r\n\r\n", "malformed", 400},
+		{"two hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", "malformed", 400},
+		{"a host with a path", "GET / HTTP/1.1\r\nHost: a/b\r\n\r\n", "malformed", 400},
+		{"no method", "/ HTTP/1.1\r\nHost: a\r\n\r\n", "malformed", 400},
+		{"a tunnel", "CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n", "tunnel", 501},
+		{"HTTP/2 by prior knowledge", "PRI * HTTP/2.0\r\n\r\n", "protocol-version", 505},
+		{"another expectation", "GET / HTTP/1.1\r\nHost: a\r\nExpect: a miracle\r\n\r\n", "expectation", 417},
+		{"a head too large", "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", maxHeadBytes) + "\r\n\r\n", "head-too-large", 431},
+		{"a body too large", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999\r\n\r\n", "body-too-large", 413},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			p := s.dial()
+			p.send(tc.head)
+			status, body, outcome := p.answer("GET")
+			var got refusalBody
+			if err := json.Unmarshal([]byte(body), &got); err != nil {
+				t.Fatalf("%v: %q", err, body)
+			}
+			if status != tc.status || got.Error.Type != tc.kind || outcome != NotRun {
+				t.Errorf("%d %s %s, want %d %s %s", status, got.Error.Type, outcome, tc.status, tc.kind, NotRun)
+			}
+			p.wantEnd()
+			if ran.Load() != 0 {
+				t.Error("a handler ran")
+			}
+		})
+	}
+}
+
+func TestAConnectionCarriesCallAfterCall(t *testing.T) {
+	t.Parallel()
+	s := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/unread":
+			w.WriteHeader(http.StatusTeapot)
+		case "/empty":
+			w.WriteHeader(http.StatusNoContent)
+		case "/hints":
+			w.Header().Set("Link", "</a>")
+			w.WriteHeader(http.StatusEarlyHints)
+			_, _ = io.WriteString(w, "hinted")
+		default:
+			echo(w, r)
+		}
+	}, nil)
+	p := s.dial()
+	for _, tc := range []struct {
+		text, method string
+		status       int
+		body         string
+	}{
+		{"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc", "POST", 200, "abc"},
+		{"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "POST", 200, "abc"},
+		{"POST /unread HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc", "POST", 418, ""},
+		{"HEAD / HTTP/1.1\r\nHost: a\r\n\r\n", "HEAD", 200, ""},
+		{"GET /empty HTTP/1.1\r\nHost: a\r\n\r\n", "GET", 204, ""},
+		{"GET / HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n", "GET", 200, ""},
+		{"", "GET", 200, ""},
+		{"GET /hints HTTP/1.1\r\nHost: a\r\n\r\n", "GET", 103, ""},
+		{"", "GET", 200, "hinted"},
+		{"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", "GET", 200, ""},
+	} {
+		p.send(tc.text)
+		if status, body, _ := p.answer(tc.method); status != tc.status || body != tc.body {
+			t.Errorf("%.20q: %d %q, want %d %q", tc.text, status, body, tc.status, tc.body)
+		}
+	}
+	p.wantEnd()
+}
+
+// The caller waits for 100 Continue before it sends its body. It must get it
+// only once the handler reads, so that a refusal costs it no body.
+func TestContinueIsSentWhenTheHandlerReads(t *testing.T) {
+	t.Parallel()
+	s := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/refused" {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+		echo(w, r)
+	}, nil)
+	p := s.dial()
+	p.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n")
+	if status, _, _ := p.answer("POST"); status != http.StatusContinue {
+		t.Fatalf("status %d", status)
+	}
+	p.send("abc")
+	if status, body, _ := p.answer("POST"); status != http.StatusOK || body != "abc" {
+		t.Errorf("%d %q", status, body)
+	}
+	p.send("POST /refused HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n")
+	if status, _, _ := p.answer("POST"); status != http.StatusForbidden {
+		t.Errorf("status %d", status)
+	}
+	p.wantEnd()
+}
+
+// A handler fails after a part of its answer was sent. The caller must see the
+// connection break, whichever way the answer's end is marked, and never an
+// answer that looks whole.
+func TestAnAnswerCutShortNeverLooksWhole(t *testing.T) {
+	t.Parallel()
+	var faults atomic.Int64
+	s := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/chunks" {
+			w.Header().Set("Content-Length", "10")
+		}
+		_, _ = io.WriteString(w, "abc")
+		w.(http.Flusher).Flush()
+		switch r.URL.Path {
+		case "/short":
+		case "/bug":
+			panic("bug")
+		default:
+			panic(http.ErrAbortHandler)
+		}
+	}, func(s *Server) { s.onFault = func(error) { faults.Add(1) } })
+	for _, path := range []string{"/length", "/chunks", "/short", "/bug"} {
+		p := s.dial()
+		p.send("GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n")
+		resp, err := http.ReadResponse(p.br, nil)
+		if err != nil {
+			continue
+		}
+		if b, err := io.ReadAll(resp.Body); err == nil {
+			t.Errorf("%s: %q looks whole", path, b)
+		}
+	}
+	if got := faults.Load(); got != 2 {
+		t.Errorf("%d faults told, want those of the short answer and the bug", got)
+	}
+}
+
+// A sender stops in the middle of a head, or of a body. The handler, or the
+// sender, must hear of it, and the connection must not be held for it.
+func TestSlowSendersAreTimedOut(t *testing.T) {
+	t.Parallel()
+	s := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(r.Body)
+		var slow *SlowSenderError
+		if !errors.As(err, &slow) {
+			t.Errorf("body ended with %v", err)
+		}
+		w.WriteHeader(http.StatusRequestTimeout)
+	}, func(s *Server) { s.head, s.body = 30*time.Millisecond, 30*time.Millisecond })
+	for name, text := range map[string]string{
+		"head": "GET / HTTP/1.1\r\nHost:",
+		"body": "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc",
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := s.dial()
+			p.send(text)
+			if status, _, _ := p.answer("POST"); status != http.StatusRequestTimeout {
+				t.Errorf("status %d", status)
+			}
+			p.wantEnd()
+		})
+	}
+}
+
+func TestBodiesOverTheLimitEndWithATypedError(t *testing.T) {
+	t.Parallel()
+	s := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(r.Body)
+		var large *BodyTooLargeError
+		if !errors.As(err, &large) {
+			t.Errorf("body ended with %v", err)
+		}
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	}, func(s *Server) { s.maxBody = 4 })
+	p := s.dial()
+	p.send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nabcdefgh\r\n")
+	if status, _, _ := p.answer("POST"); status != http.StatusRequestEntityTooLarge {
+		t.Errorf("status %d", status)
+	}
+}
+
+// The caller hangs up while its call runs. The handler's context must end, so
+// that no slot is held for a caller that has gone.
+func TestACallerThatLeavesEndsItsCall(t *testing.T) {
+	t.Parallel()
+	cause := make(chan error, 1)
+	begun := make(chan struct{})
+	s := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+		cause <- context.Cause(r.Context())
+	}, nil)
+	p := s.dial()
+	p.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-begun
+	_ = p.Close()
+	var left *PeerLeftError
+	if err := <-cause; !errors.As(err, &left) {
+		t.Errorf("the call ended with %v", err)
+	}
+}
+
+// A node stops while one call runs, one connection is idle and one call comes.
+// The running call must get its answer, the idle connection must end with an
+// answer that certifies that nothing further runs on it, and the new call must
+// be refused as not run.
+func TestDrainEndsWhatRunsAndRefusesWhatComes(t *testing.T) {
+	t.Parallel()
+	begun, release := make(chan struct{}), make(chan struct{})
+	s := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			close(begun)
+			<-release
+		}
+		_, _ = io.WriteString(w, "done")
+	}, nil)
+	idle, running := s.dial(), s.dial()
+	idle.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	idle.answer("GET")
+	running.send("GET /long HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-begun
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(context.Background()) }()
+	if status, _, outcome := idle.answer("GET"); status != http.StatusRequestTimeout || outcome != NotRun {
+		t.Errorf("idle connection ends with %d %s", status, outcome)
+	}
+	idle.wantEnd()
+	late := s.dial()
+	late.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	if status, _, outcome := late.answer("GET"); status != http.StatusServiceUnavailable && status != http.StatusRequestTimeout || outcome != NotRun {
+		t.Errorf("new call gets %d %s", status, outcome)
+	}
+	close(release)
+	if status, body, _ := running.answer("GET"); status != http.StatusOK || body != "done" {
+		t.Errorf("running call gets %d %q", status, body)
+	}
+	running.wantEnd()
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
+
+func TestDrainSaysWhatItHadToCutOff(t *testing.T) {
+	t.Parallel()
+	begun := make(chan struct{})
+	s := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+	}, nil)
+	p := s.dial()
+	p.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-begun
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	var cut *DrainError
+	if err := s.Drain(ctx); !errors.As(err, &cut) || cut.Cut != 1 {
+		t.Errorf("Drain ended with %v", err)
+	}
+}
+
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	t.Parallel()
+	s := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		Refuse(w, &Refusal{Status: 503, Type: "full", Message: "no room", Outcome: NotRun, RetryAfter: 1200 * time.Millisecond})
+	}, nil)
+	p := s.dial()
+	p.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	resp, err := http.ReadResponse(p.br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := `{"error":{"type":"full","message":"no room"},"outcome":"not-run","retry_after_ms":1200}` + "\n"
+	if diff := cmp.Diff(want, string(body)); diff != "" {
+		t.Error(diff)
+	}
+	if got := resp.Header.Get("Retry-After"); got != "2" {
+		t.Errorf("Retry-After %q", got)
+	}
+}
--- a/internal/traffic/target/errors.go
+++ b/internal/traffic/target/errors.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"banyanlug.example/banyanlug/internal/policy/admission"
 )
 
 // StrangerError tells of a connection that has not proved to be of the fleet.
@@ -24,3 +26,8 @@
 }
 
 func (e *RefusedError) Error() string { return "the target takes no further call: " + e.Reason }
+
+// DecisionError tells of a decision of a kind that this package does not know.
+type DecisionError struct{ Decision admission.Decision }
+
+func (e *DecisionError) Error() string { return fmt.Sprintf("decision of unknown kind %T", e.Decision) }
--- a/internal/traffic/target/read.go
+++ b/internal/traffic/target/read.go
@@ -10,8 +10,8 @@
 	}
 	// An instance may have been replaced by one of another pool at the same
 	// address while the other node still held the earlier record.
-	if meta.Pool() != c.h.pool {
-		return &PoolError{Asked: meta.Pool(), Serves: c.h.pool}
+	if meta.Pool() != c.h.slots.pool {
+		return &PoolError{Asked: meta.Pool(), Serves: c.h.slots.pool}
 	}
 	c.meta = meta
 	c.until = c.h.clk.Now().Add(meta.Left())
