--- /dev/null
+++ b/internal/traffic/hop/header_test.go
@@ -0,0 +1,97 @@
+package hop
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"banyanlug.example/banyanlug/internal/config/snapshot"
+)
+
+func TestStripKeepsOnlyWhatConcernsTheCall(t *testing.T) {
+	t.Parallel()
+	h := http.Header{
+		"Connection": {"close, X-Internal , Idempotency-Key"}, "X-Internal": {"1"}, "Keep-Alive": {"5"},
+		"Te": {"trailers"}, "Trailer": {"X"}, "Transfer-Encoding": {"chunked"}, "Upgrade": {"websocket"},
+		"Proxy-Authorization": {"x"}, "Proxy-Connection": {"x"}, "Content-Length": {"3"}, "Expect": {"100-continue"},
+		"Banyanlug-Class": {"paying"}, "Banyanlug-Outcome": {"not-run"}, "Banyanlug-Anything": {"1"},
+		"Idempotency-Key": {"k"}, "Accept": {"*/*"},
+	}
+	Strip(h)
+	if diff := cmp.Diff(http.Header{"Idempotency-Key": {"k"}, "Accept": {"*/*"}}, h); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestMetaIsReadAsItWasWritten(t *testing.T) {
+	t.Parallel()
+	rt := snapshot.NewRoute("bind", "/bind", "binding", "bindings", snapshot.Idempotent())
+	want := NewMeta(Left(1500*time.Millisecond), Attempt(2), Depth(3), For("harbour", snapshot.Paying), By(rt))
+	var b bytes.Buffer
+	w := bufio.NewWriter(&b)
+	if err := NewRequest("GET", "/", "a", http.Header{}, None{}, WithMeta(want)).writeHead(w, "", false); err != nil {
+		t.Fatal(err)
+	}
+	_ = w.Flush()
+	r, err := http.ReadRequest(bufio.NewReader(&b))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := ReadMeta(r.Header)
+	if err != nil || got != want {
+		t.Errorf("%+v, %v, want %+v", got, err, want)
+	}
+	for name, value := range map[string]string{
+		DeadlineHeader: "0", AttemptHeader: "-1", DepthHeader: "33", ClassHeader: "royal", OrganisationHeader: "", PoolHeader: "",
+	} {
+		h := r.Header.Clone()
+		h.Set(name, value)
+		var bad *HeaderError
+		if _, err := ReadMeta(h); !errors.As(err, &bad) {
+			t.Errorf("%s: %q read with %v", name, value, err)
+		}
+	}
+}
+
+// A target hands the context of its call to a call of its own. Whatever it or
+// another changes in it, or a fleet with another key made, must not open.
+func TestOnlyTheFleetsOwnSealsOpen(t *testing.T) {
+	t.Parallel()
+	s := NewSealer("key")
+	p := NewParent("harbour", snapshot.Trial, 4, time.UnixMilli(1_800_000_000_000))
+	sealed := s.Seal(p)
+	got, err := s.Open(sealed)
+	if err != nil || got != p {
+		t.Errorf("%+v, %v, want %+v", got, err, p)
+	}
+	for i := range sealed {
+		b := []byte(sealed)
+		b[i] ^= 1
+		if got, err := s.Open(string(b)); err == nil && got != p {
+			t.Errorf("changed at %d it opens as %+v", i, got)
+		}
+	}
+	for _, other := range []string{"", "x", sealed[1:], sealed + "AAAA", NewSealer("other").Seal(p)} {
+		if _, err := s.Open(other); err == nil {
+			t.Errorf("%q opens", other)
+		}
+	}
+}
+
+func TestCredentialsOfTheFleetAndOfItsOlderKeysVerify(t *testing.T) {
+	t.Parallel()
+	c := NewCredential("new", "old")
+	for token, want := range map[string]bool{
+		NewCredential("new").token: true, NewCredential("old").token: true,
+		NewCredential("other").token: false, "new": false, "": false,
+	} {
+		if got := c.Verify(token); got != want {
+			t.Errorf("Verify(%q) = %v", token, got)
+		}
+	}
+}
