Tests of the path: what callers are told when targets fail

Cause: a short answer cut off by a crash reached the caller as a broken connection, though nothing of it had been passed on.

--- a/internal/standin/target/call.go
+++ b/internal/standin/target/call.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	"banyanlug.example/banyanlug/internal/traffic/hop"
@@ -34,6 +36,9 @@
 	faultUnframed = "unframed" // an answer that only the connection's end ends
 )
 
+// seen marks what the target that answers saw in its call's headers.
+const seen = "Seen-"
+
 // maxAskedSize bounds what one call can make the stand-in send.
 const maxAskedSize = 64 << 20
 
@@ -60,7 +65,7 @@
 		s.callOn(w, r, deep-1)
 		return
 	}
-	body := bodyOf(w, r, q.Get(askSize))
+	body := s.bodyOf(w, r, q.Get(askSize))
 	status, err := strconv.Atoi(q.Get(askStatus))
 	if err != nil {
 		status = http.StatusOK
@@ -102,18 +107,32 @@
 
 // bodyOf returns the body of the answer: the request's own, or one of the size
 // asked for.
-func bodyOf(w http.ResponseWriter, r *http.Request, size string) io.Reader {
+func (s *Server) bodyOf(w http.ResponseWriter, r *http.Request, size string) io.Reader {
 	n, err := strconv.ParseInt(size, 10, 64)
 	if err != nil {
 		// An echo answers while it reads; without this the server would throw
 		// away up to 256 KiB of the request once the answer begins.
 		_ = http.NewResponseController(w).EnableFullDuplex()
-		return r.Body
+		return &counted{r: r.Body, whole: &s.whole}
 	}
-	_, _ = io.Copy(io.Discard, r.Body)
+	_, _ = io.Copy(io.Discard, &counted{r: r.Body, whole: &s.whole})
 	return io.LimitReader(pattern{}, min(max(n, 0), maxAskedSize))
 }
 
+// counted counts a request body once it is read to its end.
+type counted struct {
+	r     io.Reader
+	whole *atomic.Int64
+}
+
+func (c *counted) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	if err == io.EOF {
+		c.whole.Add(1)
+	}
+	return n, err
+}
+
 // pattern is an endless body.
 type pattern struct{}
 
@@ -129,7 +148,7 @@
 	for _, name := range []string{hop.OrganisationHeader, hop.ClassHeader, hop.DeadlineHeader, hop.CallHeader} {
 		// Told back under another name: nodes take theirs out of answers.
 		if v := r.Header.Get(name); v != "" {
-			h.Set("Seen-"+name, v)
+			h.Set(seen+name, v)
 		}
 	}
 	if l, ok := body.(*io.LimitedReader); ok {
@@ -149,6 +168,7 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(whole)))
 	w.WriteHeader(status)
 	_, _ = io.Copy(w, bytes.NewReader(whole[:len(whole)/2]))
+	_ = http.NewResponseController(w).Flush()
 	panic(http.ErrAbortHandler)
 }
 
@@ -194,6 +214,11 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
+	for name, values := range resp.Header {
+		if strings.HasPrefix(name, seen) {
+			w.Header()[name] = values
+		}
+	}
 	if resp.ContentLength >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
--- a/internal/standin/target/server.go
+++ b/internal/standin/target/server.go
@@ -30,6 +30,7 @@
 
 	busy     atomic.Int64
 	most     atomic.Int64
+	whole    atomic.Int64
 	draining atomic.Bool
 	slow     atomic.Int64
 
@@ -117,7 +118,8 @@
 // SetSlow adds d to each call from now on.
 func (s *Server) SetSlow(d time.Duration) { s.slow.Store(int64(d)) }
 
-func (s *Server) setNext(url string) {
+// SetNext sets the node that calls further down go to from now on.
+func (s *Server) SetNext(url string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.next = url
@@ -144,6 +146,9 @@
 // Busy returns how many calls run now.
 func (s *Server) Busy() int64 { return s.busy.Load() }
 
+// Whole returns how many request bodies were read to their end.
+func (s *Server) Whole() int64 { return s.whole.Load() }
+
 // Most returns the most calls that ran at once.
 func (s *Server) Most() int64 { return s.most.Load() }
 
@@ -160,7 +165,7 @@
 		s.SetSlow(d)
 		writeJSON(w, http.StatusOK, struct{}{})
 	case "/standin/next":
-		s.setNext(r.URL.Query().Get("url"))
+		s.SetNext(r.URL.Query().Get("url"))
 		writeJSON(w, http.StatusOK, struct{}{})
 	case "/healthz", "/readyz", "/load":
 		s.tellHealth(w)
--- a/internal/traffic/hop/relay.go
+++ b/internal/traffic/hop/relay.go
@@ -26,14 +26,20 @@
 
 // Relay passes an answer on.
 //
-// The first part of the body is read before the head is passed on: a target
-// that crashes while it answers mostly fails there, and its caller then gets a
-// typed answer rather than a cut connection. After that an error must end the
-// caller's connection, so that the answer never looks whole.
+// A short answer is read whole before its head is passed on, and of any other
+// the first part: where the target crashes before that, the caller gets a typed
+// answer rather than a cut connection, and a call that may run twice can be
+// sent again. After that an error must end the caller's connection, so that the
+// answer never looks whole.
 func Relay(w http.ResponseWriter, a *Answer, keep bool) (Relayed, error) {
 	buf := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buf)
 	n, err := a.Read(*buf)
+	for short := a.Length() >= 0 && a.Length() <= copyBytes; short && err == nil; {
+		var m int
+		m, err = a.Read((*buf)[n:])
+		n += m
+	}
 	if err != nil && err != io.EOF {
 		return Relayed{}, err
 	}
