A planned stop resets no connection that waits to be accepted

Cause: with 8 callers reconnecting as fast as they can, 3 of 20 runs of the stop test had calls answered "no-answer, unknown" that had run nowhere: closing the listener resets connections whose peers have already sent. The listener now drops opening segments for 50 ms, and what waits is accepted, before it closes.

--- a/internal/traffic/caller/failure_test.go
+++ b/internal/traffic/caller/failure_test.go
@@ -125,6 +125,11 @@
 func TestCallsThatCanNotBeSentAreNotRun(t *testing.T) {
 	t.Parallel()
 	r := newRig(t, rigOptions{targets: 1})
+	// Only a target that has served can be seen to be gone: until then its
+	// listener may still take connections that nobody answers.
+	if got, _, _ := r.do(r.browser(), r.newRequest("POST", "/bind?size=1", nil)); got.Status != http.StatusOK {
+		t.Fatalf("%+v", got)
+	}
 	_ = r.targets[0].app.Close()
 	want := told{503, "unreachable", http1.NotRun}
 	if got, _, _ := r.do(r.browser(), r.newRequest("POST", "/bind", nil)); got != want {
--- a/internal/traffic/http1/server.go
+++ b/internal/traffic/http1/server.go
@@ -39,6 +39,9 @@
 	lingerTimeout = 300 * time.Millisecond
 	// lingerBytes bounds what is read and dropped meanwhile.
 	lingerBytes = 256 << 10
+	// deafFor is how long connections that are being opened may take to open,
+	// before the listener closes: several round trips inside a region.
+	deafFor = 50 * time.Millisecond
 	// shardCount spreads connections over locks; a power of two.
 	shardCount = 16
 )
@@ -190,6 +193,8 @@
 	ln, cancel := s.listener, s.cancel
 	s.mu.Unlock()
 	if ln != nil {
+		deafen(ln)
+		_ = s.clk.Sleep(ctx, deafFor)
 		_ = ln.Close()
 	}
 	if cut == 0 {
