--- a/internal/traffic/caller/answer.go
+++ b/internal/traffic/caller/answer.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
 
 	"banyanlug.example/banyanlug/internal/traffic/hop"
 	"banyanlug.example/banyanlug/internal/traffic/http1"
@@ -17,15 +16,7 @@
 	recorded *Recorded
 }
 
-// noTargetRetry is when a call may come back to a pool without a target: a
-// replaced instance announces itself in about that time.
-const noTargetRetry = time.Second
-
 // answer passes the target's answer on.
-//
-// The first part of the body is read before the head is passed on: a target
-// that crashes while it answers mostly fails there, and its caller then gets a
-// typed answer rather than a cut connection.
 func (c *call) answer(a *hop.Answer) (result, error) {
 	relayed, err := hop.Relay(c.w, a, c.claim != nil)
 	res := result{status: a.Status(), began: relayed.Began()}
@@ -57,6 +48,26 @@
 
 // refusalOf is the one place that decides how a failure is told to callers.
 func refusalOf(err error) *http1.Refusal {
+	var gaveUp *GaveUpError
+	if !errors.As(err, &gaveUp) {
+		return singleRefusal(err)
+	}
+	cause := gaveUp.Err
+	var none *NoTargetError
+	if errors.As(cause, &none) && none.Last != nil {
+		cause = none.Last
+	}
+	r := *singleRefusal(cause)
+	// The last attempt may not have run where an earlier one may have.
+	if gaveUp.MayHaveRun {
+		r.Outcome = http1.Unknown
+	}
+	r.RetryAfter = gaveUp.RetryAfter
+	return &r
+}
+
+// singleRefusal tells of one attempt, or of a call that had none.
+func singleRefusal(err error) *http1.Refusal {
 	var (
 		refused *RefusedError
 		refusal *http1.Refusal
@@ -77,11 +88,7 @@
 		return hop.RefusalOf(failure)
 	default:
 		status, kind := kindOf(err)
-		r := &http1.Refusal{Status: status, Type: kind, Message: err.Error(), Outcome: http1.NotRun}
-		if status == http.StatusServiceUnavailable {
-			r.RetryAfter = noTargetRetry
-		}
-		return r
+		return &http1.Refusal{Status: status, Type: kind, Message: err.Error(), Outcome: http1.NotRun}
 	}
 }
 
--- a/internal/traffic/caller/errors.go
+++ b/internal/traffic/caller/errors.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"banyanlug.example/banyanlug/internal/policy/balance"
+	"banyanlug.example/banyanlug/internal/policy/retry"
 	"banyanlug.example/banyanlug/internal/traffic/http1"
 )
 
@@ -49,10 +51,46 @@
 	return fmt.Sprintf("%s is at its limit of %s", e.Organisation, e.What)
 }
 
-// NoTargetError tells of a pool without a ready target.
-type NoTargetError struct{ Pool string }
+// NoTargetError tells of a pool without a target that may be asked now.
+type NoTargetError struct {
+	Pool       string
+	Reason     balance.Reason
+	RetryAfter time.Duration
+	// Last is how the attempt before ended, if there was one.
+	Last error
+}
+
+func (e *NoTargetError) Error() string {
+	return fmt.Sprintf("no target of pool %s can be asked: %s", e.Pool, e.Reason)
+}
+
+// TargetFailedError tells of an answer by which the target itself says that it
+// failed.
+type TargetFailedError struct{ Status int }
+
+func (e *TargetFailedError) Error() string { return fmt.Sprintf("the target answered %d", e.Status) }
+
+// GaveUpError tells of a call that gets no further attempt.
+type GaveUpError struct {
+	Err        error
+	MayHaveRun bool
+	RetryAfter time.Duration
+}
+
+func (e *GaveUpError) Error() string { return fmt.Sprintf("gave up: %v", e.Err) }
 
-func (e *NoTargetError) Error() string { return fmt.Sprintf("pool %s has no ready target", e.Pool) }
+// Unwrap returns how the last attempt failed.
+func (e *GaveUpError) Unwrap() error { return e.Err }
+
+// ChoiceError tells of a choice of a kind that this package does not know.
+type ChoiceError struct{ Choice balance.Choice }
+
+func (e *ChoiceError) Error() string { return fmt.Sprintf("choice of unknown kind %T", e.Choice) }
+
+// DecisionError tells of a decision of a kind that this package does not know.
+type DecisionError struct{ Decision retry.Decision }
+
+func (e *DecisionError) Error() string { return fmt.Sprintf("decision of unknown kind %T", e.Decision) }
 
 // RefusedError holds what a target's node said in place of an answer.
 type RefusedError struct {
@@ -64,3 +102,14 @@
 
 // Unwrap returns the refusal.
 func (e *RefusedError) Unwrap() error { return e.Refusal }
+
+// load reports whether the refusal tells of load, and not of a target that is
+// not there any more.
+func (e *RefusedError) load() bool {
+	switch e.Refusal.Type {
+	case "draining", "wrong-pool", "connection-closed", "unreachable", "not-of-the-fleet":
+		return false
+	default:
+		return true
+	}
+}
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -8,7 +9,9 @@
 
 	"banyanlug.example/banyanlug/internal/clock/timer"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/policy/balance"
 	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/policy/retry"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
 )
 
@@ -17,7 +20,8 @@
 	Current() *snapshot.Snapshot
 }
 
-// Directory tells which targets of a pool are ready.
+// Directory tells which targets of a pool are ready: the same slice until they
+// change, then another one.
 type Directory interface {
 	Targets(pool string) []membership.Record
 }
@@ -34,7 +38,9 @@
 	clk       *timer.Service
 
 	limiter  Limiter
-	picker   Picker
+	balancer *balance.Balancer
+	budgets  *retry.Budgets
+	views    views
 	claims   Claims
 	maxDepth int
 	meters   *meters
@@ -46,8 +52,11 @@
 // WithLimiter sets what holds organisations to their limits.
 func WithLimiter(l Limiter) Option { return func(h *Handler) { h.limiter = l } }
 
-// WithPicker sets what chooses targets and decides on further attempts.
-func WithPicker(p Picker) Option { return func(h *Handler) { h.picker = p } }
+// WithBalancer sets what chooses targets, as by their distance.
+func WithBalancer(b *balance.Balancer) Option { return func(h *Handler) { h.balancer = b } }
+
+// WithBudgets sets what decides on further attempts.
+func WithBudgets(b *retry.Budgets) Option { return func(h *Handler) { h.budgets = b } }
 
 // WithClaims sets what keeps calls that must not run twice from doing so.
 func WithClaims(c Claims) Option { return func(h *Handler) { h.claims = c } }
@@ -67,12 +76,18 @@
 func New(config Config, directory Directory, client *hop.Client, sealer *hop.Sealer, clk *timer.Service, opts ...Option) *Handler {
 	h := &Handler{
 		config: config, directory: directory, hop: client, sealer: sealer, clk: clk,
-		limiter: unlimited{}, picker: newPicker(), claims: unclaimed{},
+		limiter: unlimited{}, claims: unclaimed{},
 		maxDepth: DefaultMaxDepth, meters: newMeters(),
 	}
 	for _, opt := range opts {
 		opt(h)
 	}
+	if h.balancer == nil {
+		h.balancer = balance.New(clk.Now(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	}
+	if h.budgets == nil {
+		h.budgets = retry.NewBudgets(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	}
 	return h
 }
 
@@ -88,9 +103,17 @@
 	parent *hop.Parent
 	rt     snapshot.Route
 	until  time.Time
-	meta   hop.Meta
-	body   hop.Body
-	claim  Claim
+	// hurried marks a call that has less time than its route allows.
+	hurried bool
+	meta    hop.Meta
+	ask     balance.Ask
+	body    hop.Body
+	claim   Claim
+
+	attempts   retry.Call
+	tried      []balance.Picked
+	held       *heldAnswer
+	mayHaveRun bool
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/traffic/caller/pick.go
+++ b/internal/traffic/caller/pick.go
@@ -1,87 +1,138 @@
 package caller
 
 import (
-	"math/rand/v2"
-	"slices"
+	"errors"
+	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
+	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/policy/balance"
 	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/traffic/hop"
 )
 
-// Picker chooses targets and learns from what calls see of them.
-type Picker interface {
-	// Pick chooses among the ready targets of a pool, leaving out those that
-	// the call has tried, as long as there are others.
-	Pick(now time.Time, pool string, ready []membership.Record, tried []string) (membership.Record, bool)
-	// Begin and End frame one attempt at a target.
-	Begin(now time.Time, to membership.Record)
-	End(now time.Time, to membership.Record, took time.Duration, how Attempted)
+// pick chooses the target of the next attempt.
+func (c *call) pick() (balance.Picked, error) {
+	now := c.h.clk.Now()
+	pool, _ := c.snap.Pool(c.rt.Pool())
+	c.h.views.follow(c.h.balancer, now, pool, c.h.directory.Targets(pool.Name()))
+	switch choice := c.h.balancer.Pick(now, pool.Name(), c.ask, c.tried).(type) {
+	case balance.Picked:
+		return choice, nil
+	case balance.None:
+		return balance.Picked{}, &NoTargetError{Pool: pool.Name(), Reason: choice.Reason(), RetryAfter: choice.RetryAfter()}
+	default:
+		return balance.Picked{}, &ChoiceError{Choice: choice}
+	}
 }
 
-// Attempted says how an attempt at a target ended.
-type Attempted uint8
+// views remembers which targets of each pool the balancer has been told of.
+type views struct{ byPool sync.Map }
 
-// The ends of an attempt.
-const (
-	// Answered is an answer by the target.
-	Answered Attempted = iota + 1
-	// Refused is a certified refusal by the target's node.
-	Refused
-	// Unreachable is a node to which nothing could be sent.
-	Unreachable
-	// Broken is an attempt that broke off after it had begun.
-	Broken
-)
+type view struct {
+	mu    sync.Mutex
+	told  bool
+	first *membership.Record
+	n     int
+	slots int
+}
 
-func (c *call) pick(tried []string) (membership.Record, error) {
-	ready := c.h.directory.Targets(c.rt.Pool())
-	to, ok := c.h.picker.Pick(c.h.clk.Now(), c.rt.Pool(), ready, tried)
+// follow tells the balancer of a pool whose targets have changed. A directory
+// gives the same slice until they do, so that this costs a call next to nothing.
+func (v *views) follow(b *balance.Balancer, now time.Time, p snapshot.Pool, ready []membership.Record) {
+	held, ok := v.byPool.Load(p.Name())
 	if !ok {
-		return membership.Record{}, &NoTargetError{Pool: c.rt.Pool()}
+		held, _ = v.byPool.LoadOrStore(p.Name(), &view{})
+	}
+	w := held.(*view)
+	var first *membership.Record
+	if len(ready) > 0 {
+		first = &ready[0]
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.told && w.first == first && w.n == len(ready) && w.slots == p.Slots() {
+		return
 	}
-	return to, nil
+	w.told, w.first, w.n, w.slots = true, first, len(ready), p.Slots()
+	b.Update(now, p.Name(), p.Slots(), ready)
 }
 
-// twoChoices takes the less busy of two random targets.
-type twoChoices struct {
-	mu   sync.Mutex
-	busy map[string]int
+// report tells the balancer how an attempt ended.
+func (c *call) report(p balance.Picked, began time.Time, a *hop.Answer, err error) {
+	now := c.h.clk.Now()
+	c.h.balancer.Done(now, p, c.ask, now.Sub(began), c.reportOf(a, err))
 }
 
-func newPicker() *twoChoices { return &twoChoices{busy: map[string]int{}} }
-
-func (p *twoChoices) Pick(_ time.Time, _ string, ready []membership.Record, tried []string) (membership.Record, bool) {
-	if len(tried) > 0 {
-		fresh := slices.DeleteFunc(slices.Clone(ready), func(r membership.Record) bool {
-			return slices.Contains(tried, r.Instance())
-		})
-		if len(fresh) > 0 {
-			ready = fresh
-		}
+func (c *call) reportOf(a *hop.Answer, err error) balance.Report {
+	if err != nil {
+		return c.failureReport(err)
+	}
+	var opts [2]balance.ReportOption
+	if a.Kept() {
+		opts[0] = balance.Kept()
 	}
-	if len(ready) == 0 {
-		return membership.Record{}, false
+	if load, ok := a.Load(); ok {
+		opts[1] = balance.Load(load)
 	}
-	a, b := ready[rand.IntN(len(ready))], ready[rand.IntN(len(ready))]
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.busy[b.Instance()] < p.busy[a.Instance()] {
-		return b, true
+	switch status := a.Status(); {
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		return balance.Shed(balance.ForAll, retryAfter(a.Header()), opts[:]...)
+	case status >= http.StatusInternalServerError:
+		return balance.Failed(opts[:]...)
+	default:
+		return balance.Answered(opts[:]...)
 	}
-	return a, true
 }
 
-func (p *twoChoices) Begin(_ time.Time, to membership.Record) { p.add(to.Instance(), 1) }
+func (c *call) failureReport(err error) balance.Report {
+	var (
+		refused   *RefusedError
+		dial      *hop.DialError
+		timeout   *hop.TimeoutError
+		cancelled *hop.CancelledError
+		body      *hop.BodyError
+	)
+	switch {
+	case errors.As(err, &refused):
+		return refusalReport(refused)
+	case errors.As(err, &dial):
+		return balance.Unreachable()
+	case errors.As(err, &cancelled), errors.As(err, &body):
+		return balance.Cancelled()
+	case errors.As(err, &timeout) && c.hurried:
+		// A caller that allows too little time would otherwise have healthy
+		// targets ejected for everyone.
+		return balance.Cancelled()
+	default:
+		return balance.Failed()
+	}
+}
 
-func (p *twoChoices) End(_ time.Time, to membership.Record, _ time.Duration, _ Attempted) {
-	p.add(to.Instance(), -1)
+// refusalReport tells whom a refusal by the target's node is meant for.
+func refusalReport(e *RefusedError) balance.Report {
+	switch e.Refusal.Type {
+	case "draining", "wrong-pool":
+		return balance.Leaving()
+	case "displaced":
+		return balance.Shed(balance.ForOrganisation, e.Refusal.RetryAfter)
+	case "queue-full", "too-late", "no-trial-slots":
+		return balance.Shed(balance.ForClass, e.Refusal.RetryAfter)
+	case "connection-closed":
+		return balance.Cancelled()
+	case "unreachable", "not-of-the-fleet":
+		return balance.Unreachable()
+	default:
+		return balance.Failed()
+	}
 }
 
-func (p *twoChoices) add(instance string, n int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.busy[instance] += n; p.busy[instance] == 0 {
-		delete(p.busy, instance)
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
 	}
+	return time.Duration(seconds) * time.Second
 }
--- a/internal/traffic/caller/route.go
+++ b/internal/traffic/caller/route.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 
+	"banyanlug.example/banyanlug/internal/policy/balance"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
 )
 
@@ -28,6 +29,7 @@
 		return err
 	}
 	hop.Strip(c.r.Header)
+	c.ask = balance.NewAsk(c.org.Name(), c.org.Class())
 	c.meta = hop.NewMeta(hop.Depth(depth), hop.For(c.org.Name(), c.org.Class()), hop.By(rt))
 	return nil
 }
@@ -42,10 +44,10 @@
 		return err
 	}
 	if at := c.began.Add(asked); ok && at.Before(c.until) {
-		c.until = at
+		c.until, c.hurried = at, true
 	}
 	if c.parent != nil && c.parent.Until().Before(c.until) {
-		c.until = c.parent.Until()
+		c.until, c.hurried = c.parent.Until(), true
 	}
 	return nil
 }
--- a/internal/traffic/caller/send.go
+++ b/internal/traffic/caller/send.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"net/http"
 	"time"
 
-	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/policy/balance"
+	"banyanlug.example/banyanlug/internal/policy/retry"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
 	"banyanlug.example/banyanlug/internal/traffic/http1"
 )
@@ -22,85 +24,180 @@
 
 // send makes attempts until one brings an answer or none may follow.
 func (c *call) send() (result, error) {
-	var tried []string
-	for n := 1; ; n++ {
-		to, err := c.pick(tried)
-		if err != nil {
-			return result{}, err
-		}
-		res, err := c.attempt(to, n)
-		if err == nil || res.began || !c.again(err, n) {
+	c.begin()
+	var last error
+	for {
+		res, err := c.attempt()
+		if err == nil || res.began {
 			return res, err
 		}
-		tried = append(tried, to.Instance())
+		var none *NoTargetError
+		if errors.As(err, &none) && last != nil {
+			// What the last target said tells more than that no other is left.
+			none.Last = last
+		}
+		last = err
+		after, gaveUp := c.next(err)
+		if gaveUp == nil {
+			if after == 0 {
+				continue
+			}
+			if c.h.clk.Sleep(c.r.Context(), after) == nil {
+				continue
+			}
+			gaveUp = c.giveUp(err, 0)
+		}
+		if c.held != nil {
+			return c.held.pass(c)
+		}
+		return result{}, gaveUp
 	}
 }
 
+func (c *call) begin() {
+	opts := [4]retry.CallOption{retry.Retries(c.rt.Retries()), retry.Depth(c.meta.Depth() - 1)}
+	if c.rt.Idempotent() {
+		opts[2] = retry.Idempotent()
+	}
+	if c.parent != nil {
+		opts[3] = retry.Carried(c.parent.Retries())
+	}
+	c.attempts = retry.NewCall(c.rt.Service(), c.until, opts[:]...)
+	c.h.budgets.Fresh(&c.attempts)
+}
+
 // attempt sends the call to one target and passes its answer on.
-func (c *call) attempt(to membership.Record, n int) (result, error) {
-	now := c.h.clk.Now()
-	left := c.until.Sub(now)
-	meta := c.meta.With(hop.Attempt(n), hop.Left(left-reserve(left)))
-	req := hop.NewRequest(c.r.Method, c.r.URL.RequestURI(), c.r.Host, c.r.Header, c.body, hop.WithMeta(meta))
-	c.h.picker.Begin(now, to)
-	answer, err := c.h.hop.Do(c.r.Context(), to.Address(), req, c.until)
-	var res result
-	if err == nil {
-		res, err = c.receive(to, answer)
-		answer.Close()
+func (c *call) attempt() (result, error) {
+	p, err := c.pick()
+	if err != nil {
+		return result{}, err
 	}
-	end := c.h.clk.Now()
-	c.h.picker.End(end, to, end.Sub(now), attempted(err))
-	return res, err
+	began := c.h.clk.Now()
+	left := c.until.Sub(began)
+	meta := c.meta.With(hop.Attempt(c.attempts.Carries()+1), hop.Left(left-reserve(left)))
+	req := hop.NewRequest(c.r.Method, c.r.URL.RequestURI(), c.r.Host, c.r.Header, c.body,
+		hop.WithMeta(meta), hop.OnDrop(func() { c.h.balancer.Closed(p) }))
+	c.tried = append(c.tried, p)
+	answer, err := c.h.hop.Do(c.r.Context(), p.Record().Address(), req, c.until)
+	if err != nil {
+		c.report(p, began, nil, err)
+		return result{}, err
+	}
+	held := &heldAnswer{answer: answer, from: p, began: began}
+	return c.receive(held)
 }
 
 // receive passes on what the target answered, or returns what its node said
-// instead.
-func (c *call) receive(to membership.Record, answer *hop.Answer) (result, error) {
-	if answer.Header().Get(http1.OutcomeHeader) != "" {
-		refusal, err := hop.ReadRefusal(answer)
-		if err != nil {
-			return result{}, err
+// instead. An answer that says that the target failed is held while it is
+// decided whether the call is sent again.
+func (c *call) receive(a *heldAnswer) (result, error) {
+	if a.answer.Header().Get(http1.OutcomeHeader) != "" {
+		refusal, err := hop.ReadRefusal(a.answer)
+		a.answer.Close()
+		if err == nil {
+			err = &RefusedError{By: a.from.Record().Instance(), Refusal: refusal}
 		}
-		return result{}, &RefusedError{By: to.Instance(), Refusal: refusal}
+		c.report(a.from, a.began, nil, err)
+		return result{}, err
+	}
+	if status := a.answer.Status(); status >= http.StatusInternalServerError && c.rt.Idempotent() {
+		c.held.drop(c)
+		c.held = a
+		return result{}, &TargetFailedError{Status: status}
+	}
+	return a.pass(c)
+}
+
+// heldAnswer is an answer that is not passed on yet.
+type heldAnswer struct {
+	answer *hop.Answer
+	from   balance.Picked
+	began  time.Time
+}
+
+// pass passes the answer on.
+func (a *heldAnswer) pass(c *call) (result, error) {
+	if c.held != a {
+		c.held.drop(c)
+	}
+	c.held = nil
+	res, err := c.answer(a.answer)
+	a.answer.Close()
+	c.report(a.from, a.began, a.answer, err)
+	return res, err
+}
+
+// drop forgets the answer, if there is one.
+func (a *heldAnswer) drop(c *call) {
+	if a == nil {
+		return
 	}
-	return c.answer(answer)
+	c.held = nil
+	a.answer.Close()
+	c.report(a.from, a.began, a.answer, nil)
 }
 
 func reserve(left time.Duration) time.Duration {
 	return min(max(left/reserveShare, minReserve), maxReserve)
 }
 
-// again reports whether the call may be sent once more: never where it may
-// have run and must not run twice.
-func (c *call) again(err error, n int) bool {
-	if n > c.rt.Retries() || !hop.Replayable(c.body) || !c.h.clk.Now().Before(c.until) || c.r.Context().Err() != nil {
-		return false
+// next decides what follows a failed attempt: another one after a time, or the
+// error that the call ends with.
+func (c *call) next(err error) (after time.Duration, gaveUp error) {
+	c.mayHaveRun = c.mayHaveRun || !notRun(err)
+	switch d := c.h.budgets.After(c.h.clk.Now(), &c.attempts, outcomeOf(err)).(type) {
+	case retry.Retry:
+		if !hop.Replayable(c.body) || c.r.Context().Err() != nil {
+			return 0, c.giveUp(err, 0)
+		}
+		return d.After(), nil
+	case retry.GiveUp:
+		return 0, c.giveUp(err, d.RetryAfter())
+	default:
+		return 0, &DecisionError{Decision: d}
 	}
-	return notRun(err) || c.rt.Idempotent()
 }
 
-// notRun reports whether a failed attempt is known not to have run: nothing
-// was sent, or the target's node says so.
-func notRun(err error) bool {
-	var refused *RefusedError
-	if errors.As(err, &refused) {
-		return refused.Refusal.Outcome == http1.NotRun
+func (c *call) giveUp(err error, retryAfter time.Duration) error {
+	return &GaveUpError{Err: err, MayHaveRun: c.mayHaveRun, RetryAfter: retryAfter}
+}
+
+// outcomeOf says how an attempt ended, in the terms that retries are decided
+// in: whether it is known not to have run, and whether it tells of load.
+func outcomeOf(err error) retry.Outcome {
+	var (
+		refused  *RefusedError
+		noTarget *NoTargetError
+		failed   *TargetFailedError
+	)
+	switch {
+	case errors.As(err, &failed):
+		return retry.Erred()
+	case errors.As(err, &noTarget):
+		return retry.Nowhere(noTarget.RetryAfter)
+	case !notRun(err):
+		return retry.Broken()
+	case errors.As(err, &refused) && refused.load():
+		return retry.Refused(refused.Refusal.RetryAfter)
+	default:
+		return retry.Moved()
 	}
-	var failure hop.Failure
-	return errors.As(err, &failure) && !failure.Sent()
 }
 
-func attempted(err error) Attempted {
-	var refused *RefusedError
+// notRun reports whether a failed attempt is known not to have run: nothing
+// was sent, or the target's node says so.
+func notRun(err error) bool {
+	var (
+		refused  *RefusedError
+		noTarget *NoTargetError
+		failure  hop.Failure
+	)
 	switch {
-	case err == nil:
-		return Answered
 	case errors.As(err, &refused):
-		return Refused
-	case notRun(err):
-		return Unreachable
+		return refused.Refusal.Outcome == http1.NotRun
+	case errors.As(err, &noTarget):
+		return true
 	default:
-		return Broken
+		return errors.As(err, &failure) && !failure.Sent()
 	}
 }
--- a/internal/traffic/hop/answer.go
+++ b/internal/traffic/hop/answer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 )
 
 // Answer is a call's answer; its body is read with Read, and Close must be
@@ -20,6 +21,8 @@
 	sent   chan error // the end of the streamed request body
 	err    error
 	ended  bool
+	kept   bool
+	load   string
 }
 
 // Status returns the status code.
@@ -34,6 +37,17 @@
 // Trailer returns the trailers once the body is read to its end.
 func (a *Answer) Trailer() http.Header { return a.resp.Trailer }
 
+// Kept reports whether the connection is kept for another call, once the answer
+// was read to its end.
+func (a *Answer) Kept() bool { return a.kept }
+
+// Load returns the calls that run and wait at the target over its slots, if
+// the far node told.
+func (a *Answer) Load() (float64, bool) {
+	load, err := strconv.ParseFloat(a.load, 64)
+	return load, err == nil && load >= 0
+}
+
 // Read implements io.Reader; io.EOF says that the body is whole.
 func (a *Answer) Read(p []byte) (int, error) {
 	if a.ended {
@@ -82,7 +96,7 @@
 		clean = false
 	}
 	if clean {
-		a.client.put(l)
+		a.kept = a.client.put(l)
 		return
 	}
 	_ = l.conn.Close()
--- a/internal/traffic/hop/client.go
+++ b/internal/traffic/hop/client.go
@@ -118,6 +118,7 @@
 func (a *Answer) exchange(r *Request) error {
 	l := a.link
 	l.counter.wrote, l.counter.left = 0, math.MaxInt64
+	l.onDrop = r.onDrop
 	proof := ""
 	if a.client.credential != nil && !l.proved {
 		proof = a.client.credential.token
@@ -197,6 +198,7 @@
 		return &BadAnswerError{To: a.link.to, Reason: "its body has neither a length nor chunks, so its end can't be told from a crash"}
 	}
 	a.resp = resp
+	a.load = resp.Header.Get(LoadHeader)
 	if bodyless || resp.ContentLength == 0 {
 		a.end()
 	}
--- a/internal/traffic/hop/header.go
+++ b/internal/traffic/hop/header.go
@@ -31,6 +31,9 @@
 	RouteHeader = "Banyanlug-Route"
 	// RepeatHeader is "idempotent" where the route's calls may run twice.
 	RepeatHeader = "Banyanlug-Repeat"
+	// LoadHeader holds, on answers, the calls that run and wait at the target's
+	// node over its slots.
+	LoadHeader = "Banyanlug-Load"
 	// CallHeader holds the sealed context that a target puts on the calls it
 	// makes in its turn.
 	CallHeader = "Banyanlug-Call"
--- a/internal/traffic/hop/pool.go
+++ b/internal/traffic/hop/pool.go
@@ -40,6 +40,15 @@
 	counter *counter
 	proved  bool
 	since   time.Time
+	onDrop  func()
+}
+
+// drop closes a connection that was kept.
+func (l *link) drop() {
+	_ = l.conn.Close()
+	if l.onDrop != nil {
+		l.onDrop()
+	}
 }
 
 // counter counts what the kernel took of a call and bounds what is read of an
@@ -92,7 +101,7 @@
 		if http1.Quiet(l.conn) {
 			return l, nil
 		}
-		_ = l.conn.Close()
+		l.drop()
 	}
 }
 
@@ -111,8 +120,9 @@
 	return l
 }
 
-// put keeps a connection whose last answer was read to its end.
-func (c *Client) put(l *link) {
+// put keeps a connection whose last answer was read to its end, if there is
+// room for it.
+func (c *Client) put(l *link) bool {
 	l.since = c.clk.Now()
 	p := c.shard(l.to)
 	p.mu.Lock()
@@ -124,6 +134,7 @@
 	if full {
 		_ = l.conn.Close()
 	}
+	return !full
 }
 
 func (c *Client) dial(ctx context.Context, to netip.AddrPort, until time.Time) (*link, error) {
@@ -169,7 +180,7 @@
 		}
 		p.mu.Unlock()
 		for _, l := range old {
-			_ = l.conn.Close()
+			l.drop()
 		}
 	}
 }
--- a/internal/traffic/hop/request.go
+++ b/internal/traffic/hop/request.go
@@ -101,6 +101,7 @@
 	body   Body
 	meta   *Meta
 	extra  [][2]string
+	onDrop func()
 }
 
 // RequestOption sets one property of a request.
@@ -114,6 +115,10 @@
 	return func(r *Request) { r.extra = append(r.extra, [2]string{name, value}) }
 }
 
+// OnDrop sets what is called if the connection that carries the request is kept
+// for another call and then closed without one; f must not block.
+func OnDrop(f func()) RequestOption { return func(r *Request) { r.onDrop = f } }
+
 // NewRequest returns a request; its headers have been through Strip.
 func NewRequest(method, uri, host string, h http.Header, body Body, opts ...RequestOption) *Request {
 	r := &Request{method: method, uri: uri, host: host, header: h, body: body}
--- a/internal/traffic/target/admit.go
+++ b/internal/traffic/target/admit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -47,6 +48,13 @@
 // Load returns what runs and waits now.
 func (s *Slots) Load() admission.Load { return s.gate.Load(s.clk.Now()) }
 
+// load returns the calls that run and wait over the slots, as answers tell it.
+func (s *Slots) load() string {
+	l := s.Load()
+	n := l.Running(snapshot.Paying) + l.Running(snapshot.Trial) + l.Waiting(snapshot.Paying) + l.Waiting(snapshot.Trial)
+	return strconv.FormatFloat(float64(n)/float64(max(1, l.Slots())), 'f', 2, 64)
+}
+
 // Drain refuses the calls that wait, and all that come from now on.
 func (s *Slots) Drain() { s.deliver(s.gate.Drain(s.clk.Now(), nil)) }
 
