What nodes tell each other of a call is one header

Cause: each header costs its reader an allocation and a canonical name; eight of them were most of the second node's parse.

--- a/internal/traffic/caller/rig_test.go
+++ b/internal/traffic/caller/rig_test.go
@@ -34,7 +34,7 @@
 
 // rig is a caller's node and some targets, each with its node, on loopback.
 type rig struct {
-	t       *testing.T
+	t       testing.TB
 	ctx     context.Context
 	clk     *timer.Service
 	url     string
@@ -74,7 +74,7 @@
 	target  func(i int) []target.Option
 }
 
-func newRig(t *testing.T, o rigOptions) *rig {
+func newRig(t testing.TB, o rigOptions) *rig {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &rig{t: t, ctx: ctx, clk: timer.New(), config: &fixedConfig{snap: testSnapshot(t)}}
@@ -138,7 +138,7 @@
 	return s
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	ln, err := http1.Listen(context.Background(), "127.0.0.1:0")
 	if err != nil {
@@ -147,7 +147,7 @@
 	return ln
 }
 
-func testSnapshot(t *testing.T) *snapshot.Snapshot {
+func testSnapshot(t testing.TB) *snapshot.Snapshot {
 	t.Helper()
 	c := snapshot.NewChange([]snapshot.Object{
 		snapshot.NewOrganisation("harbour", snapshot.Paying, hashOf(payingKey)),
--- a/internal/traffic/hop/header.go
+++ b/internal/traffic/hop/header.go
@@ -1,6 +1,7 @@
 package hop
 
 import (
+	"bufio"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -15,25 +16,19 @@
 	// FleetHeader proves on the first call of a connection that a node of the
 	// fleet opened it.
 	FleetHeader = "Banyanlug-Fleet"
-	// DeadlineHeader holds the milliseconds left; callers may send it too.
-	DeadlineHeader = "Banyanlug-Deadline-Ms"
-	// AttemptHeader counts the attempts of one call, from 1.
-	AttemptHeader = "Banyanlug-Attempt"
-	// DepthHeader counts the calls that led to this one, from 1.
-	DepthHeader = "Banyanlug-Depth"
-	// OrganisationHeader names the organisation that the call is made for.
-	OrganisationHeader = "Banyanlug-Organisation"
-	// ClassHeader holds the organisation's class.
-	ClassHeader = "Banyanlug-Class"
-	// PoolHeader names the pool that the call was routed to.
-	PoolHeader = "Banyanlug-Pool"
-	// RouteHeader names the route that the call was matched by.
-	RouteHeader = "Banyanlug-Route"
-	// RepeatHeader is "idempotent" where the route's calls may run twice.
-	RepeatHeader = "Banyanlug-Repeat"
+	// MetaHeader holds all that one node tells the next about a call. It is one
+	// header, since each costs its reader as much as the rest of a small head.
+	MetaHeader = "Banyanlug-Meta"
 	// LoadHeader holds, on answers, the calls that run and wait at the target's
 	// node over its slots.
 	LoadHeader = "Banyanlug-Load"
+	// DeadlineHeader holds the milliseconds left; callers may send it, and
+	// targets are told it.
+	DeadlineHeader = "Banyanlug-Deadline-Ms"
+	// OrganisationHeader tells the target the organisation the call is made for.
+	OrganisationHeader = "Banyanlug-Organisation"
+	// ClassHeader tells the target the organisation's class.
+	ClassHeader = "Banyanlug-Class"
 	// CallHeader holds the sealed context that a target puts on the calls it
 	// makes in its turn.
 	CallHeader = "Banyanlug-Call"
@@ -122,63 +117,114 @@
 // Idempotent reports whether the call may run more than once.
 func (m Meta) Idempotent() bool { return m.idempotent }
 
-// ReadMeta reads what the node before this one told about a call.
-func ReadMeta(h http.Header) (Meta, error) {
-	m := Meta{
-		organisation: h.Get(OrganisationHeader), pool: h.Get(PoolHeader), route: h.Get(RouteHeader),
-		idempotent: h.Get(RepeatHeader) == idempotentWord,
-	}
-	ms, err := number(h, DeadlineHeader, 1, maxLeft.Milliseconds())
-	if err != nil {
-		return Meta{}, err
+// The fields of MetaHeader, each "name=value", in any order and with a space
+// between; names of objects hold neither.
+const (
+	fieldLeft         = "ms"
+	fieldAttempt      = "attempt"
+	fieldDepth        = "depth"
+	fieldClass        = "class"
+	fieldOrganisation = "organisation"
+	fieldPool         = "pool"
+	fieldRoute        = "route"
+	fieldRepeat       = "repeat"
+	idempotentWord    = "idempotent"
+	neverWord         = "never"
+)
+
+const (
+	// maxLeft is above the longest deadline that can be declared.
+	maxLeft = time.Hour
+	// maxAttempts is above what any declared number of retries leads to.
+	maxAttempts = 100
+)
+
+func (m *Meta) write(w *bufio.Writer) {
+	repeat := neverWord
+	if m.idempotent {
+		repeat = idempotentWord
 	}
-	attempt, err := number(h, AttemptHeader, 1, maxAttempts)
-	if err != nil {
-		return Meta{}, err
+	_, _ = w.WriteString(MetaHeader + ": " + fieldLeft + "=")
+	_, _ = w.Write(strconv.AppendInt(w.AvailableBuffer(), max(1, m.left.Milliseconds()), 10))
+	_, _ = w.WriteString(" " + fieldAttempt + "=")
+	_, _ = w.Write(strconv.AppendInt(w.AvailableBuffer(), int64(m.attempt), 10))
+	_, _ = w.WriteString(" " + fieldDepth + "=")
+	_, _ = w.Write(strconv.AppendInt(w.AvailableBuffer(), int64(m.depth), 10))
+	for _, f := range [...][2]string{
+		{fieldClass, m.class.String()},
+		{fieldOrganisation, m.organisation},
+		{fieldPool, m.pool},
+		{fieldRoute, m.route},
+		{fieldRepeat, repeat},
+	} {
+		_ = w.WriteByte(' ')
+		_, _ = w.WriteString(f[0])
+		_ = w.WriteByte('=')
+		_, _ = w.WriteString(f[1])
 	}
-	depth, err := number(h, DepthHeader, 1, MaxDepth)
-	if err != nil {
-		return Meta{}, err
+	_, _ = w.WriteString("\r\n")
+}
+
+// ReadMeta reads what the node before this one told about a call.
+func ReadMeta(h http.Header) (Meta, error) {
+	text := h.Get(MetaHeader)
+	var m Meta
+	class, repeat := "", ""
+	for rest := text; rest != ""; {
+		var field string
+		field, rest, _ = strings.Cut(rest, " ")
+		name, value, _ := strings.Cut(field, "=")
+		switch name {
+		case fieldLeft:
+			m.left = time.Duration(number(value, maxLeft.Milliseconds())) * time.Millisecond
+		case fieldAttempt:
+			m.attempt = int(number(value, maxAttempts))
+		case fieldDepth:
+			m.depth = int(number(value, MaxDepth))
+		case fieldClass:
+			class = value
+		case fieldOrganisation:
+			m.organisation = value
+		case fieldPool:
+			m.pool = value
+		case fieldRoute:
+			m.route = value
+		case fieldRepeat:
+			repeat = value
+		}
 	}
-	m.left, m.attempt, m.depth = time.Duration(ms)*time.Millisecond, int(attempt), int(depth)
-	switch class := h.Get(ClassHeader); class {
-	case snapshot.Trial.String():
-		m.class = snapshot.Trial
-	case snapshot.Paying.String():
+	m.idempotent = repeat == idempotentWord
+	if class == snapshot.Paying.String() {
 		m.class = snapshot.Paying
-	default:
-		return Meta{}, &HeaderError{Name: ClassHeader, Value: class}
 	}
-	if m.organisation == "" || m.pool == "" {
-		return Meta{}, &HeaderError{Name: OrganisationHeader, Value: m.organisation}
+	whole := m.left > 0 && m.attempt > 0 && m.depth > 0 && m.organisation != "" && m.pool != "" &&
+		class == m.class.String() && (m.idempotent || repeat == neverWord)
+	if !whole {
+		return Meta{}, &HeaderError{Name: MetaHeader, Value: text}
 	}
 	return m, nil
 }
 
-const (
-	idempotentWord = "idempotent"
-	// maxLeft is above the longest deadline that can be declared.
-	maxLeft = time.Hour
-	// maxAttempts is above what any declared number of retries leads to.
-	maxAttempts = 100
-)
-
-func number(h http.Header, name string, low, high int64) (int64, error) {
-	text := h.Get(name)
+// number reads a number from 1 to high; it returns 0 for any other text.
+func number(text string, high int64) int64 {
 	n, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || n < low || n > high {
-		return 0, &HeaderError{Name: name, Value: text}
+	if err != nil || n < 1 || n > high {
+		return 0
 	}
-	return n, nil
+	return n
 }
 
 // CallerDeadline returns the deadline that a caller asked for, if it did.
 func CallerDeadline(h http.Header) (time.Duration, bool, error) {
-	if h.Get(DeadlineHeader) == "" {
+	text := h.Get(DeadlineHeader)
+	if text == "" {
 		return 0, false, nil
 	}
-	ms, err := number(h, DeadlineHeader, 1, maxLeft.Milliseconds())
-	return time.Duration(ms) * time.Millisecond, err == nil, err
+	ms := number(text, maxLeft.Milliseconds())
+	if ms == 0 {
+		return 0, false, &HeaderError{Name: DeadlineHeader, Value: text}
+	}
+	return time.Duration(ms) * time.Millisecond, true, nil
 }
 
 // hopByHop lists the headers that concern one connection alone.
--- a/internal/traffic/hop/header_test.go
+++ b/internal/traffic/hop/header_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,14 +47,16 @@
 	if err != nil || got != want {
 		t.Errorf("%+v, %v, want %+v", got, err, want)
 	}
-	for name, value := range map[string]string{
-		DeadlineHeader: "0", AttemptHeader: "-1", DepthHeader: "33", ClassHeader: "royal", OrganisationHeader: "", PoolHeader: "",
+	whole := r.Header.Get(MetaHeader)
+	for _, text := range []string{
+		"", "x", strings.Replace(whole, "ms=1500", "ms=0", 1), strings.Replace(whole, "attempt=2", "attempt=-1", 1),
+		strings.Replace(whole, "depth=3", "depth=33", 1), strings.Replace(whole, "depth=3", "", 1),
+		strings.Replace(whole, "paying", "royal", 1), strings.Replace(whole, "organisation=harbour", "", 1),
+		strings.Replace(whole, "pool=bindings", "pool=", 1), strings.Replace(whole, "idempotent", "sometimes", 1),
 	} {
-		h := r.Header.Clone()
-		h.Set(name, value)
 		var bad *HeaderError
-		if _, err := ReadMeta(h); !errors.As(err, &bad) {
-			t.Errorf("%s: %q read with %v", name, value, err)
+		if _, err := ReadMeta(http.Header{MetaHeader: {text}}); !errors.As(err, &bad) {
+			t.Errorf("%q read with %v", text, err)
 		}
 	}
 }
--- a/internal/traffic/hop/request.go
+++ b/internal/traffic/hop/request.go
@@ -168,19 +168,6 @@
 	return nil
 }
 
-func (m *Meta) write(w *bufio.Writer) {
-	writeNumber(w, DeadlineHeader, max(1, m.left.Milliseconds()))
-	writeNumber(w, AttemptHeader, int64(m.attempt))
-	writeNumber(w, DepthHeader, int64(m.depth))
-	writeHeader(w, OrganisationHeader, m.organisation)
-	writeHeader(w, ClassHeader, m.class.String())
-	writeHeader(w, PoolHeader, m.pool)
-	writeHeader(w, RouteHeader, m.route)
-	if m.idempotent {
-		writeHeader(w, RepeatHeader, idempotentWord)
-	}
-}
-
 // writeHeader writes a header whose value is known to hold no line end.
 func writeHeader(w *bufio.Writer, name, value string) {
 	_, _ = w.WriteString(name)
