--- a/internal/standin/target/call.go
+++ b/internal/standin/target/call.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	"banyanlug.example/banyanlug/internal/traffic/hop"
@@ -19,6 +21,9 @@
 	askSleep = "sleep"
 	// askStatus is the answer's status.
 	askStatus = "status"
+	// askDeep is how many further calls, each made by the one before, the call
+	// leads to.
+	askDeep = "deep"
 	// askFault is one of the faults below.
 	askFault = "fault"
 )
@@ -31,6 +36,9 @@
 	faultUnframed = "unframed" // an answer that only the connection's end ends
 )
 
+// seen marks what the target that answers saw in its call's headers.
+const seen = "Seen-"
+
 // maxAskedSize bounds what one call can make the stand-in send.
 const maxAskedSize = 64 << 20
 
@@ -53,10 +61,11 @@
 			return
 		}
 	}
-	// An echo answers while it reads; without this the server would throw away
-	// up to 256 KiB of the request once the answer begins.
-	_ = http.NewResponseController(w).EnableFullDuplex()
-	body := bodyOf(r, q.Get(askSize))
+	if deep, _ := strconv.Atoi(q.Get(askDeep)); deep > 0 {
+		s.callOn(w, r, deep-1)
+		return
+	}
+	body := s.bodyOf(w, r, q.Get(askSize))
 	status, err := strconv.Atoi(q.Get(askStatus))
 	if err != nil {
 		status = http.StatusOK
@@ -96,13 +105,32 @@
 	return d + time.Duration(s.slow.Load())
 }
 
-func bodyOf(r *http.Request, size string) io.Reader {
+// bodyOf returns the body of the answer: the request's own, or one of the size
+// asked for.
+func (s *Server) bodyOf(w http.ResponseWriter, r *http.Request, size string) io.Reader {
 	n, err := strconv.ParseInt(size, 10, 64)
 	if err != nil {
-		return r.Body
+		// An echo answers while it reads; without this the server would throw
+		// away up to 256 KiB of the request once the answer begins.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		return &counted{r: r.Body, whole: &s.whole}
+	}
+	_, _ = io.Copy(io.Discard, &counted{r: r.Body, whole: &s.whole})
+	return io.LimitReader(pattern{}, min(max(n, 0), maxAskedSize))
+}
+
+// counted counts a request body once it is read to its end.
+type counted struct {
+	r     io.Reader
+	whole *atomic.Int64
+}
+
+func (c *counted) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	if err == io.EOF {
+		c.whole.Add(1)
 	}
-	n = min(max(n, 0), maxAskedSize)
-	return io.LimitReader(pattern{}, n)
+	return n, err
 }
 
 // pattern is an endless body.
@@ -120,7 +148,7 @@
 	for _, name := range []string{hop.OrganisationHeader, hop.ClassHeader, hop.DeadlineHeader, hop.CallHeader} {
 		// Told back under another name: nodes take theirs out of answers.
 		if v := r.Header.Get(name); v != "" {
-			h.Set("Seen-"+name, v)
+			h.Set(seen+name, v)
 		}
 	}
 	if l, ok := body.(*io.LimitedReader); ok {
@@ -140,6 +168,7 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(whole)))
 	w.WriteHeader(status)
 	_, _ = io.Copy(w, bytes.NewReader(whole[:len(whole)/2]))
+	_ = http.NewResponseController(w).Flush()
 	panic(http.ErrAbortHandler)
 }
 
@@ -155,3 +184,44 @@
 	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart of it")
 	_ = conn.Close()
 }
+
+// callOn makes the same call once more, one deeper: through the node if the
+// call came by one, which its sealed context tells, else to the target itself.
+func (s *Server) callOn(w http.ResponseWriter, r *http.Request, deep int) {
+	base, sealed := "http://"+r.Host, r.Header.Get(hop.CallHeader)
+	if sealed != "" {
+		s.mu.Lock()
+		base = s.next
+		s.mu.Unlock()
+	}
+	q := r.URL.Query()
+	q.Set(askDeep, strconv.Itoa(deep))
+	req, err := http.NewRequestWithContext(r.Context(), r.Method, base+r.URL.Path+"?"+q.Encode(), r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	req.ContentLength = r.ContentLength
+	if sealed != "" {
+		req.Header.Set(hop.CallHeader, sealed)
+	}
+	if key := r.Header.Get(hop.KeyHeader); key != "" {
+		req.Header.Set(hop.KeyHeader, key+"/"+strconv.Itoa(deep))
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	for name, values := range resp.Header {
+		if strings.HasPrefix(name, seen) {
+			w.Header()[name] = values
+		}
+	}
+	if resp.ContentLength >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	}
+	w.WriteHeader(resp.StatusCode)
+	_, _ = io.Copy(w, resp.Body)
+}
--- a/internal/traffic/hop/request.go
+++ b/internal/traffic/hop/request.go
@@ -101,6 +101,7 @@
 	body   Body
 	meta   *Meta
 	extra  [][2]string
+	onDrop func()
 }
 
 // RequestOption sets one property of a request.
@@ -114,6 +115,10 @@
 	return func(r *Request) { r.extra = append(r.extra, [2]string{name, value}) }
 }
 
+// OnDrop sets what is called if the connection that carries the request is kept
+// for another call and then closed without one; f must not block.
+func OnDrop(f func()) RequestOption { return func(r *Request) { r.onDrop = f } }
+
 // NewRequest returns a request; its headers have been through Strip.
 func NewRequest(method, uri, host string, h http.Header, body Body, opts ...RequestOption) *Request {
 	r := &Request{method: method, uri: uri, host: host, header: h, body: body}
@@ -163,19 +168,6 @@
 	return nil
 }
 
-func (m *Meta) write(w *bufio.Writer) {
-	writeNumber(w, DeadlineHeader, max(1, m.left.Milliseconds()))
-	writeNumber(w, AttemptHeader, int64(m.attempt))
-	writeNumber(w, DepthHeader, int64(m.depth))
-	writeHeader(w, OrganisationHeader, m.organisation)
-	writeHeader(w, ClassHeader, m.class.String())
-	writeHeader(w, PoolHeader, m.pool)
-	writeHeader(w, RouteHeader, m.route)
-	if m.idempotent {
-		writeHeader(w, RepeatHeader, idempotentWord)
-	}
-}
-
 // writeHeader writes a header whose value is known to hold no line end.
 func writeHeader(w *bufio.Writer, name, value string) {
 	_, _ = w.WriteString(name)
--- a/internal/traffic/http1/server.go
+++ b/internal/traffic/http1/server.go
@@ -39,6 +39,9 @@
 	lingerTimeout = 300 * time.Millisecond
 	// lingerBytes bounds what is read and dropped meanwhile.
 	lingerBytes = 256 << 10
+	// deafFor is how long connections that are being opened may take to open,
+	// before the listener closes: several round trips inside a region.
+	deafFor = 50 * time.Millisecond
 	// shardCount spreads connections over locks; a power of two.
 	shardCount = 16
 )
@@ -52,6 +55,8 @@
 	onFault     func(error)
 	drainRefuse *Refusal
 	idle        time.Duration
+	head        time.Duration
+	body        time.Duration
 	maxBody     int64
 
 	draining atomic.Bool
@@ -107,7 +112,7 @@
 // New returns a server for handler.
 func New(handler http.Handler, clk *timer.Service, opts ...Option) *Server {
 	s := &Server{
-		handler: handler, clk: clk, idle: defaultIdle, maxBody: defaultMaxBody,
+		handler: handler, clk: clk, idle: defaultIdle, head: headTimeout, body: bodyTimeout, maxBody: defaultMaxBody,
 		connContext: func(ctx context.Context, _ net.Conn) context.Context { return ctx },
 		onFault:     func(error) {},
 		drainRefuse: &Refusal{
@@ -188,10 +193,14 @@
 	ln, cancel := s.listener, s.cancel
 	s.mu.Unlock()
 	if ln != nil {
+		deafen(ln)
+		_ = s.clk.Sleep(ctx, deafFor)
 		_ = ln.Close()
 	}
-	// Connections taken while the others ended are refused, not served.
-	cut += s.finish(ctx)
+	if cut == 0 {
+		// Connections taken while the others ended are refused, not served.
+		cut = s.finish(ctx)
+	}
 	if cut == 0 {
 		return nil
 	}
