--- /dev/null
+++ b/internal/control/platform/client_test.go
@@ -0,0 +1,174 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// An answer that no store promised must not turn a write that may have taken
+// effect into a failure. Reads change nothing, so they are always unavailable.
+func TestOddAnswers(t *testing.T) {
+	t.Parallel()
+	const (
+		unavailable = "*platform.UnavailableError"
+		unknown     = "*platform.UnknownOutcomeError"
+	)
+	for name, tt := range map[string]struct {
+		serve       http.HandlerFunc
+		read, write string
+	}{
+		"out of service":        {status(http.StatusServiceUnavailable), unavailable, unavailable},
+		"over the rate":         {status(http.StatusTooManyRequests), unavailable, unavailable},
+		"wrong token":           {status(http.StatusUnauthorized), "*platform.UnauthorizedError", "*platform.UnauthorizedError"},
+		"forbidden":             {status(http.StatusForbidden), "*platform.UnauthorizedError", "*platform.UnauthorizedError"},
+		"broken":                {status(http.StatusInternalServerError), unavailable, unknown},
+		"bad gateway":           {status(http.StatusBadGateway), unavailable, unknown},
+		"gateway timeout":       {status(http.StatusGatewayTimeout), unavailable, unknown},
+		"redirect":              {status(http.StatusTemporaryRedirect), unavailable, unknown},
+		"cut before the answer": {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, unavailable, unknown},
+		"cut in the answer": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(RevisionHeader, "7")
+			w.Header().Set("Content-Length", "100")
+			fmt.Fprint(w, "part")
+			panic(http.ErrAbortHandler)
+		}, unavailable, unknown},
+		"no answer": {func(_ http.ResponseWriter, r *http.Request) {
+			// The server sees that the caller has gone once the body is read.
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+		}, unavailable, unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			srv := httptest.NewServer(tt.serve)
+			defer srv.Close()
+			c := dial(t, srv.Listener.Addr().String(), WithTimeout(100*time.Millisecond))
+			for op, err := range callAll(context.Background(), c) {
+				want := tt.read
+				if op.Write() {
+					want = tt.write
+				}
+				if diff := cmp.Diff(want, fmt.Sprintf("%T", err)); diff != "" {
+					t.Errorf("%s: %v\n%s", op, err, diff)
+				}
+			}
+		})
+	}
+}
+
+// Calls on a lease answer with the status alone; all others need a number, and
+// without it a write's outcome is unknown.
+func TestAnswersWithoutTheirNumber(t *testing.T) {
+	t.Parallel()
+	srv := httptest.NewServer(status(http.StatusOK))
+	defer srv.Close()
+	got := map[string]string{}
+	for op, err := range callAll(context.Background(), dial(t, srv.Listener.Addr().String())) {
+		got[op.String()] = fmt.Sprintf("%T", err)
+	}
+	want := map[string]string{
+		"get": "*platform.UnavailableError", "watch": "*platform.UnavailableError",
+		"compare_and_swap": "*platform.UnknownOutcomeError", "grant": "*platform.UnknownOutcomeError",
+		"keep_alive": "<nil>", "revoke": "<nil>",
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Nobody listens, or the caller has given up before: nothing was sent, so the
+// writes certainly did not happen.
+func TestCallsThatWereNeverSent(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	for name, ctx := range map[string]context.Context{"refused": context.Background(), "given up": ended} {
+		for op, err := range callAll(ctx, dial(t, addr)) {
+			var unavailable *UnavailableError
+			if !errors.As(err, &unavailable) {
+				t.Errorf("%s: %s: %v", name, op, err)
+			}
+		}
+	}
+}
+
+func TestTLSAndToken(t *testing.T) {
+	t.Parallel()
+	srv := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != "Bearer secret" {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		w.Header().Set(RevisionHeader, "7")
+		fmt.Fprint(w, r.URL.Path)
+	}))
+	defer srv.Close()
+	cfg := srv.Client().Transport.(*http.Transport).TLSClientConfig
+	c := dial(t, srv.Listener.Addr().String(), WithTLS(cfg), WithToken("secret"))
+	v, err := c.Get(context.Background(), "a/b c")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := fmt.Sprint(v.Key(), v.Revision(), string(v.Data())), "a/b c7/v1/keys/a/b c"; got != want {
+		t.Errorf("%q, want %q", got, want)
+	}
+	other := dial(t, srv.Listener.Addr().String(), WithTLS(cfg))
+	var unauthorized *UnauthorizedError
+	if _, err := other.Get(context.Background(), "k"); !errors.As(err, &unauthorized) {
+		t.Errorf("without the token: %v", err)
+	}
+}
+
+func TestDialRefusesAddresses(t *testing.T) {
+	t.Parallel()
+	for _, addr := range []string{"", "host", ":80", "host:", "http://host:80/x"} {
+		var bad *AddressError
+		if _, err := Dial(addr); !errors.As(err, &bad) {
+			t.Errorf("%q: %v", addr, err)
+		}
+	}
+}
+
+func status(code int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) }
+}
+
+func dial(t *testing.T, addr string, opts ...Option) *Client {
+	t.Helper()
+	c, err := Dial(addr, opts...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+// callAll returns the error of a call of each kind.
+func callAll(ctx context.Context, c *Client) map[Kind]error {
+	errs := map[Kind]error{}
+	_, errs[KindGet] = c.Get(ctx, "k")
+	_, errs[KindSwap] = c.CompareAndSwap(ctx, "k", 1, []byte("v"))
+	_, errs[KindGrant] = c.Grant(ctx, time.Second)
+	errs[KindKeepAlive] = c.KeepAlive(ctx, 1)
+	errs[KindRevoke] = c.Revoke(ctx, 1)
+	_, errs[KindWatch] = c.Watch(ctx, "k", 1, 0)
+	return errs
+}
--- a/internal/control/publish/errors.go
+++ b/internal/control/publish/errors.go
@@ -40,8 +40,8 @@
 // Unwrap returns why it could not be looked up.
 func (e *OutcomeUnknownError) Unwrap() error { return e.Err }
 
-// StepError tells of a publish that certainly did not happen, and at which
-// step it stopped.
+// StepError tells of a call of Publish that certainly had no effect, and at
+// which step it stopped.
 type StepError struct {
 	PlanID, Step string
 	Err          error
--- a/internal/control/publish/outcome.go
+++ b/internal/control/publish/outcome.go
@@ -12,14 +12,14 @@
 
 const (
 	// outcomeTTL is how long a plan's outcome is answered for after it left
-	// the head's recent list: a week, so that Monday's operator can ask about
-	// a confirm that failed before the weekend.
-	outcomeTTL = 7 * 24 * time.Hour
+	// the head's recent list: twice a plan's longest life, so that no plan that
+	// can still be confirmed outlives its outcome. It sets the number of keys
+	// in the store, two days' changes.
+	outcomeTTL = 2 * maxPlanTTL
 	// leaseShare is how long one lease serves the outcomes that are written;
 	// one lease per outcome would double the writes.
 	leaseShare = time.Hour
-	// maxPlanTTL keeps every plan that can still be confirmed well within the
-	// time for which its outcome is kept.
+	// maxPlanTTL is a day: an older plan tells of a fleet that has changed.
 	maxPlanTTL     = 24 * time.Hour
 	maxPlanIDBytes = 64
 )
@@ -30,9 +30,9 @@
 // Published is the outcome of a plan that made a version.
 type Published struct{ version uint64 }
 
-// NotPublished is the outcome of a plan that made no version so far and still
-// can be confirmed, unless it was abandoned.
-type NotPublished struct{ abandoned bool }
+// NotPublished is the outcome of a plan that made no version so far; from
+// Abandon it means that the plan never will.
+type NotPublished struct{}
 
 // Unknown is the outcome of a plan of which the store can't tell: a publish of
 // it was under way, it expired, or the store was restored since it was saved.
@@ -41,9 +41,6 @@
 // Version returns the version that the plan made.
 func (p Published) Version() uint64 { return p.version }
 
-// Abandoned reports whether the plan can't be published any more.
-func (n NotPublished) Abandoned() bool { return n.abandoned }
-
 // UnderWay reports whether a publish was begun that may yet succeed; Publish
 // of the same plan or Abandon settles it.
 func (u Unknown) UnderWay() bool { return u.underWay }
@@ -52,7 +49,7 @@
 func (NotPublished) isOutcome() {}
 func (Unknown) isOutcome()      {}
 
-// Outcome returns what became of a plan. It can answer for a week after the
+// Outcome returns what became of a plan. It can answer for two days after the
 // plan's confirm, and for a plan that was never confirmed until it expires.
 func (l *Log) Outcome(ctx context.Context, planID string) (Outcome, error) {
 	if err := checkPlanID(planID); err != nil {
@@ -65,31 +62,43 @@
 	if version, ok := h.published(planID); ok {
 		return Published{version}, nil
 	}
-	if m, err := l.readOutcome(ctx, planID); err != nil || m != nil {
-		return outcomeOf(m), err
+	m, err := l.readOutcome(ctx, planID)
+	if err != nil {
+		return nil, err
+	}
+	// The mark of an abandon does not tell whether its second step was taken.
+	if m != nil && !m.GetAbandoned() {
+		return outcomeOf(m), nil
 	}
 	underWay, err := l.underWay(ctx, h, planID)
 	if err != nil || underWay {
 		return Unknown{underWay: underWay}, err
 	}
-	plan, err := l.readPlan(ctx, planID)
-	var gone *PlanNotFoundError
-	if errors.As(err, &gone) {
-		return Unknown{}, nil
-	}
+	known, expired, err := l.knows(ctx, h, planID)
 	if err != nil {
 		return nil, err
 	}
-	// The store was restored since: a publish in the part that was lost would
-	// have left no trace.
-	if plan.GetRestores() != h.message.GetRestores() {
+	if !known || expired {
 		return Unknown{}, nil
 	}
 	return NotPublished{}, nil
 }
 
-// Abandon makes sure that a plan is never published, or returns Published if
-// it was. The mark comes first and the head's new revision second: a swap that
+// knows reports whether a publish of the plan must have left a trace in the
+// store, which it need not where the store was restored since: the part with
+// the trace may be lost. expired is set for a plan that is gone.
+func (l *Log) knows(ctx context.Context, h Head, planID string) (known, expired bool, err error) {
+	restores := h.message.GetRestores()
+	plan, err := l.readPlan(ctx, planID)
+	var gone *PlanNotFoundError
+	if errors.As(err, &gone) {
+		return restores == 0, true, nil
+	}
+	return plan.GetRestores() == restores, false, err
+}
+
+// Abandon makes sure that a plan is never published and returns NotPublished,
+// or Published if it was, or Unknown if the store was restored since. The mark comes first and the head's new revision second: a swap that
 // is still on its way meets another revision, and any later one the mark.
 func (l *Log) Abandon(ctx context.Context, planID string) (Outcome, error) {
 	if err := checkPlanID(planID); err != nil {
@@ -134,6 +143,10 @@
 	if m != nil && !m.GetAbandoned() {
 		return outcomeOf(m), true, nil
 	}
+	known, _, err := l.knows(ctx, h, planID)
+	if err != nil {
+		return nil, false, err
+	}
 	b, err := encode(h.message)
 	if err != nil {
 		return nil, true, err
@@ -141,7 +154,10 @@
 	if _, err := l.store.CompareAndSwap(ctx, l.headKey(), h.Revision(), b); err != nil {
 		return nil, false, err
 	}
-	return NotPublished{abandoned: true}, true, nil
+	if !known {
+		return Unknown{}, true, nil
+	}
+	return NotPublished{}, true, nil
 }
 
 // decided reports whether the plan is in the chain, or returns an
@@ -164,11 +180,9 @@
 	return m != nil, nil
 }
 
+// outcomeOf returns what a mark other than an abandon's means.
 func outcomeOf(m *pb.Outcome) Outcome {
-	switch {
-	case m.GetAbandoned():
-		return NotPublished{abandoned: true}
-	case m.GetRestored():
+	if m.GetRestored() {
 		return Unknown{}
 	}
 	return Published{m.GetVersion()}
--- a/internal/control/publish/publish.go
+++ b/internal/control/publish/publish.go
@@ -11,9 +11,10 @@
 
 // Publish makes next, which d leads to, the newest version. It returns nil
 // once the plan is in the chain, also if an earlier call put it there. A
-// ConflictError, AbandonedError or StepError means that it certainly was not
-// published, an OutcomeUnknownError that it may have been, a StalePlanError
-// that it may have been before a restore.
+// ConflictError means that d never will be published, an AbandonedError that
+// the plan never will, a StepError that this call did not publish it, an
+// OutcomeUnknownError that it may have, a StalePlanError that the plan may
+// have been published before a restore.
 func (l *Log) Publish(ctx context.Context, d *snapshot.Delta, next *snapshot.Snapshot) error {
 	planID := d.Stamp().PlanID
 	if err := checkPlanID(planID); err != nil {
@@ -59,12 +60,20 @@
 	}
 	p.stage = "look up plan"
 	done, err := p.log.decided(ctx, h, p.planID)
+	var given *AbandonedError
+	if errors.As(err, &given) {
+		return p.abandoned(ctx)
+	}
 	if err != nil {
 		return !p.sent || final(err), err
 	}
 	if done {
 		return true, nil
 	}
+	// A plan made before a restore may have been published in what was lost.
+	if h.message.GetBase().GetVersion() >= p.delta.Version() {
+		return true, &StalePlanError{PlanID: p.planID}
+	}
 	if !h.follows(p.delta) {
 		return true, &ConflictError{
 			PlanID: p.planID, Wanted: p.delta.Version(), Published: h.Version(), Winner: h.PlanID(),
@@ -78,6 +87,24 @@
 	return p.swap(ctx, h, slot)
 }
 
+// abandoned makes sure of an abandon whose operator may have ended before its
+// second step, since an earlier swap of the plan may still be on its way.
+func (p *publisher) abandoned(ctx context.Context) (settled bool, err error) {
+	p.sent = true
+	out, settled, err := p.log.fence(ctx, p.planID)
+	if err != nil {
+		return settled, err
+	}
+	switch out.(type) {
+	case Published:
+		return true, nil
+	case NotPublished:
+		return true, &AbandonedError{PlanID: p.planID}
+	default:
+		return true, &StalePlanError{PlanID: p.planID}
+	}
+}
+
 func (p *publisher) swap(ctx context.Context, h Head, slot uint32) (settled bool, err error) {
 	next, evicted := h.next(p.delta, slot)
 	p.stage = "keep an earlier outcome"
--- a/internal/control/publish/publish_test.go
+++ b/internal/control/publish/publish_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/control/platform"
 )
 
 func TestPublishedVersionsAreLoadedWhole(t *testing.T) {
@@ -53,3 +54,159 @@
 		t.Error(diff)
 	}
 }
+
+// Two nodes publish in turn for two weeks of the users' 8,900 changes a day,
+// thinned to one in sixteen. The store's size stays what it was after the
+// first days, and outcomes are answered for as long as they are promised.
+func TestStoreStaysSmall(t *testing.T) {
+	t.Parallel()
+	const spacing = 16 * 24 * time.Hour / 8900
+	b := newBench(t)
+	logs := []*Log{b.log(), b.log()}
+	s := snapshot.Empty()
+	var sizes []int
+	for day := range 14 {
+		for i := 1; i <= 8900/16; i++ {
+			s = b.publish(logs[i%2], s, fmt.Sprintf("d%d-%d", day, i))
+			b.clock.Advance(spacing)
+		}
+		keys, _ := b.store.Len()
+		sizes = append(sizes, keys)
+	}
+	b.holds(s)
+	if first, last := sizes[4], sizes[13]; last > first+first/10 {
+		t.Errorf("keys at the end of each day: %v", sizes)
+	}
+	if kept := b.kept(); kept > 2*8+2*8+2*2+2 {
+		t.Errorf("%d keys besides outcomes", kept)
+	}
+	for id, want := range map[string]Outcome{
+		"d13-1": Published{13*(8900/16) + 1}, "d12-1": Published{12*(8900/16) + 1}, "d2-1": Unknown{}, "never": Unknown{},
+	} {
+		if diff := cmp.Diff(want, b.outcome(logs[0], id), outcomes); diff != "" {
+			t.Errorf("%s: %s", id, diff)
+		}
+	}
+}
+
+func TestSinceGivesWhatFollows(t *testing.T) {
+	t.Parallel()
+	ctx := context.Background()
+	b := newBench(t)
+	l := b.log()
+	held := []*snapshot.Snapshot{snapshot.Empty()}
+	for i := 1; i <= 60; i++ {
+		held = append(held, b.publish(l, held[i-1], fmt.Sprintf("p%d", i)))
+	}
+	for _, tt := range []struct{ version, deltas int }{{60, 0}, {59, 1}, {50, 10}, {49, 11}} {
+		s := held[tt.version]
+		deltas, err := b.log().Since(ctx, s)
+		if err != nil || len(deltas) != tt.deltas {
+			t.Errorf("since %d: %d deltas, %v", tt.version, len(deltas), err)
+			continue
+		}
+		for _, d := range deltas {
+			if s, err = s.Apply(d); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if diff := cmp.Diff(name(held[60]), name(s)); diff != "" {
+			t.Error(diff)
+		}
+	}
+	for _, version := range []int{0, 1, 30} {
+		if _, err := b.log().Since(ctx, held[version]); !is[*TooOldError](err) {
+			t.Errorf("since %d: %v", version, err)
+		}
+	}
+}
+
+func TestWaitHead(t *testing.T) {
+	t.Parallel()
+	ctx := context.Background()
+	b := newBench(t)
+	l := b.log()
+	none, err := l.WaitHead(ctx, Head{}, 0)
+	if err != nil || none.Version() != 0 {
+		t.Fatalf("empty store: version %d, %v", none.Version(), err)
+	}
+	s := b.publishMany(b.log(), snapshot.Empty(), 1, 2)
+	h, err := l.WaitHead(ctx, none, time.Hour)
+	if err != nil || h.Version() != 2 || h.Digest() != s.Digest() {
+		t.Errorf("version %d, %v", h.Version(), err)
+	}
+	if again, err := l.WaitHead(ctx, h, 0); err != nil || again.Revision() != h.Revision() {
+		t.Errorf("unchanged head: revision %d, %v", again.Revision(), err)
+	}
+	b.store.SetDown(true)
+	if _, err := l.WaitHead(ctx, h, time.Hour); !is[*platform.UnavailableError](err) {
+		t.Errorf("store down: %v", err)
+	}
+}
+
+func TestPlans(t *testing.T) {
+	t.Parallel()
+	ctx := context.Background()
+	b := newBench(t)
+	l := b.log()
+	large := make([]byte, 100_000)
+	for _, tt := range []struct {
+		id      string
+		content []byte
+		ttl     time.Duration
+		want    string
+	}{
+		{"p1", []byte("one"), time.Hour, ""},
+		{"p1", []byte("one"), time.Hour, ""},
+		{"p1", []byte("two"), time.Hour, "plan p1 exists already"},
+		{"p2", large, time.Hour, ""},
+		{"", nil, time.Hour, `plan id "" must be 1 to 64 of a-z, A-Z, 0-9, - and _`},
+		{"a/b", nil, time.Hour, `plan id "a/b" must be 1 to 64 of a-z, A-Z, 0-9, - and _`},
+		{"p3", nil, 25 * time.Hour, "a plan's time of 25h0m0s must be between 1ms and 24h0m0s"},
+		{"p3", nil, 0, "a plan's time of 0s must be between 1ms and 24h0m0s"},
+	} {
+		text := ""
+		if err := l.SavePlan(ctx, tt.id, tt.content, tt.ttl); err != nil {
+			text = err.Error()
+		}
+		if diff := cmp.Diff(tt.want, text); diff != "" {
+			t.Errorf("save %q: %s", tt.id, diff)
+		}
+	}
+	for id, want := range map[string][]byte{"p1": []byte("one"), "p2": large} {
+		got, err := l.LoadPlan(ctx, id)
+		if err != nil || !cmp.Equal(want, got) {
+			t.Errorf("load %s: %d bytes, %v", id, len(got), err)
+		}
+	}
+	if diff := cmp.Diff(Outcome(NotPublished{}), b.outcome(l, "p1"), outcomes); diff != "" {
+		t.Error(diff)
+	}
+	b.clock.Advance(time.Hour)
+	if _, err := l.LoadPlan(ctx, "p1"); !is[*PlanNotFoundError](err) {
+		t.Errorf("load after its time: %v", err)
+	}
+	if diff := cmp.Diff(Outcome(Unknown{}), b.outcome(l, "p1"), outcomes); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestMissingValuesAreReported(t *testing.T) {
+	t.Parallel()
+	ctx := context.Background()
+	for _, key := range []string{"delta/20/0", "full/16/0/0"} {
+		b := newBench(t)
+		l := b.log()
+		b.publishMany(l, snapshot.Empty(), 1, 20)
+		v, err := b.store.Get(ctx, "banyanlug/"+key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := b.store.CompareAndSwap(ctx, v.Key(), v.Revision(), nil); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := b.log().Load(ctx); !is[*DamagedError](err) {
+			t.Errorf("without %s: %v", key, err)
+		}
+	}
+}
--- a/internal/standin/store/store_test.go
+++ b/internal/standin/store/store_test.go
@@ -227,6 +227,9 @@
 			{"the lease is back", get("tied"), "v"},
 			{"for its time", advance(time.Second), ""},
 			{"and gone", get("tied"), "*platform.NotFoundError"},
+			{"another store's copy", fault(func(w *world) { w.store.Rollback(copyOf(w, "a", "b", "c", "d", "e")) }), ""},
+			{"its keys are found", get("a"), "a"},
+			{"each of them", get("e"), "e"},
 		},
 	}
 	for name, steps := range tests {
@@ -239,6 +242,17 @@
 	}
 }
 
+// copyOf returns the copy of another store, which spreads keys otherwise.
+func copyOf(w *world, keys ...string) *Image {
+	other := New(w.clock)
+	for _, k := range keys {
+		if _, err := other.swap(k, 0, []byte(k), 0); err != nil {
+			panic(err)
+		}
+	}
+	return other.Image()
+}
+
 func plan(f Fault) func(*world) (any, error) {
 	return fault(func(w *world) {
 		w.store.SetPlan(func(c Call) Fault {
