--- a/internal/control/platform/client.go
+++ b/internal/control/platform/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"banyanlug.example/banyanlug/internal/clock/timer"
 )
 
 // The names of the HTTP form, shared with servers of it.
@@ -40,6 +43,7 @@
 	timeout time.Duration
 	metrics *metrics.Set
 	counter *Counter
+	clock   *timer.Service
 }
 
 // Option sets one property of a client.
@@ -57,6 +61,9 @@
 // WithMetrics puts the call counters into set.
 func WithMetrics(set *metrics.Set) Option { return func(c *Client) { c.metrics = set } }
 
+// WithClock makes the client measure how long calls take.
+func WithClock(clock *timer.Service) Option { return func(c *Client) { c.clock = clock } }
+
 // Dial returns a client of the store at addr, host:port, without a call.
 func Dial(addr string, opts ...Option) (*Client, error) {
 	host, port, err := net.SplitHostPort(addr)
@@ -190,9 +197,26 @@
 	return res.value(KindWatch, key)
 }
 
-// call makes one call and reads its whole answer.
+// call makes one call, counts it and reads its whole answer.
 func (c *Client) call(ctx context.Context, kind Kind, method, path string, query url.Values, body []byte, timeout time.Duration) (*answer, error) {
 	c.counter.Add(kind)
+	var began time.Time
+	if c.clock != nil {
+		began = c.clock.Now()
+	}
+	a, err := c.send(ctx, kind, method, path, query, body, timeout)
+	// A watch takes as long as it was asked to wait.
+	if c.clock != nil && kind != KindWatch {
+		name := fmt.Sprintf("banyanlug_store_call_seconds{kind=%q}", kind)
+		c.metrics.GetOrCreateHistogram(name).Update(c.clock.Since(began).Seconds())
+	}
+	if err != nil || a.failed() {
+		c.metrics.GetOrCreateCounter(fmt.Sprintf("banyanlug_store_failures_total{kind=%q}", kind)).Inc()
+	}
+	return a, err
+}
+
+func (c *Client) send(ctx context.Context, kind Kind, method, path string, query url.Values, body []byte, timeout time.Duration) (*answer, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, &UnavailableError{Op: kind, Err: err}
 	}
@@ -251,6 +275,17 @@
 	}
 }
 
+// failed reports whether the service, and not the call, is to blame.
+func (a *answer) failed() bool {
+	switch a.status {
+	case http.StatusOK, http.StatusNotModified, http.StatusNotFound, http.StatusConflict, http.StatusGone,
+		http.StatusRequestEntityTooLarge:
+		return false
+	default:
+		return true
+	}
+}
+
 func (a *answer) value(kind Kind, key string) (Value, error) {
 	switch {
 	case a.status == http.StatusOK && a.revision != 0:
--- a/internal/control/platform/client_test.go
+++ b/internal/control/platform/client_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -8,11 +9,15 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/goleak"
+
+	"banyanlug.example/banyanlug/internal/clock/timer"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -172,3 +177,31 @@
 	_, errs[KindWatch] = c.Watch(ctx, "k", 1, 0)
 	return errs
 }
+
+func TestMetricsTellOfFailures(t *testing.T) {
+	t.Parallel()
+	answers := []int{http.StatusNotFound, http.StatusServiceUnavailable, http.StatusBadGateway}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(answers[0])
+		answers = answers[1:]
+	}))
+	defer srv.Close()
+	set := metrics.NewSet()
+	c := dial(t, srv.Listener.Addr().String(), WithMetrics(set), WithClock(timer.NewManual(time.Unix(0, 0))))
+	for range 3 {
+		if _, err := c.Get(context.Background(), "k"); err == nil {
+			t.Fatal("no error")
+		}
+	}
+	var out bytes.Buffer
+	set.WritePrometheus(&out)
+	for _, line := range []string{
+		`banyanlug_store_calls_total{kind="get"} 3`,
+		`banyanlug_store_failures_total{kind="get"} 2`,
+		`banyanlug_store_call_seconds_count{kind="get"} 3`,
+	} {
+		if !strings.Contains(out.String(), line+"\n") {
+			t.Errorf("no %s in\n%s", line, out.String())
+		}
+	}
+}
--- a/internal/control/publish/delta.go
+++ b/internal/control/publish/delta.go
@@ -108,6 +108,12 @@
 	if err != nil {
 		return nil, err
 	}
+	return l.SinceTo(ctx, held, h)
+}
+
+// SinceTo is Since for a head that was read before, as by WaitHead; it saves
+// each reader one call for each change.
+func (l *Log) SinceTo(ctx context.Context, held *snapshot.Snapshot, h Head) ([]*snapshot.Delta, error) {
 	if err := h.behind(mark{version: held.Version(), digest: held.Digest(), restores: h.message.GetRestores()}); err != nil {
 		return nil, err
 	}
--- a/internal/control/publish/publish_test.go
+++ b/internal/control/publish/publish_test.go
@@ -211,3 +211,35 @@
 		}
 	}
 }
+
+func TestCallsOfAPublish(t *testing.T) {
+	t.Parallel()
+	b := newBench(t)
+	l := b.log()
+	s := b.publishMany(l, snapshot.Empty(), 1, 17)
+	before := b.store.Calls()
+	b.publish(l, s, "x")
+	want := platform.Calls{platform.KindGet: 3, platform.KindSwap: 3}
+	if diff := cmp.Diff(want, b.store.Calls().Since(before)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A node's version is missing from the store's chain: a delta was removed by
+// something else. Plans are still confirmed, and once a whole version is due
+// again the store can be loaded.
+func TestMissingDeltaIsOutgrown(t *testing.T) {
+	t.Parallel()
+	ctx := context.Background()
+	b := newBench(t)
+	l := b.log()
+	s := b.publishMany(l, snapshot.Empty(), 1, 20)
+	v, err := b.store.Get(ctx, l.deltaKey(20, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := b.store.CompareAndSwap(ctx, v.Key(), v.Revision(), nil); err != nil {
+		t.Fatal(err)
+	}
+	b.holds(b.publishMany(l, s, 21, 24))
+}
