Test a slow store

Cause: the stand-in's delay had no test. Before: none; after: a delayed write takes effect after the delay, and one whose caller gave up does not.

--- a/internal/standin/store/store_test.go
+++ b/internal/standin/store/store_test.go
@@ -406,3 +406,43 @@
 	}
 	http.DefaultClient.CloseIdleConnections()
 }
+
+// A slow store delays each call by the store's clock; a caller that gives up
+// before its turn has changed nothing.
+func TestSlowStore(t *testing.T) {
+	t.Parallel()
+	w := inProcess(t)
+	w.store.SetSlow(time.Second)
+	wrote := make(chan error, 1)
+	go func() {
+		_, err := put("k", 0, "v")(w)
+		wrote <- err
+	}()
+	for begun := false; !begun; {
+		begun = w.store.Calls().Of(platform.KindSwap) == 1
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := w.store.CompareAndSwap(ctx, "k", 0, []byte("given up"))
+	if diff := cmp.Diff("*platform.UnavailableError", describe(err)); diff != "" {
+		t.Error(diff)
+	}
+	select {
+	case err := <-wrote:
+		t.Fatalf("a slow write ended at once: %v", err)
+	default:
+	}
+	for done := false; !done; {
+		w.clock.Advance(time.Second)
+		select {
+		case err := <-wrote:
+			if err != nil {
+				t.Error(err)
+			}
+			done = true
+		default:
+		}
+	}
+	w.store.SetSlow(0)
+	play(t, "then", w, []step{{"the first write", get("k"), "v"}})
+}
