The whole path: nodes pull versions and members, carry calls, and one command shows it

Cause: the parts stood apart. A node now joins the mesh by the store's list of readers or by seeds, finds its place by rank, long-polls a relay for versions and members, announces itself and its children upwards, watches the store while it is a reader, and pulls from other domains' readers.

--- a/cmd/banyanlug/main.go
+++ b/cmd/banyanlug/main.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"banyanlug.example/banyanlug/internal/cli/command"
+	"banyanlug.example/banyanlug/internal/process/node"
 )
 
 func main() {
@@ -19,4 +20,4 @@
 }
 
 // app returns the command with every subcommand.
-func app() *command.App { return command.New() }
+func app() *command.App { return command.New(command.Subcommand(node.Command)) }
--- /dev/null
+++ b/internal/control/peer/session.go
@@ -0,0 +1,186 @@
+package peer
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/control/peer/peerpb"
+	"banyanlug.example/banyanlug/internal/log/event"
+	"banyanlug.example/banyanlug/internal/policy/membership"
+)
+
+const (
+	// pullTimeout is what a poll may take beyond its wait.
+	pullTimeout = 3 * time.Second
+	// agesEvery is how often a node asks for the ages of all domains: several
+	// times within the age at which a domain counts as cut off, and seldom
+	// enough that 22 ages cost a few bytes a second.
+	agesEvery = 8 * time.Second
+	// pulsesEvery is how often a relay sends on the heartbeats from below; a
+	// poll that was answered early by a change does not carry them again.
+	pulsesEvery = membership.Heartbeat / 2
+	// refusedPause keeps a node that can't apply a version from asking for it
+	// again in a tight loop.
+	refusedPause = 2 * time.Second
+)
+
+// parent is a node to pull from; one from a list of seeds has no name yet.
+type parent struct {
+	name    string
+	domain  string
+	address netip.AddrPort
+}
+
+func parentOf(r membership.Record) parent {
+	return parent{name: r.Instance(), domain: r.Domain(), address: r.Peer()}
+}
+
+func (n *Node) dial(a netip.AddrPort) peerpb.Peer {
+	scheme := "http"
+	if n.dialing != nil {
+		scheme = "https"
+	}
+	return peerpb.NewPeerProtobufClient(scheme+"://"+a.String(), n.client, twirp.WithClientPathPrefix(pathPrefix))
+}
+
+// session is a row of pulls from one parent, which resumes where it stopped.
+type session struct {
+	n      *Node
+	at     parent
+	epoch  uint64
+	cursor uint64
+	ages   time.Time
+	pulses time.Time
+	// unknown is set when the parent lacks this node's announcement.
+	unknown bool
+}
+
+// pull does one long poll, takes what it brings and returns how long ago the
+// parent's domain root was known to have spoken.
+func (s *session) pull(ctx context.Context, wait time.Duration, acceptStale bool) (time.Duration, error) {
+	n := s.n
+	pctx, cancel := n.clock.WithTimeout(ctx, wait+pullTimeout)
+	defer cancel()
+	resp, err := n.dial(s.at.address).Pull(pctx, s.request(wait, acceptStale))
+	if err != nil {
+		return 0, &UnreachableError{Peer: s.at.address.String(), Err: err}
+	}
+	if ms := resp.GetRetryAfterMs(); ms > 0 {
+		return 0, &BusyError{Peer: s.at.address.String(), After: time.Duration(ms) * time.Millisecond}
+	}
+	if e := resp.GetEpoch(); e != 0 {
+		s.epoch, s.at.name, s.at.domain = e, resp.GetInstance(), resp.GetDomain()
+	}
+	if c := resp.GetCursor(); c != 0 {
+		s.cursor = c
+	}
+	s.unknown = resp.GetUnknown()
+	n.merge(resp.GetRecords(), resp.GetAges(), s.at.name, s.at.domain, resp.GetWhole())
+	if err := s.apply(ctx, resp); err != nil {
+		return 0, err
+	}
+	return time.Duration(resp.GetRootAgeMs()) * time.Millisecond, nil
+}
+
+func (s *session) request(wait time.Duration, acceptStale bool) *peerpb.PullRequest {
+	n := s.n
+	now := n.clock.Now()
+	held, self := n.holder.Current(), n.Self()
+	req := &peerpb.PullRequest{
+		Instance: self.Instance(), Boot: self.Boot(), Domain: self.Domain(),
+		Version: held.Version(), Digest: shortDigest(held.Digest()),
+		WaitMs: uint32(wait.Milliseconds()), Epoch: s.epoch, Cursor: s.cursor, AcceptStale: acceptStale,
+	}
+	if s.epoch == 0 {
+		for _, d := range n.view.Digests() {
+			req.Domains = append(req.Domains, &peerpb.DomainDigest{Domain: d.Domain, Digest: d.Digest})
+		}
+	}
+	if now.Sub(s.ages) >= agesEvery {
+		s.ages, req.Ages = now, true
+	}
+	if s.at.domain == self.Domain() && now.Sub(s.pulses) >= pulsesEvery {
+		s.pulses = now
+		for _, p := range n.view.Pulses(now) {
+			req.Pulses = append(req.Pulses, &peerpb.Pulse{Id: p.ID, AgeMs: uint32(p.Age.Milliseconds())})
+		}
+	}
+	return req
+}
+
+// apply puts the versions of an answer in force. One that can't be applied
+// leaves the version held in force and is no reason to leave the parent.
+func (s *session) apply(ctx context.Context, resp *peerpb.PullResponse) error {
+	full := resp.GetFull()
+	for _, b := range resp.GetDeltas() {
+		d, err := snapshot.DecodeDelta(b)
+		if err == nil {
+			err = s.n.offer(d)
+		}
+		if err == nil {
+			continue
+		}
+		if !needsFull(err) {
+			return s.n.refused(ctx, err, s.at.name)
+		}
+		full = true
+		break
+	}
+	if full {
+		return s.whole(ctx)
+	}
+	return nil
+}
+
+func (s *session) whole(ctx context.Context) error {
+	fctx, cancel := s.n.clock.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	resp, err := s.n.dial(s.at.address).Full(fctx, &peerpb.FullRequest{})
+	if err != nil {
+		return &UnreachableError{Peer: s.at.address.String(), Err: err}
+	}
+	if ms := resp.GetRetryAfterMs(); ms > 0 {
+		return &BusyError{Peer: s.at.address.String(), After: time.Duration(ms) * time.Millisecond}
+	}
+	v, err := decodeFull(resp.GetFull())
+	if err != nil {
+		return s.n.refused(ctx, err, s.at.name)
+	}
+	s.n.offerFull(v)
+	return nil
+}
+
+// offer puts the version that a delta leads to in force.
+func (n *Node) offer(d *snapshot.Delta) error {
+	applied, err := n.holder.Offer(d)
+	if applied {
+		n.applied()
+	}
+	return err
+}
+
+// offerFull puts a whole version in force.
+func (n *Node) offerFull(s *snapshot.Snapshot) {
+	if n.holder.OfferFull(s) {
+		n.applied()
+	}
+}
+
+func (n *Node) applied() {
+	s := n.holder.Current()
+	if n.versions != nil {
+		n.versions.Saw(s)
+	}
+	n.log.Emit(event.VersionApplied, event.F("version", s.Version()), event.F("plan", s.PlanID()))
+}
+
+// refused notes a version that can't be applied. The refusal stands until a
+// newer version comes; the pause keeps the node from asking in a tight loop.
+func (n *Node) refused(ctx context.Context, err error, from string) error {
+	n.log.Emit(event.VersionRefused, event.F("error", err), event.F("from", from))
+	return n.clock.Sleep(ctx, n.jitter(refusedPause))
+}
--- a/internal/log/event/catalogue.go
+++ b/internal/log/event/catalogue.go
@@ -37,6 +37,7 @@
 	NodeDrains  Code = 1003
 	NodeStopped Code = 1004
 	NodeFailed  Code = 1005
+	DrainCut    Code = 1006
 
 	VersionApplied Code = 1101
 	VersionRefused Code = 1102
@@ -47,6 +48,18 @@
 	PlanRefused     Code = 1503
 	PlanUnknown     Code = 1504
 	OperatorRefused Code = 1505
+
+	Placed         Code = 1201
+	PeerLost       Code = 1202
+	JoinFailed     Code = 1203
+	AnnounceFailed Code = 1204
+
+	Refuted       Code = 1301
+	RecordRefused Code = 1302
+	InstanceLost  Code = 1303
+	Superseded    Code = 1304
+
+	StoreUnavailable Code = 1601
 )
 
 var catalogue = map[Code]Entry{
@@ -56,6 +69,8 @@
 	NodeStopped: {Info, "node stopped", "nothing"},
 	NodeFailed:  {Error, "node failed", "read the error; the process ends and its slot's supervisor starts it again"},
 
+	DrainCut: {Error, "the drain timeout passed with calls in flight, which were cut off", "set -drain-timeout longer than the longest deadline of a route"},
+
 	VersionApplied: {Info, "configuration version applied", "nothing"},
 	VersionRefused: {Error, "configuration version refused; the version held stays in force", "read the error; a format error asks for a newer program on this node"},
 	StoreIsOlder:   {Error, "the platform store holds an older version than the fleet", "see docs/operators/versions.md; the fleet keeps its version"},
@@ -65,6 +80,18 @@
 	PlanRefused:     {Warn, "confirm refused; the plan is not in force", "read the error; a conflict names who changed what, so plan again"},
 	PlanUnknown:     {Error, "it is not known whether a plan is in force", "confirm the same plan again once the store answers, which settles it"},
 	OperatorRefused: {Warn, "request without a valid operator token refused", "if it was an operator, compare the token with the hash in the node's settings"},
+
+	Placed:         {Info, "node found its place in its failure domain's tree", "nothing"},
+	PeerLost:       {Warn, "parent did not answer; another is tried", "nothing, unless many nodes name the same peer"},
+	JoinFailed:     {Warn, "a listed node did not answer while this one looked for the mesh", "nothing, unless the node stays alone: then check the seeds"},
+	AnnounceFailed: {Warn, "parent did not take an announcement; it is sent again", "nothing, unless it goes on"},
+
+	Refuted:       {Warn, "peers held this instance for gone or silent; it announced itself again", "look for a network fault if it repeats"},
+	RecordRefused: {Error, "a malformed announcement was left out", "look for a node of another program version"},
+	InstanceLost:  {Warn, "an instance stopped pulling and did not answer probes; it gets no new work", "nothing; the instance's supervisor starts it again"},
+	Superseded:    {Error, "a later process runs under this instance's name; this one drains and ends", "give each instance a name of its own"},
+
+	StoreUnavailable: {Warn, "the platform store did not answer", "see docs/operators/store.md; calls go on with the version held"},
 }
 
 // Markdown returns the catalogue as the page docs/EVENTS.md.
--- /dev/null
+++ b/internal/process/node/metrics.go
@@ -0,0 +1,28 @@
+package node
+
+import (
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// tellMetrics writes the node's metrics in the Prometheus text format.
+func (n *Node) tellMetrics(w http.ResponseWriter, _ *http.Request) {
+	n.metrics.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+// registerMetrics adds what is read from the parts when somebody asks.
+func (n *Node) registerMetrics() {
+	gauge := func(name string, f func() float64) { n.metrics.NewGauge(name, f) }
+	gauge("banyanlug_config_version", func() float64 { return float64(n.peer.Holder().Current().Version()) })
+	gauge("banyanlug_control_received_bytes_total", func() float64 { return float64(n.peer.Bytes().In()) })
+	gauge("banyanlug_control_sent_bytes_total", func() float64 { return float64(n.peer.Bytes().Out()) })
+	gauge("banyanlug_members", func() float64 { return float64(len(n.view.Records())) })
+	gauge("banyanlug_ready", func() float64 {
+		if n.life.ready() {
+			return 1
+		}
+		return 0
+	})
+}
--- /dev/null
+++ b/internal/process/node/node.go
@@ -0,0 +1,275 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/control/peer"
+	"banyanlug.example/banyanlug/internal/control/platform"
+	"banyanlug.example/banyanlug/internal/control/publish"
+	"banyanlug.example/banyanlug/internal/log/event"
+	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/traffic/caller"
+	"banyanlug.example/banyanlug/internal/traffic/hop"
+	"banyanlug.example/banyanlug/internal/traffic/http1"
+	"banyanlug.example/banyanlug/internal/traffic/target"
+)
+
+// Node is one node: the control side, the traffic side and the life that
+// both share.
+type Node struct {
+	cfg     *Settings
+	clock   *timer.Service
+	log     *event.Logger
+	metrics *metrics.Set
+	life    *life
+
+	listeners listeners
+	store     platform.Store
+	versions  *publish.Log
+	view      *membership.View
+	peer      *peer.Node
+	hop       *hop.Client
+	callers   *http1.Server
+	slots     *target.Slots
+	targets   *target.Server
+	local     netip.AddrPort
+}
+
+// listeners are the addresses that the node serves on; all are open before
+// anything runs, so that a taken port ends the start and not a running node.
+type listeners struct{ callers, mesh, peers, operators, admin net.Listener }
+
+// New opens the node's addresses and wires its parts; Run starts them.
+func New(cfg *Settings, clock *timer.Service, out io.Writer) (*Node, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	n := &Node{
+		cfg: cfg, clock: clock, log: event.New(out, cfg.instance), metrics: metrics.NewSet(),
+	}
+	if err := n.listen(); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
+	if err := n.wire(); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) listen() error {
+	for _, l := range []struct {
+		to         *net.Listener
+		name, addr string
+	}{
+		{&n.listeners.callers, "callers", n.cfg.callers},
+		{&n.listeners.mesh, "mesh", n.cfg.mesh},
+		{&n.listeners.peers, "peers", n.cfg.peers},
+		{&n.listeners.operators, "operators", n.cfg.operators},
+		{&n.listeners.admin, "admin", n.cfg.admin},
+	} {
+		if l.addr == "" {
+			continue
+		}
+		ln, err := listen(l.name, l.addr)
+		if err != nil {
+			return err
+		}
+		*l.to = ln
+	}
+	return nil
+}
+
+func (n *Node) closeListeners() {
+	l := n.listeners
+	for _, ln := range []net.Listener{l.callers, l.mesh, l.peers, l.operators, l.admin} {
+		if ln != nil {
+			ln.Close()
+		}
+	}
+}
+
+// wire builds the parts in the order in which they depend on each other.
+func (n *Node) wire() error {
+	key, err := n.cfg.key()
+	if err != nil {
+		return err
+	}
+	secure, err := n.cfg.tls()
+	if err != nil {
+		return err
+	}
+	if n.cfg.store != "" {
+		client, err := platform.Dial(n.cfg.store, platform.WithMetrics(n.metrics))
+		if err != nil {
+			return &SettingError{"store", err.Error()}
+		}
+		n.store = client
+		n.versions = publish.New(n.store, n.clock)
+	}
+	n.wireControl(key, secure)
+	n.wireTraffic(string(key), secure)
+	n.life = newLife(n.log)
+	n.registerMetrics()
+	return nil
+}
+
+func (n *Node) wireControl(key []byte, secure *tlsPair) {
+	now := n.clock.Now()
+	seed := n.cfg.seed
+	if seed == 0 {
+		seed = uint64(now.UnixNano())
+	}
+	self := membership.NewSelf(now, n.cfg.instance,
+		membership.Domain(n.cfg.domain), membership.Pool(n.cfg.pool), membership.InState(membership.Starting),
+		membership.Address(addrOf(n.listeners.mesh)), membership.Peer(addrOf(n.listeners.peers)))
+	n.view = membership.New(n.cfg.domain, seed|1)
+	// The settings have been checked, so the seeds can be read.
+	seeds, _ := n.cfg.seedAddrs()
+	opts := []peer.Option{peer.WithSeeds(seeds...), peer.WithSeed(seed)}
+	if n.store != nil {
+		opts = append(opts, peer.WithStore(n.store, n.versions))
+	}
+	if secure != nil {
+		opts = append(opts, peer.WithTLS(secure.serving, secure.dialing))
+	}
+	n.peer = peer.New(n.clock, n.log, n.view, self, key, opts...)
+}
+
+func (n *Node) wireTraffic(key string, secure *tlsPair) {
+	var serving, dialing *tls.Config
+	if secure != nil {
+		serving, dialing = secure.serving, secure.dialing
+	}
+	credential, sealer := hop.NewCredential(key), hop.NewSealer(key)
+	n.hop = hop.NewClient(n.clock, hop.WithCredential(credential), hop.WithTLS(dialing), hop.AskFirst())
+	calls := caller.New(n.peer.Holder(), directory{n.view}, n.hop, sealer, n.clock, caller.WithMetrics(n.metrics))
+	n.callers = http1.New(calls, n.clock)
+	if n.cfg.pool == "" {
+		return
+	}
+	// The settings have been checked, so the address can be read.
+	n.local, _ = netip.ParseAddrPort(n.cfg.target)
+	n.slots = target.NewSlots(n.peer.Holder(), n.cfg.pool, n.clock)
+	h := target.New(n.slots, n.local, hop.NewClient(n.clock), credential, sealer, n.clock)
+	n.targets = target.NewServer(h, n.clock, http1.WithTLS(serving))
+}
+
+// addrOf returns where others reach a listener.
+func addrOf(ln net.Listener) netip.AddrPort { return ln.Addr().(*net.TCPAddr).AddrPort() }
+
+// directory tells the traffic side which targets get new work.
+type directory struct{ view *membership.View }
+
+// Targets implements caller.Directory.
+func (d directory) Targets(pool string) []membership.Record { return d.view.Pool(pool) }
+
+// Callers returns the address on which callers reach the node.
+func (n *Node) Callers() netip.AddrPort { return addrOf(n.listeners.callers) }
+
+// Peers returns the address on which other nodes reach it for control.
+func (n *Node) Peers() netip.AddrPort { return addrOf(n.listeners.peers) }
+
+// Admin returns the address of metrics and health.
+func (n *Node) Admin() netip.AddrPort { return addrOf(n.listeners.admin) }
+
+// Operators returns the address of the operators' API, or false without one.
+func (n *Node) Operators() (netip.AddrPort, bool) {
+	if n.listeners.operators == nil {
+		return netip.AddrPort{}, false
+	}
+	return addrOf(n.listeners.operators), true
+}
+
+// Holder returns the versions that the node holds.
+func (n *Node) Holder() *peer.Holder { return n.peer.Holder() }
+
+// Ready reports whether the node takes calls.
+func (n *Node) Ready() bool { return n.life.ready() }
+
+// drainNotice is how long a stopping node goes on taking calls after it has
+// announced that it drains. Callers' views lag by the depth of the tree; what
+// still comes after it is refused as not run and sent elsewhere.
+const drainNotice = 300 * time.Millisecond
+
+// Run serves until ctx ends, then drains, tells the mesh and returns.
+func (n *Node) Run(ctx context.Context) error {
+	n.log.Emit(event.NodeStarted, event.F("callers", n.Callers()), event.F("peers", n.Peers()),
+		event.F("mesh", addrOf(n.listeners.mesh)), event.F("admin", n.Admin()), event.F("failure_domain", n.cfg.domain))
+	// What serves outlives ctx, which only asks for the stop.
+	serving, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	parts := n.start(serving)
+	err := n.untilStop(ctx, parts)
+	n.drain(serving)
+	end()
+	parts.wait()
+	n.life.stopped(err)
+	return err
+}
+
+// untilStop watches the target and the parts until the node has to stop.
+func (n *Node) untilStop(ctx context.Context, parts *parts) error {
+	watched := make(chan error, 1)
+	wctx, cancel := context.WithCancel(ctx)
+	go n.watchTarget(wctx, watched)
+	defer func() {
+		cancel()
+		<-watched
+	}()
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-n.peer.Superseded():
+		n.log.Emit(event.Superseded)
+		return &SupersededError{Instance: n.cfg.instance}
+	case err := <-parts.failed:
+		n.log.Emit(event.NodeFailed, event.F("error", err))
+		return err
+	}
+}
+
+// drain lets the calls in flight end. New work goes elsewhere first: the mesh
+// is told, then what comes is refused as not run, then the node closes.
+func (n *Node) drain(ctx context.Context) {
+	n.life.drains()
+	n.peer.Announce(membership.Draining)
+	fctx, cancel := n.clock.WithTimeout(ctx, 2*time.Second)
+	n.peer.Flush(fctx)
+	cancel()
+	_ = n.clock.Sleep(ctx, drainNotice)
+	dctx, cancel := n.clock.WithTimeout(ctx, n.cfg.drainTimeout)
+	defer cancel()
+	if n.targets != nil {
+		if err := n.targets.Drain(dctx); err != nil {
+			n.log.Emit(event.DrainCut, event.F("error", err), event.F("side", "mesh"))
+		}
+	}
+	if err := n.callers.Drain(dctx); err != nil {
+		n.log.Emit(event.DrainCut, event.F("error", err), event.F("side", "callers"))
+	}
+	n.peer.Announce(membership.Gone)
+	fctx, cancel = n.clock.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	n.peer.Flush(fctx)
+}
+
+// Targets returns how many targets the node knows that get new work.
+func (n *Node) Targets() int {
+	count := 0
+	for _, r := range n.view.Records() {
+		if r.Pool() != "" && r.State() == membership.Ready {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/process/node/settings.go
@@ -0,0 +1,193 @@
+package node
+
+import (
+	"flag"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"banyanlug.example/banyanlug/internal/control/operator"
+)
+
+// SettingError tells of a setting that can't be used.
+type SettingError struct {
+	Name   string
+	Reason string
+}
+
+func (e *SettingError) Error() string { return fmt.Sprintf("setting -%s: %s", e.Name, e.Reason) }
+
+// Settings are what a node is told when it starts.
+type Settings struct {
+	instance, domain, pool          string
+	callers, mesh, peers, operators string
+	admin, target, store            string
+	seeds, fleetKey, fleetKeyFile   string
+	operatorTokens                  string
+	tlsCert, tlsKey, tlsCA          string
+	drainTimeout, settleTime        time.Duration
+	seed                            uint64
+}
+
+// Bounds of durations: a drain shorter than a call would cut calls off, one
+// longer than any deadline only keeps the slot from its successor.
+const (
+	minDrain, maxDrain   = 100 * time.Millisecond, 10 * time.Minute
+	minSettle, maxSettle = time.Duration(0), time.Minute
+)
+
+// Register adds the settings to a flag set and returns where they are kept.
+func Register(fs *flag.FlagSet) *Settings {
+	s := &Settings{}
+	text := func(to *string, name, value, usage string) { fs.StringVar(to, name, value, usage) }
+	text(&s.instance, "instance", "", "`NAME` of this instance, unique in the mesh: 1 to 63 of a-z, 0-9 and -")
+	text(&s.domain, "failure-domain", "", "failure domain of this instance: a `NAME`, or region/name")
+	text(&s.pool, "pool", "", "`POOL` that the local target serves; empty for a node that only carries calls out")
+	text(&s.target, "target", "", "`IP:PORT` of the local target; needed with -pool")
+	text(&s.callers, "callers", "127.0.0.1:7001", "`IP:PORT` on which callers reach this node")
+	text(&s.mesh, "mesh", "127.0.0.1:7002", "`IP:PORT` on which other nodes send calls for the local target")
+	text(&s.peers, "peers", "127.0.0.1:7003", "`IP:PORT` on which other nodes reach this node for control")
+	text(&s.operators, "operators", "", "`IP:PORT` of the operators' API; empty turns it off")
+	text(&s.admin, "admin", "127.0.0.1:7004", "`IP:PORT` of /metrics, /healthz, /readyz and /debug/pprof")
+	text(&s.store, "store", "", "`IP:PORT` of the platform's key-value service; empty for none")
+	text(&s.seeds, "seeds", "", "control addresses `IP:PORT`, separated by commas, to ask first when the store is out")
+	text(&s.fleetKey, "fleet-key", "", "`SECRET` shared by all nodes, 16 bytes or more; better set in the environment")
+	text(&s.fleetKeyFile, "fleet-key-file", "", "`FILE` to read the fleet key from, in place of -fleet-key")
+	text(&s.operatorTokens, "operator-tokens", "", "operators as `NAME:HASH`, separated by commas; `banyanlug key -operator NAME` makes one")
+	text(&s.tlsCert, "tls-cert", "", "PEM `FILE` of the certificate for control and calls between nodes; with -tls-key and -tls-ca")
+	text(&s.tlsKey, "tls-key", "", "PEM `FILE` of the private key of -tls-cert")
+	text(&s.tlsCA, "tls-ca", "", "PEM `FILE` of the authority that signs the nodes' certificates")
+	fs.DurationVar(&s.drainTimeout, "drain-timeout", 30*time.Second,
+		"how long a stop waits for calls in flight, a duration between 100ms and 10m")
+	fs.DurationVar(&s.settleTime, "settle", 2*time.Second,
+		"how long a starting node asks peers for a newer version while the store is out, a duration between 0s and 1m")
+	fs.Uint64Var(&s.seed, "seed", 0, "seed of random choices; 0 takes one from the start time")
+	return s
+}
+
+// Check returns the first setting that can't be used as a SettingError.
+func (s *Settings) Check() error {
+	if !isName(s.instance) {
+		return &SettingError{"instance", fmt.Sprintf("%q must be 1 to 63 of a-z, 0-9 and -", s.instance)}
+	}
+	if region, name, ok := strings.Cut(s.domain, "/"); !isName(region) || ok && !isName(name) {
+		return &SettingError{"failure-domain", fmt.Sprintf("%q must be a name of a-z, 0-9 and -, or region/name", s.domain)}
+	}
+	if s.pool != "" && !isName(s.pool) {
+		return &SettingError{"pool", fmt.Sprintf("%q must be 1 to 63 of a-z, 0-9 and -", s.pool)}
+	}
+	if (s.pool == "") != (s.target == "") {
+		return &SettingError{"target", "is needed with -pool, and only then"}
+	}
+	for _, c := range []struct {
+		name, value string
+		optional    bool
+	}{
+		{"target", s.target, true},
+		{"callers", s.callers, false},
+		{"mesh", s.mesh, false},
+		{"peers", s.peers, false},
+		{"operators", s.operators, true},
+		{"admin", s.admin, false},
+		{"store", s.store, true},
+	} {
+		if c.optional && c.value == "" {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(c.value); err != nil {
+			return &SettingError{c.name, fmt.Sprintf("%q is no IP:port", c.value)}
+		}
+	}
+	if _, err := s.seedAddrs(); err != nil {
+		return err
+	}
+	if s.store == "" && s.seeds == "" {
+		return &SettingError{"store", "give the store, seeds, or both: a node without either finds nobody"}
+	}
+	return s.checkSecrets()
+}
+
+func (s *Settings) checkSecrets() error {
+	if key, err := s.key(); err != nil {
+		return err
+	} else if len(key) < minKeyBytes {
+		return &SettingError{"fleet-key", fmt.Sprintf("has %d bytes, needs %d or more", len(key), minKeyBytes)}
+	}
+	if _, err := s.tokens(); err != nil {
+		return err
+	}
+	if some, all := s.tlsCert+s.tlsKey+s.tlsCA != "", s.tlsCert != "" && s.tlsKey != "" && s.tlsCA != ""; some && !all {
+		return &SettingError{"tls-cert", "-tls-cert, -tls-key and -tls-ca go together"}
+	}
+	if s.drainTimeout < minDrain || s.drainTimeout > maxDrain {
+		return &SettingError{"drain-timeout", fmt.Sprintf("%v must be between %v and %v", s.drainTimeout, minDrain, maxDrain)}
+	}
+	if s.settleTime < minSettle || s.settleTime > maxSettle {
+		return &SettingError{"settle", fmt.Sprintf("%v must be between %v and %v", s.settleTime, minSettle, maxSettle)}
+	}
+	return nil
+}
+
+// minKeyBytes is the least length of the fleet key: 128 bits can't be guessed.
+const minKeyBytes = 16
+
+func isName(s string) bool {
+	return s != "" && len(s) <= 63 && strings.Trim(s, "abcdefghijklmnopqrstuvwxyz0123456789-") == ""
+}
+
+func (s *Settings) seedAddrs() ([]netip.AddrPort, error) {
+	var out []netip.AddrPort
+	for text := range strings.SplitSeq(s.seeds, ",") {
+		if text = strings.TrimSpace(text); text == "" {
+			continue
+		}
+		a, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, &SettingError{"seeds", fmt.Sprintf("%q is no IP:port", text)}
+		}
+		out = append(out, a)
+	}
+	return out, nil
+}
+
+func (s *Settings) key() ([]byte, error) {
+	if s.fleetKeyFile == "" {
+		return []byte(s.fleetKey), nil
+	}
+	if s.fleetKey != "" {
+		return nil, &SettingError{"fleet-key-file", "goes instead of -fleet-key, not with it"}
+	}
+	b, err := os.ReadFile(s.fleetKeyFile)
+	if err != nil {
+		return nil, &SettingError{"fleet-key-file", err.Error()}
+	}
+	return []byte(strings.TrimSpace(string(b))), nil
+}
+
+// tokens returns the operators' tokens.
+func (s *Settings) tokens() ([]operator.Token, error) {
+	var out []operator.Token
+	for text := range strings.SplitSeq(s.operatorTokens, ",") {
+		if text = strings.TrimSpace(text); text == "" {
+			continue
+		}
+		t, err := operator.ParseToken(text)
+		if err != nil {
+			return nil, &SettingError{"operator-tokens", err.Error()}
+		}
+		out = append(out, t)
+	}
+	return out, nil
+}
+
+// listen opens a TCP listener for a setting.
+func listen(name, addr string) (net.Listener, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, &SettingError{name, err.Error()}
+	}
+	return ln, nil
+}
