Overhead stands beside what two copying processes add; the watch ticks less

Cause: on this machine a wake-up of a sleeping process costs more than the work it does, so the figure needs its floor in the same run.

--- a/internal/standin/measure/overhead.go
+++ b/internal/standin/measure/overhead.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -40,7 +41,7 @@
 	fs.SetOutput(out)
 	rate := fs.Float64("rate", 62, "calls a second, of one kind at a time")
 	hops := fs.Int("hops", nodesPerCall, "nodes on the way, an even number; more than 2 makes targets call on")
-	length := fs.Duration("for", 20*time.Second, "how long each of four kinds of call is made in all")
+	length := fs.Duration("for", 20*time.Second, "how long each kind of call is made in all")
 	seed := fs.Uint64("seed", 1, "seed of the arrival times")
 	server := fs.String("server", "own", "how the caller's node serves: own or net/http")
 	procs := fs.Int("procs", 0, "GOMAXPROCS of the nodes, 0 for their own choice")
@@ -77,18 +78,34 @@
 	clk    *timer.Service
 	client *hop.Client
 	nodes  []*part
-	direct netip.AddrPort
-	mesh   netip.AddrPort
-	series [4]series
+	ways   [3]netip.AddrPort
+	series [len(kinds)]series
 }
 
+// way is how a call reaches the target.
+type way uint8
+
+const (
+	direct way = iota
+	piped      // through two processes that only copy bytes
+	meshed     // through two nodes
+)
+
+// kinds are the calls that are made in turn: direct, piped and meshed, and
+// those that may not be repeated.
+var kinds = [...]struct {
+	by    way
+	write bool
+}{{direct, false}, {piped, false}, {meshed, false}, {direct, true}, {meshed, true}}
+
 // series is the calls of one kind.
 type series struct {
-	mesh, write bool
-	mu          sync.Mutex
-	latency     *hdrhistogram.Histogram
-	failed      int
-	cpu         time.Duration
+	by      way
+	write   bool
+	mu      sync.Mutex
+	latency *hdrhistogram.Histogram
+	failed  int
+	cpu     time.Duration
 }
 
 // startParts starts the target, its node and the caller's node, through which
@@ -108,25 +125,40 @@
 		parts = append(parts, p)
 		return netip.ParseAddrPort(p.told.Address)
 	}
-	fail := func(err error) (func(), error) { stop(); return nil, err }
-	if o.direct, err = start("target", "target", "-attached"); err != nil {
-		return fail(err)
+	if err = o.chain(start, server, procs); err != nil {
+		stop()
+		return nil, err
+	}
+	o.nodes = parts[3:]
+	return stop, o.setNext(ctx)
+}
+
+func (o *overhead) chain(start func(name string, args ...string) (netip.AddrPort, error), server string, procs int) error {
+	limit := strconv.Itoa(procs)
+	target, err := start("target", "target", "-attached")
+	if err != nil {
+		return err
 	}
-	node, err := start("target's node", "proxy", "-side", "target", "-next", o.direct.String(), "-procs", strconv.Itoa(procs))
+	o.ways[direct] = target
+	pipe, err := start("pipe", "proxy", "-side", "pipe", "-next", target.String(), "-procs", limit)
 	if err != nil {
-		return fail(err)
+		return err
 	}
-	if o.mesh, err = start("caller's node", "proxy", "-side", "caller", "-next", node.String(), "-server", server, "-procs", strconv.Itoa(procs)); err != nil {
-		return fail(err)
+	if o.ways[piped], err = start("pipe", "proxy", "-side", "pipe", "-next", pipe.String(), "-procs", limit); err != nil {
+		return err
 	}
-	o.nodes = parts[1:]
-	return stop, o.setNext(ctx)
+	node, err := start("target's node", "proxy", "-side", "target", "-next", target.String(), "-procs", limit)
+	if err != nil {
+		return err
+	}
+	o.ways[meshed], err = start("caller's node", "proxy", "-side", "caller", "-next", node.String(), "-server", server, "-procs", limit)
+	return err
 }
 
 // setNext tells the target where its own calls go.
 func (o *overhead) setNext(ctx context.Context) error {
-	r := hop.NewRequest(http.MethodGet, "/standin/next?url=http://"+o.mesh.String(), o.direct.String(), http.Header{}, hop.None{})
-	a, err := o.client.Do(ctx, o.direct, r, o.clk.Now().Add(callTimeout))
+	r := hop.NewRequest(http.MethodGet, "/standin/next?url=http://"+o.ways[meshed].String(), o.ways[direct].String(), http.Header{}, hop.None{})
+	a, err := o.client.Do(ctx, o.ways[direct], r, o.clk.Now().Add(callTimeout))
 	if err != nil {
 		return err
 	}
@@ -138,10 +170,10 @@
 // run makes calls of each kind in turn.
 func (o *overhead) run(ctx context.Context, length time.Duration) error {
 	for i := range o.series {
-		o.series[i].mesh, o.series[i].write = i%2 == 1, i/2 == 1
+		o.series[i].by, o.series[i].write = kinds[i].by, kinds[i].write
 		o.series[i].latency = hdrhistogram.New(1, maxMicros, 3)
 		// Connections, caches and the target's own start belong to no kind.
-		warm := &series{mesh: o.series[i].mesh, write: o.series[i].write, latency: hdrhistogram.New(1, maxMicros, 3)}
+		warm := &series{by: kinds[i].by, write: kinds[i].write, latency: hdrhistogram.New(1, maxMicros, 3)}
 		if err := o.burst(ctx, warm, window/2); err != nil {
 			return err
 		}
@@ -191,10 +223,7 @@
 }
 
 func (o *overhead) call(ctx context.Context, s *series) {
-	to := o.direct
-	if s.mesh {
-		to = o.mesh
-	}
+	to := o.ways[s.by]
 	method, path, body := http.MethodGet, "/service-0/read", hop.Body(hop.None{})
 	h := http.Header{"X-Api-Key": {apiKey}}
 	if s.write {
@@ -226,7 +255,8 @@
 }
 
 // figures is what the measurement ends with; once_ figures are of calls that
-// may not be repeated.
+// may not be repeated, and pipe figures of two processes that only copy bytes,
+// the least that two more processes can add on the machine.
 type figures struct {
 	Rate         float64 `json:"rate"`
 	Hops         int     `json:"hops"`
@@ -235,6 +265,8 @@
 	Failed       int     `json:"failed"`
 	DirectP50    float64 `json:"direct_ms_p50"`
 	DirectP99    float64 `json:"direct_ms_p99"`
+	PipeP50      float64 `json:"pipe_ms_p50"`
+	PipeP99      float64 `json:"pipe_ms_p99"`
 	MeshP50      float64 `json:"mesh_ms_p50"`
 	MeshP99      float64 `json:"mesh_ms_p99"`
 	AddedP50     float64 `json:"added_ms_p50"`
@@ -251,10 +283,13 @@
 
 func (o *overhead) tell(out io.Writer, asJSON bool) error {
 	f := figures{Rate: o.rate, Hops: (o.deep + 1) * nodesPerCall, Seed: o.seed}
-	f.DirectP50, f.DirectP99, f.MeshP50, f.MeshP99, f.CPU = o.compare(0)
-	f.AddedP50, f.AddedP99 = f.MeshP50-f.DirectP50, f.MeshP99-f.DirectP99
-	f.OnceDirP50, f.OnceDirP99, f.OnceMeshP50, f.OnceMeshP99, f.OnceCPU = o.compare(2)
-	f.OnceAddedP50, f.OnceAddedP99 = f.OnceMeshP50-f.OnceDirP50, f.OnceMeshP99-f.OnceDirP99
+	f.DirectP50, f.DirectP99, _ = o.series[0].figures()
+	f.PipeP50, f.PipeP99, _ = o.series[1].figures()
+	f.MeshP50, f.MeshP99, f.CPU = o.series[2].figures()
+	f.AddedP50, f.AddedP99 = micros(f.MeshP50-f.DirectP50), micros(f.MeshP99-f.DirectP99)
+	f.OnceDirP50, f.OnceDirP99, _ = o.series[3].figures()
+	f.OnceMeshP50, f.OnceMeshP99, f.OnceCPU = o.series[4].figures()
+	f.OnceAddedP50, f.OnceAddedP99 = micros(f.OnceMeshP50-f.OnceDirP50), micros(f.OnceMeshP99-f.OnceDirP99)
 	for i := range o.series {
 		f.Calls += o.series[i].latency.TotalCount()
 		f.Failed += o.series[i].failed
@@ -269,16 +304,17 @@
 	return nil
 }
 
-// compare returns the latencies of a pair of series in ms, and the nodes'
-// processor time for each call in us.
-func (o *overhead) compare(i int) (directP50, directP99, meshP50, meshP99, cpu float64) {
-	direct, mesh := &o.series[i], &o.series[i+1]
-	ms := func(s *series, q float64) float64 { return float64(s.latency.ValueAtQuantile(q)) / 1000 }
-	calls := max(1, mesh.latency.TotalCount())
-	cpu = float64(mesh.cpu.Microseconds()) / float64(calls)
-	return ms(direct, 50), ms(direct, 99), ms(mesh, 50), ms(mesh, 99), cpu
+// figures returns a series' latencies in ms, and the nodes' processor time for
+// each call in us.
+func (s *series) figures() (p50, p99, cpu float64) {
+	calls := float64(max(1, s.latency.TotalCount()))
+	ms := func(q float64) float64 { return float64(s.latency.ValueAtQuantile(q)) / 1000 }
+	return ms(50), ms(99), math.Round(float64(s.cpu.Microseconds()) / calls)
 }
 
+// micros rounds a difference in ms to what was recorded.
+func micros(ms float64) float64 { return math.Round(ms*1000) / 1000 }
+
 // SettingError tells of a setting that can't be.
 type SettingError struct{ Text string }
 
--- a/internal/standin/measure/proxy.go
+++ b/internal/standin/measure/proxy.go
@@ -41,7 +41,7 @@
 func Proxy(ctx context.Context, args []string, in io.Reader, out io.Writer) error {
 	fs := flag.NewFlagSet("proxy", flag.ContinueOnError)
 	fs.SetOutput(out)
-	side := fs.String("side", "caller", "caller or target")
+	side := fs.String("side", "caller", "caller, target, or pipe for one that only copies")
 	next := fs.String("next", "", "address of the target's node, or of the target")
 	server := fs.String("server", "own", "own or net/http")
 	procs := fs.Int("procs", 0, "GOMAXPROCS, 0 for the runtime's own choice")
@@ -73,6 +73,8 @@
 			hop.NewCredential(fleetKey), hop.NewSealer(fleetKey), clk)
 		s := target.NewServer(h, clk)
 		g.start(func(ctx context.Context, done chan<- error) { s.Serve(ctx, ln, done) })
+	case *side == "pipe":
+		g.start(func(ctx context.Context, done chan<- error) { servePipe(ctx, ln, *next, done) })
 	case *server == "net/http":
 		h := callerHandler(g, snap, to, clk)
 		g.start(func(ctx context.Context, done chan<- error) { serveNetHTTP(ctx, ln, h, done) })
--- a/internal/traffic/http1/server.go
+++ b/internal/traffic/http1/server.go
@@ -30,9 +30,11 @@
 	// defaultMaxBody bounds one request body. Bodies are streamed, so it is no
 	// matter of memory but of how long one call may hold a slot.
 	defaultMaxBody = 64 << 20
-	// watchPeriod is how soon a peer's leaving is noticed; ticks cost about
-	// 10 us each, so 20 ms stays under a thousandth of a core.
-	watchPeriod = 20 * time.Millisecond
+	// watchPeriod is how soon a peer's leaving is noticed. A tick costs a
+	// process that has slept about 100 us, so 20 a second stay at a fifth of a
+	// percent of a core; a call that its caller has left holds its slot for two
+	// periods at most.
+	watchPeriod = 50 * time.Millisecond
 	// lingerTimeout is how long a closed connection takes what its peer had
 	// already sent. Closing with bytes unread makes the kernel send a reset,
 	// which can overtake the last answer; 300 ms is twice the longest way.
