Targets' nodes tell what runs, waits and is refused; events of stops and strangers

Cause: nothing told an operator why a node refused calls. Gauges of slots, running and waiting calls by class, refusals by type and outcome, events 1401 to 1403; a stranger that tries again and again is logged once a second.

--- a/internal/log/event/catalogue.go
+++ b/internal/log/event/catalogue.go
@@ -41,6 +41,10 @@
 	VersionApplied Code = 1101
 	VersionRefused Code = 1102
 	StoreIsOlder   Code = 1103
+
+	StopCutOff      Code = 1401
+	AnswerFault     Code = 1402
+	StrangerRefused Code = 1403
 )
 
 var catalogue = map[Code]Entry{
@@ -53,6 +57,10 @@
 	VersionApplied: {Info, "configuration version applied", "nothing"},
 	VersionRefused: {Error, "configuration version refused; the version held stays in force", "read the error; a format error asks for a newer program on this node"},
 	StoreIsOlder:   {Error, "the platform store holds an older version than the fleet", "see docs/operators/versions.md; the fleet keeps its version"},
+
+	StopCutOff:      {Warn, "stop ran out of time and cut off calls", "give the stop more time than the longest deadline of the routes"},
+	AnswerFault:     {Error, "handler broke its answer; the connection was ended so that it does not look whole", "report it with the error: it is a fault of this program"},
+	StrangerRefused: {Warn, "connection without the fleet's proof refused; one line a second at most", "look at the address: a node with another fleet key, or someone who is no node"},
 }
 
 // Markdown returns the catalogue as the page docs/EVENTS.md.
--- a/internal/standin/measure/proxy.go
+++ b/internal/standin/measure/proxy.go
@@ -17,6 +17,7 @@
 
 	"banyanlug.example/banyanlug/internal/clock/timer"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/policy/membership"
 	"banyanlug.example/banyanlug/internal/traffic/caller"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
@@ -79,7 +80,7 @@
 		h := callerHandler(g, snap, to, clk)
 		g.start(func(ctx context.Context, done chan<- error) { serveNetHTTP(ctx, ln, h, done) })
 	default:
-		s := http1.New(callerHandler(g, snap, to, clk), clk)
+		s := caller.NewServer(callerHandler(g, snap, to, clk), clk, event.Discard())
 		g.start(func(ctx context.Context, done chan<- error) { s.Serve(ctx, ln, done) })
 	}
 	return Attend(in, out, Told{Address: ln.Addr().String()})
@@ -92,7 +93,7 @@
 	done <- s.Serve(ln)
 }
 
-func callerHandler(g *group, snap *snapshot.Snapshot, to netip.AddrPort, clk *timer.Service) http.Handler {
+func callerHandler(g *group, snap *snapshot.Snapshot, to netip.AddrPort, clk *timer.Service) *caller.Handler {
 	client := startClient(g, clk, hop.WithCredential(hop.NewCredential(fleetKey)), hop.AskFirst())
 	records := oneTarget{membership.NewRecord("t0", membership.Pool(poolName), membership.Address(to), membership.InState(membership.Ready))}
 	return caller.New(fixed{snap}, records, client, hop.NewSealer(fleetKey), clk)
--- a/internal/traffic/caller/rig_test.go
+++ b/internal/traffic/caller/rig_test.go
@@ -16,6 +16,7 @@
 
 	"banyanlug.example/banyanlug/internal/clock/timer"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/policy/membership"
 	standin "banyanlug.example/banyanlug/internal/standin/target"
 	"banyanlug.example/banyanlug/internal/traffic/caller"
@@ -38,7 +39,7 @@
 	ctx     context.Context
 	clk     *timer.Service
 	url     string
-	caller  *http1.Server
+	caller  *caller.Server
 	handler *caller.Handler
 	targets []*spot
 	config  *fixedConfig
@@ -86,7 +87,7 @@
 	}
 	client := r.client(hop.WithCredential(hop.NewCredential(fleetKey)), hop.AskFirst())
 	r.handler = caller.New(r.config, r, client, hop.NewSealer(fleetKey), r.clk, o.caller...)
-	r.caller = http1.New(r.handler, r.clk, o.server...)
+	r.caller = caller.NewServer(r.handler, r.clk, event.Discard(), o.server...)
 	r.url = "http://" + r.serve(r.caller).String()
 	return r
 }
--- a/internal/traffic/target/answer.go
+++ b/internal/traffic/target/answer.go
@@ -17,7 +17,9 @@
 		// What was passed on must not look whole.
 		panic(http.ErrAbortHandler)
 	}
-	http1.Refuse(c.w, refusalOf(err))
+	refusal := refusalOf(err)
+	c.h.meters.refused(refusal)
+	http1.Refuse(c.w, refusal)
 }
 
 // refusalOf is the one place that decides how a failure is told to nodes.
--- a/internal/traffic/target/authenticate.go
+++ b/internal/traffic/target/authenticate.go
@@ -2,7 +2,9 @@
 
 import (
 	"sync/atomic"
+	"time"
 
+	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
 )
 
@@ -18,6 +20,7 @@
 		return nil
 	}
 	if !c.h.credential.Verify(c.r.Header.Get(hop.FleetHeader)) {
+		c.h.tellOfStranger(c.r.RemoteAddr)
 		return &StrangerError{From: c.r.RemoteAddr}
 	}
 	if ok {
@@ -25,3 +28,13 @@
 	}
 	return nil
 }
+
+// strangerPeriod keeps someone who tries again and again from filling the log.
+const strangerPeriod = time.Second
+
+func (h *Handler) tellOfStranger(from string) {
+	now, last := h.clk.Now().UnixNano(), h.strangerAt.Load()
+	if now-last >= int64(strangerPeriod) && h.strangerAt.CompareAndSwap(last, now) {
+		h.log.Emit(event.StrangerRefused, event.F("from", from))
+	}
+}
--- a/internal/traffic/target/handler.go
+++ b/internal/traffic/target/handler.go
@@ -3,9 +3,13 @@
 import (
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
 )
 
@@ -18,6 +22,9 @@
 	slots      *Slots
 	guard      Guard
 	clk        *timer.Service
+	log        *event.Logger
+	meters     *meters
+	strangerAt atomic.Int64
 }
 
 // Option sets one property of a handler.
@@ -26,12 +33,20 @@
 // WithGuard sets what looks at calls that must not run twice.
 func WithGuard(g Guard) Option { return func(h *Handler) { h.guard = g } }
 
+// WithLog sets where the handler and its server write events.
+func WithLog(l *event.Logger) Option { return func(h *Handler) { h.log = l } }
+
+// WithMetrics registers the handler's metrics in set.
+func WithMetrics(set *metrics.Set) Option {
+	return func(h *Handler) { h.meters = newMeters(set, h.slots) }
+}
+
 // New returns a handler for the target at a local address, which it reaches
 // with client.
 func New(slots *Slots, local netip.AddrPort, client *hop.Client, credential *hop.Credential, sealer *hop.Sealer, clk *timer.Service, opts ...Option) *Handler {
 	h := &Handler{
 		slots: slots, local: local, client: client, credential: credential, sealer: sealer, clk: clk,
-		guard: unguarded{},
+		guard: unguarded{}, log: event.Discard(), meters: newMeters(metrics.NewSet(), slots),
 	}
 	for _, opt := range opts {
 		opt(h)
--- /dev/null
+++ b/internal/traffic/target/metrics.go
@@ -0,0 +1,34 @@
+package target
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/traffic/http1"
+)
+
+// meters tells what runs and waits at the target, and counts what is refused.
+type meters struct{ set *metrics.Set }
+
+func newMeters(set *metrics.Set, s *Slots) *meters {
+	gauge := func(name, labels string, f func() int) {
+		set.GetOrCreateGauge("banyanlug_target_"+name+labels, func() float64 { return float64(f()) })
+	}
+	gauge("slots", "", func() int { return s.Load().Slots() })
+	gauge("trial_slots", "", func() int { return s.Load().TrialSlots() })
+	for _, class := range []snapshot.Class{snapshot.Trial, snapshot.Paying} {
+		labels := fmt.Sprintf("{class=%q}", class)
+		gauge("running", labels, func() int { return s.Load().Running(class) })
+		gauge("waiting", labels, func() int { return s.Load().Waiting(class) })
+	}
+	return &meters{set: set}
+}
+
+// refused counts a call that got no answer of the target. Its types are few and
+// of this program's own making.
+func (m *meters) refused(r *http1.Refusal) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(
+		`banyanlug_target_refusals_total{type=%q,outcome=%q}`, r.Type, r.Outcome)).Inc()
+}
