--- /dev/null
+++ b/internal/log/event/calls.go
@@ -0,0 +1,14 @@
+package event
+
+// The 1400s are about calls.
+const (
+	StopCutOff      Code = 1401
+	AnswerFault     Code = 1402
+	StrangerRefused Code = 1403
+)
+
+var callsEvents = map[Code]Entry{
+	StopCutOff:      {Warn, "stop ran out of time and cut off calls", "give the stop more time than the longest deadline of the routes"},
+	AnswerFault:     {Error, "handler broke its answer; the connection was ended so that it does not look whole", "report it with the error: it is a fault of this program"},
+	StrangerRefused: {Warn, "connection without the fleet's proof refused; one line a second at most", "look at the address: a node with another fleet key, or someone who is no node"},
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -251,11 +251,11 @@
 	defer cancel()
 	if n.targets != nil {
 		if err := n.targets.Drain(dctx); err != nil {
-			n.log.Emit(event.DrainCut, event.F("error", err), event.F("side", "mesh"))
+			n.log.Emit(event.StopCutOff, event.F("error", err), event.F("side", "mesh"))
 		}
 	}
 	if err := n.callers.Drain(dctx); err != nil {
-		n.log.Emit(event.DrainCut, event.F("error", err), event.F("side", "callers"))
+		n.log.Emit(event.StopCutOff, event.F("error", err), event.F("side", "callers"))
 	}
 	n.peer.Announce(membership.Gone)
 	fctx, cancel = n.clock.WithTimeout(ctx, 2*time.Second)
