--- a/internal/policy/membership/record.go
+++ b/internal/policy/membership/record.go
@@ -126,6 +126,7 @@
 		cmp.Compare(r.state, other.state),
 		cmp.Compare(r.pool, other.pool),
 		r.address.Compare(other.address),
+		r.peer.Compare(other.peer),
 	)
 }
 
@@ -146,7 +147,8 @@
 	for _, s := range []string{r.instance, r.domain, r.pool} {
 		b = append(append(b, s...), 0)
 	}
-	b = r.address.AppendTo(b)
+	b = append(r.address.AppendTo(b), 0)
+	b = append(r.peer.AppendTo(b), 0)
 	b = binary.LittleEndian.AppendUint64(append(b, byte(r.state)), r.boot)
 	return xxh3.Hash(binary.LittleEndian.AppendUint64(b, r.seq))
 }
--- /dev/null
+++ b/internal/policy/membership/stateful_test.go
@@ -0,0 +1,330 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// Announcements come late, twice and in any order, the clock jumps, calls
+// suspect and silence passes. Whatever happens, a view holds of each instance
+// the one record that none of those merged supersedes, and only ready or
+// suspected members are in a pool.
+func TestStatefulMergeKeepsTheMaximum(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		v := New(home, 1)
+		now := start
+		var merged []Record
+		draw := func(t *rapid.T) Record {
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "instance")
+			r := rec(name, rapid.Uint64Range(1, 3).Draw(t, "boot"), rapid.Uint64Range(1, 3).Draw(t, "seq"),
+				State(rapid.IntRange(int(Starting), int(Suspect)).Draw(t, "state")))
+			r.pool = rapid.SampledFrom([]string{"binding", "inquiry"}).Draw(t, "pool")
+			return r
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"merge": func(t *rapid.T) {
+				batch := rapid.SliceOfN(rapid.Custom(draw), 1, 4).Draw(t, "batch")
+				merged = append(merged, batch...)
+				v.Merge(now, batch)
+			},
+			"repeat": func(t *rapid.T) {
+				if len(merged) > 0 {
+					if news := v.Merge(now, merged); len(news) > 0 {
+						t.Fatalf("news twice: %v", news)
+					}
+				}
+			},
+			"jump": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.Int64Range(-int64(time.Hour), int64(time.Hour)).Draw(t, "by")))
+				v.Expire(now, false)
+			},
+			"suspect": func(t *rapid.T) {
+				v.Suspect(now, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "instance"), 1)
+			},
+			"": func(t *rapid.T) {
+				want := maxima(merged)
+				if diff := cmp.Diff(want, recordsOf(v), cmp.Comparer(sameRecord)); diff != "" {
+					t.Fatalf("view (-want +got):\n%s", diff)
+				}
+				checkPools(t, v, want)
+			},
+		})
+	})
+}
+
+func sameRecord(a, b Record) bool { return a == b }
+
+// maxima is the oracle: for each instance the record that no other beats by
+// boot, then by being gone, then by sequence, then by state and pool.
+func maxima(records []Record) map[string]Record {
+	beats := func(a, b Record) bool {
+		x := fmt.Sprintf("%020d %v %020d %d %s", a.boot, a.state == Gone, a.seq, a.state, a.pool)
+		y := fmt.Sprintf("%020d %v %020d %d %s", b.boot, b.state == Gone, b.seq, b.state, b.pool)
+		return x > y
+	}
+	out := map[string]Record{}
+	for _, r := range records {
+		if held, ok := out[r.instance]; !ok || beats(r, held) {
+			out[r.instance] = r
+		}
+	}
+	return out
+}
+
+func recordsOf(v *View) map[string]Record {
+	out := map[string]Record{}
+	for _, r := range v.Records() {
+		out[r.instance] = r
+	}
+	return out
+}
+
+func checkPools(t *rapid.T, v *View, want map[string]Record) {
+	for _, pool := range []string{"binding", "inquiry"} {
+		seen := map[string]bool{}
+		for _, r := range append(append([]Record{}, v.Pool(pool)...), v.Fallback(pool)...) {
+			seen[r.instance] = true
+			if r != want[r.instance] || r.pool != pool || r.state != Ready && r.state != Suspect {
+				t.Fatalf("%s has %v, known is %v", pool, r, want[r.instance])
+			}
+		}
+		for _, r := range want {
+			if r.pool == pool && (r.state == Ready || r.state == Suspect) && !seen[r.instance] {
+				t.Fatalf("%s lacks %v", pool, r)
+			}
+		}
+		for _, r := range v.Pool(pool) {
+			if r.state == Suspect && len(v.Pool(pool)) != len(v.Fallback(pool)) {
+				t.Fatalf("%s prefers a suspect", pool)
+			}
+		}
+	}
+}
+
+// process is one process of an instance; two of one instance may overlap, as
+// when a paused one wakes after its replacement has started.
+type process struct {
+	self   *Self
+	relay  int
+	paused bool
+}
+
+// party is a failure domain of a root and two relays, with one node of another
+// domain that pulls from the root.
+type party struct {
+	now       time.Time
+	rand      *rand.Rand
+	epoch     uint64
+	views     [4]*View // root, two relays, the other domain's node
+	up, down  [4]Cursor
+	cut       [4]bool
+	processes []*process
+	late      []Record
+}
+
+const otherDomain = "valle-central/escazu"
+
+func newParty() *party {
+	p := &party{now: start, rand: rand.New(rand.NewPCG(1, 1))}
+	for i := range p.views {
+		p.reset(i)
+	}
+	return p
+}
+
+func (p *party) reset(i int) {
+	p.epoch++
+	domain := home
+	if i == 3 {
+		domain = otherDomain
+	}
+	p.views[i] = New(domain, p.epoch)
+	p.up[i], p.down[i] = Cursor{}, Cursor{}
+	if i == 0 {
+		p.up = [4]Cursor{}
+	}
+}
+
+// begin starts a process of an instance; a wrong clock gives it any boot.
+func (p *party) begin(instance string, relay int, skew time.Duration) {
+	self := NewSelf(p.now.Add(skew), p.rand, instance, Domain(home), Pool("binding"))
+	p.processes = append(p.processes, &process{self: self, relay: relay})
+}
+
+// beat is one heartbeat of a process, or its end if it was superseded.
+func (p *party) beat(s *process) (alive bool) {
+	if s.paused || p.cut[s.relay] {
+		return true
+	}
+	v := p.views[s.relay]
+	r := s.self.Record()
+	if held, ok := v.Record(home, r.instance); ok {
+		switch s.self.Learn(held) {
+		case Superseded:
+			return false
+		case Again, Stands:
+		}
+	}
+	r = s.self.Record()
+	if held, _ := v.Record(home, r.instance); !v.Heard(p.now, r.instance, r.boot) || held != r {
+		p.late = append(p.late, r)
+		v.Merge(p.now, []Record{r}, From(r.instance, home))
+		v.Heard(p.now, r.instance, r.boot)
+	}
+	return true
+}
+
+// pull is one pull of a relay, or of the other domain's node, from the root.
+func (p *party) pull(i int) {
+	if p.cut[i] {
+		return
+	}
+	root, v := p.views[0], p.views[i]
+	if i < 3 {
+		b := v.Since(p.up[i], Only(home), To("root"))
+		root.Merge(p.now, b.Records(), From(fmt.Sprint(i), home))
+		root.HeardBelow(p.now, v.Pulses(p.now))
+		p.up[i] = b.Cursor()
+	}
+	if i == 3 {
+		// The root pulls from the other domain as that one does from it.
+		b := v.Since(p.up[i], Holding(root.Digests()), To("root"))
+		root.Merge(p.now, b.Records(), From("3", otherDomain), Whole(b.Whole()...), Ages(v.Ages(p.now)))
+		p.up[i] = b.Cursor()
+	}
+	b := root.Since(p.down[i], Holding(v.Digests()), To(fmt.Sprint(i)))
+	v.Merge(p.now, b.Records(), From("root", home), Whole(b.Whole()...), Ages(root.Ages(p.now)))
+	p.down[i] = b.Cursor()
+}
+
+func (p *party) second(d time.Duration) {
+	p.now = p.now.Add(d)
+	for i, v := range p.views {
+		v.Expire(p.now, i == 0)
+	}
+}
+
+func (p *party) round() {
+	p.second(time.Second)
+	live := p.processes[:0]
+	for _, s := range p.processes {
+		if p.beat(s) {
+			live = append(live, s)
+		}
+	}
+	p.processes = live
+	for i := 1; i < len(p.views); i++ {
+		p.pull(i)
+	}
+}
+
+// Processes start, change state, crash, pause and wake, with clocks that are
+// wrong; relays and the root lose all they hold; links are cut; announcements
+// come again late. Once all is healed, every view holds the one process left of
+// each instance as it is, and none as ready that has ended.
+func TestStatefulViewsConverge(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		p := newParty()
+		some := func(t *rapid.T) *process {
+			if len(p.processes) == 0 {
+				t.Skip("no process")
+			}
+			return rapid.SampledFrom(p.processes).Draw(t, "process")
+		}
+		relay := rapid.IntRange(1, 2)
+		t.Repeat(map[string]func(*rapid.T){
+			"start": func(t *rapid.T) {
+				skew := time.Duration(rapid.Int64Range(-10, 10).Draw(t, "hours wrong")) * time.Hour
+				p.begin(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "instance"), relay.Draw(t, "relay"), skew)
+			},
+			"announce": func(t *rapid.T) {
+				some(t).self.Announce(rapid.SampledFrom([]State{Ready, Ready, Draining}).Draw(t, "state"))
+			},
+			"crash": func(t *rapid.T) {
+				s := some(t)
+				for i := range p.processes {
+					if p.processes[i] == s {
+						p.processes = append(p.processes[:i:i], p.processes[i+1:]...)
+						return
+					}
+				}
+			},
+			"pause or wake": func(t *rapid.T) { s := some(t); s.paused = !s.paused },
+			"move":          func(t *rapid.T) { some(t).relay = relay.Draw(t, "relay") },
+			"lose memory":   func(t *rapid.T) { p.reset(rapid.IntRange(0, 3).Draw(t, "view")) },
+			"cut or heal": func(t *rapid.T) {
+				i := rapid.IntRange(1, 3).Draw(t, "link")
+				p.cut[i] = !p.cut[i]
+			},
+			"late": func(t *rapid.T) {
+				if len(p.late) > 0 {
+					i := rapid.IntRange(1, 2).Draw(t, "view")
+					r := rapid.SampledFrom(p.late).Draw(t, "record")
+					p.views[i].Merge(p.now, []Record{r}, From(r.instance, home))
+				}
+			},
+			"clock jumps": func(t *rapid.T) {
+				p.second(time.Duration(rapid.Int64Range(-100, 100).Draw(t, "minutes")) * time.Minute)
+			},
+			"rounds": func(t *rapid.T) {
+				for range rapid.IntRange(1, 30).Draw(t, "n") {
+					p.round()
+				}
+			},
+		})
+		p.heal()
+		p.check(t)
+	})
+}
+
+func (p *party) heal() {
+	p.cut = [4]bool{}
+	for _, s := range p.processes {
+		s.paused = false
+	}
+	// Long enough for the slowest case: most of the domain silent, which is
+	// claimed after a minute, and flaps damped.
+	for range 200 {
+		p.round()
+	}
+}
+
+func (p *party) check(t *rapid.T) {
+	want := map[string]Record{}
+	for _, s := range p.processes {
+		r := s.self.Record()
+		if _, twice := want[r.instance]; twice {
+			t.Fatalf("two processes of %s go on", r.instance)
+		}
+		want[r.instance] = r
+	}
+	for i, v := range p.views {
+		for instance, r := range recordsOf(v) {
+			if w, ok := want[instance]; ok && r != w {
+				t.Fatalf("view %d holds %v, the process announced %v", i, r, w)
+			} else if !ok && r.state != Gone && r.state != Suspect {
+				t.Fatalf("view %d holds %v, which has ended", i, r)
+			}
+		}
+		for instance, w := range want {
+			if _, ok := v.Record(home, instance); !ok {
+				t.Fatalf("view %d lacks %v", i, w)
+			}
+		}
+		if diff := cmp.Diff(p.views[0].Digests(), v.Digests()); diff != "" && i < 3 {
+			t.Fatalf("view %d differs from the root's:\n%s", i, diff)
+		}
+		for _, r := range v.Pool("binding") {
+			if w, ok := want[r.instance]; ok && w.state == Ready && r != w {
+				t.Fatalf("view %d sends calls to %v", i, r)
+			}
+		}
+	}
+}
--- a/internal/policy/membership/view.go
+++ b/internal/policy/membership/view.go
@@ -131,8 +131,8 @@
 	at := v.line.advance(now)
 	byDomain := map[string][]Record{}
 	for _, r := range records {
-		if v.admissible(r, o) {
-			byDomain[r.domain] = append(byDomain[r.domain], r)
+		if valid(r) {
+			byDomain[r.domain] = append(byDomain[r.domain], v.foreign(r, o))
 		}
 	}
 	var news []Record
@@ -149,14 +149,23 @@
 	return news
 }
 
-// admissible refuses what other failure domains say of this one's members:
-// their copies may be an hour old, and a copy of a record whose tombstone is
-// forgotten here would bring the dead back.
-func (v *View) admissible(r Record, o mergeOptions) bool {
-	if r.instance == "" || r.domain == "" || r.state < Starting || r.state > Suspect {
-		return false
+// foreign returns what another failure domain's word on a member of this one is
+// worth. That a member lives is not believed: the copy may be an hour old, and
+// its tombstone forgotten here. But neither is it ignored, since this domain's
+// root may have lost its memory while others go on sending calls to a member
+// that has died: it becomes a claim of silence, which the member refutes or
+// which ends in a tombstone that reaches every copy.
+func (v *View) foreign(r Record, o mergeOptions) Record {
+	if r.domain == v.domain && o.domain != v.domain && r.state.alive() {
+		if held, ok := v.Record(r.domain, r.instance); !ok || r.Newer(held) {
+			r.state = Suspect
+		}
 	}
-	return r.domain != v.domain || o.domain == v.domain
+	return r
+}
+
+func valid(r Record) bool {
+	return r.instance != "" && r.domain != "" && r.state >= Starting && r.state <= Suspect
 }
 
 func (v *View) mergeDomain(d *domain, at time.Duration, batch []Record, from string, p *publisher) []Record {
@@ -164,6 +173,7 @@
 	for _, r := range batch {
 		m, ok := d.members[r.instance]
 		if ok && !r.Newer(m.record) {
+			v.remind(d, m, r)
 			continue
 		}
 		if !ok {
@@ -179,6 +189,15 @@
 	return news
 }
 
+// remind passes a tombstone on once more if a peer still holds the instance as
+// living: digests leave tombstones out, so that the peer may not have it.
+func (v *View) remind(d *domain, m *member, held Record) {
+	if m.record.state == Gone && held.state != Gone {
+		m.changed, m.from = v.seq.Add(1), ""
+		d.changed = m.changed
+	}
+}
+
 // accept replaces a member's record by a newer one.
 func (v *View) accept(d *domain, m *member, r Record, at time.Duration, from string, p *publisher) {
 	old := m.record
