--- a/internal/policy/tree/tree_test.go
+++ b/internal/policy/tree/tree_test.go
@@ -226,6 +226,7 @@
 		{"a node that knows nobody is the root", nil, "a", true, nil},
 		{"a starting node pulls from a ready one", []membership.Record{inState("a", d, membership.Starting), ready("b", d)}, "a", false, []string{"b"}},
 		{"a ready node does not pull from a starting one", []membership.Record{inState("a", d, membership.Starting), ready("b", d)}, "b", true, nil},
+		{"nor where their hashes are the other way round", []membership.Record{inState("b", d, membership.Starting), ready("a", d)}, "a", true, nil},
 		{"nobody pulls from one that drains", []membership.Record{inState("a", d, membership.Draining), ready("b", d)}, "b", true, nil},
 		{"one that drains pulls from those that stay", []membership.Record{inState("a", d, membership.Draining), ready("b", d)}, "a", false, []string{"b"}},
 		{"nobody pulls from a suspect", []membership.Record{inState("a", d, membership.Suspect), ready("b", d)}, "b", true, nil},
