--- a/internal/policy/membership/scenario_test.go
+++ b/internal/policy/membership/scenario_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -84,6 +85,21 @@
 	}
 }
 
+// Many calls fail and report it with the time at which they began, a second ago.
+// That must not make time run faster: every member would look silent at once.
+func TestCallersThatTellAnEarlierTime(t *testing.T) {
+	t.Parallel()
+	v, all := fleetOf(5)
+	run(v, start, 4, all...)
+	now := start.Add(4 * time.Second)
+	for range 100 {
+		v.Suspect(now.Add(-time.Second), "none", 1)
+		if claims := v.Expire(now, true); len(claims) != 0 {
+			t.Fatalf("claims: %v", claims)
+		}
+	}
+}
+
 // The root dies and another node takes over, which heard none of the members
 // that pulled elsewhere. Their time starts at the take-over.
 func TestANewRootGivesEachMemberItsTime(t *testing.T) {
@@ -439,3 +455,45 @@
 		t.Errorf("the other domain holds %v", held)
 	}
 }
+
+// Relays merge, calls look up and suspect, and time passes, all at once; in the
+// end each pool holds what its members' records say.
+func TestConcurrentUse(t *testing.T) {
+	t.Parallel()
+	v, _ := fleetOf(50)
+	var wg sync.WaitGroup
+	for g := range 4 {
+		wg.Go(func() {
+			r := rand.New(rand.NewPCG(uint64(g), 1))
+			for i := range 300 {
+				m := rec(fmt.Sprintf("m%d", r.IntN(50)), 1, r.Uint64N(40), State(1+r.IntN(5)))
+				m.pool = []string{"binding", "inquiry"}[r.IntN(2)]
+				v.Merge(start, []Record{m})
+				v.Suspect(start, m.instance, 1)
+				v.Since(NewCursor(1, uint64(i)))
+				v.Expire(start.Add(time.Duration(i)*time.Millisecond), g == 0)
+				for _, held := range v.Pool("binding") {
+					if held.Pool() != "binding" {
+						t.Errorf("binding holds %v", held)
+					}
+				}
+			}
+		})
+	}
+	wg.Wait()
+	for _, pool := range []string{"binding", "inquiry"} {
+		want := 0
+		for _, r := range v.Records() {
+			if r.pool == pool && (r.state == Ready || r.state == Suspect) {
+				want++
+			}
+		}
+		got := len(v.Fallback(pool))
+		if p := v.Pool(pool); len(p) > 0 && (got == 0 || p[0] != v.Fallback(pool)[0]) {
+			got += len(p)
+		}
+		if got != want {
+			t.Errorf("%s has %d members, want %d", pool, got, want)
+		}
+	}
+}
