Let a node whose parents all wait for each other act as a root

Two nodes whose views differ about who serves can be each other's only parent. Both answered, so neither was alone, and both stayed stale for good (TestStatefulDifferingViewsHearOfARoot: 4 minutes of 4 without a word).

--- a/internal/policy/tree/selector.go
+++ b/internal/policy/tree/selector.go
@@ -34,8 +34,11 @@
 	tries   map[string]*try
 	// pause is until when a busy parent asked to be left alone.
 	pause time.Time
-	// failing is since when no parent has answered, or zero.
-	failing time.Time
+	// failing is since when no parent has answered, stalled since when none has
+	// with fresh word of a root; zero if one has.
+	failing, stalled time.Time
+	// patience is how long all may stay stale.
+	patience time.Duration
 }
 
 // try is what the node saw of one parent.
@@ -50,7 +53,10 @@
 
 // NewSelector returns a selector that draws its jitter from r.
 func NewSelector(r *rand.Rand) *Selector {
-	return &Selector{rand: r, tries: map[string]*try{}}
+	// In a part of the tree that is cut off from the root, drawn patience lets
+	// one node lose it first; its word then reaches those below in time.
+	patience := staleAfter + time.Duration(r.Int64N(int64(staleAfter)))
+	return &Selector{rand: r, tries: map[string]*try{}, patience: patience}
 }
 
 // Update takes over the parents of a new position.
@@ -144,15 +150,25 @@
 	t.backoff.Reset()
 	t.retry, t.avoid = time.Time{}, time.Time{}
 	t.age, t.stale = age, age >= staleAfter
+	switch {
+	case !t.stale:
+		s.stalled = time.Time{}
+	case s.stalled.IsZero() || s.stalled.After(now):
+		s.stalled = now
+	}
 	if t.stale {
 		t.avoid = now.Add(s.hold())
 	}
 }
 
-// Alone reports whether no parent has answered for so long that the node reads
-// the store and judges silence itself.
+// Alone reports whether no parent has answered, or none with fresh word of a
+// root, for so long that the node reads the store and acts as a root itself.
+// Nodes whose views make them each other's parents would otherwise wait for
+// each other.
 func (s *Selector) Alone(now time.Time) bool {
-	return len(s.parents) == 0 || !s.failing.IsZero() && now.Sub(s.failing) >= aloneAfter
+	return len(s.parents) == 0 ||
+		!s.failing.IsZero() && now.Sub(s.failing) >= aloneAfter ||
+		!s.stalled.IsZero() && now.Sub(s.stalled) >= s.patience
 }
 
 // hold draws a hold-down, so that those who left a parent together do not
--- a/internal/policy/tree/selector_test.go
+++ b/internal/policy/tree/selector_test.go
@@ -277,6 +277,71 @@
 	})
 }
 
+// Nodes of a domain know different members and disagree about their states, so
+// that some pull from each other in a loop, and some are down. Nobody may wait
+// for good for word of a root: each that is up hears, or reads the store itself.
+func TestStatefulDifferingViewsHearOfARoot(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 30).Draw(t, "members")
+		r := random(rapid.Uint64().Draw(t, "seed"))
+		knows, starts, isDown := rapid.IntRange(2, 10).Draw(t, "known of 10"), rapid.IntRange(0, 5).Draw(t, "starting of 10"), rapid.IntRange(0, 4).Draw(t, "down of 10")
+		down := make([]bool, n)
+		selectors := make([]*Selector, n)
+		fresh := make([]time.Time, n)
+		index := map[string]int{}
+		for i := range n {
+			index[fmt.Sprint("n", i)] = i
+			down[i] = r.IntN(10) < isDown
+			fresh[i] = start
+		}
+		for i := range n {
+			var view []membership.Record
+			for j := range n {
+				state := membership.Ready
+				if r.IntN(10) < starts {
+					state = membership.Starting
+				}
+				if r.IntN(10) < knows {
+					view = append(view, inState(fmt.Sprint("n", j), "d", state))
+				}
+			}
+			selectors[i] = NewSelector(r)
+			selectors[i].Update(Place(fmt.Sprint("n", i), "d", view))
+		}
+		now := start
+		for range 60 {
+			now = now.Add(membership.Heartbeat)
+			for i, s := range selectors {
+				// A node that finds a parent down asks the next at once.
+				for range n {
+					parent, _ := s.Next(now)
+					if parent.Instance() == "" {
+						break
+					}
+					if p := index[parent.Instance()]; !down[p] {
+						s.Answered(now, parent.Instance(), now.Sub(fresh[p]))
+						fresh[i] = fresh[p]
+						break
+					}
+					s.Failed(now, parent.Instance())
+				}
+				if s.Alone(now) {
+					fresh[i] = now
+				}
+			}
+		}
+		// Stale after staleAfter, patient for up to twice that, and then a few
+		// hops: in a loop, the word of the one that lost patience goes round and
+		// has to grow old again.
+		for i := range n {
+			if age := now.Sub(fresh[i]); !down[i] && age > 4*staleAfter {
+				t.Fatalf("node %d of %d has heard nothing of a root for %v", i, n, age)
+			}
+		}
+	})
+}
+
 // All nodes of a domain know the same members, in any states. Following the
 // parents up from any of them ends at a root after a few hops, and never loops.
 func TestStatefulEqualViewsHaveNoLoops(t *testing.T) {
