Add limits that hold across the fleet: shares that move with demand

Cause: a limit enforced whole at each node lets in as many times the limit as there are nodes, and an even split refuses calls while the shares of idle nodes lie unused.

Conclusion: the sum of shares never exceeds the limit; what is let in exceeds it by a tenth of a second's calls and by the first calls of nodes without a share.

--- /dev/null
+++ b/internal/policy/limit/limit_test.go
@@ -0,0 +1,188 @@
+package limit
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/policy/play"
+)
+
+func TestAllocate(t *testing.T) {
+	t.Parallel()
+	endless := math.Inf(1)
+	for _, c := range []struct {
+		name    string
+		limit   Amounts
+		demands []Amounts
+		want    []Amounts
+	}{
+		{"nobody", Amounts{100, 10}, nil, []Amounts{}},
+		{"demand that fits gets an even part of the rest", Amounts{100, 10}, []Amounts{{60, 2}, {20, 2}}, []Amounts{{70, 5}, {30, 5}}},
+		{"demand beyond the limit gets shares in proportion", Amounts{100, 10}, []Amounts{{300, 30}, {100, 10}}, []Amounts{{75, 8}, {25, 2}}},
+		{"calls at once are whole", Amounts{1, 3}, []Amounts{{1, 9}, {1, 9}}, []Amounts{{0.5, 2}, {0.5, 1}}},
+		{"no limit gives no bound", Amounts{endless, 4}, []Amounts{{5, 9}, {5, 9}}, []Amounts{{endless, 2}, {endless, 2}}},
+		{"no demand is split evenly", Amounts{10, 4}, []Amounts{{}, {}}, []Amounts{{5, 2}, {5, 2}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			if diff := cmp.Diff(c.want, Allocate(c.limit, c.demands), cmp.AllowUnexported(Amounts{})); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// granted returns a holder with a share of acme's limit.
+func holding(rate, atOnce float64) *Holder {
+	h := NewHolder()
+	h.Allow(play.Start, byRate)
+	h.Release(play.Start, "acme")
+	h.Apply(play.Start, []Grant{NewGrant("acme", 1, NewAmounts(rate, atOnce), Amounts{rate: 1, concurrency: 1}, NodeLease)})
+	return h
+}
+
+// allowed returns how many of n calls at one moment are let in.
+func allowed(h *Holder, now time.Time, l snapshot.Limit, n int) int {
+	got := 0
+	for range n {
+		if _, ok := h.Allow(now, l).(Allowed); ok {
+			got++
+		}
+	}
+	return got
+}
+
+func TestHolder(t *testing.T) {
+	t.Parallel()
+	both := snapshot.NewLimit("acme", limitRate, limitAtOnce)
+	at := func(d time.Duration) time.Time { return play.Start.Add(d) }
+	for _, c := range []struct {
+		name string
+		got  func() int
+		want int
+	}{
+		{"a burst is a tenth of a second's share", func() int { return allowed(holding(200, 50), at(time.Second), both, 100) }, 20},
+		{"calls at once are bounded by the share", func() int { return allowed(holding(1000, 7), at(time.Second), both, 100) }, 7},
+		{"after the lease the floor is left", func() int { return allowed(holding(1000, 7), at(NodeLease+time.Second), both, 100) }, 1},
+		{"before the first share the default is taken", func() int { return allowed(NewHolder(), play.Start, both, 100) }, 1},
+		{"a smaller limit binds before the share follows", func() int { return allowed(holding(1000, 7), at(time.Second), snapshot.NewLimit("acme", 0, 3), 100) }, 3},
+		{"no limit lets all in", func() int { return allowed(NewHolder(), play.Start, snapshot.NewLimit("acme", 0, 0), 1000) }, 1000},
+		{"an ended call makes room", func() int {
+			h := holding(1000, 1)
+			n := allowed(h, at(time.Second), both, 1)
+			h.Release(play.Start, "acme")
+			return n + allowed(h, at(time.Second), both, 2)
+		}, 2},
+		{"an older grant changes nothing", func() int {
+			h := holding(1000, 7)
+			h.Apply(at(ms), []Grant{NewGrant("acme", 1, NewAmounts(1000, 50), Amounts{}, NodeLease)})
+			return allowed(h, at(time.Second), both, 100)
+		}, 7},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			if got := c.got(); got != c.want {
+				t.Errorf("%d calls let in, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+// A hundred refused calls keep to the times they were told. They come back as
+// fast as the share allows, not together.
+func TestRefusedCallsAreToldDifferentTimes(t *testing.T) {
+	t.Parallel()
+	h := holding(100, 1000)
+	now := play.Start.Add(time.Second)
+	allowed(h, now, byRate, 10)
+	var last time.Duration
+	for i := range 100 {
+		r := h.Allow(now, byRate).(Refused)
+		if r.Quantity() != Rate || r.RetryAfter() <= last || r.RetryAfter() > time.Duration(i+2)*10*ms {
+			t.Fatalf("call %d is told %v after %v for %v", i, r.RetryAfter(), last, r.Quantity())
+		}
+		last = r.RetryAfter()
+	}
+}
+
+// An organisation without calls gives its share back, and is forgotten at the
+// node and in the ledger.
+func TestIdleOrganisationIsForgotten(t *testing.T) {
+	t.Parallel()
+	l, h := NewLedger(play.Start, Limited(Of(byRate)), Planned(1), Expect("a")), NewHolder()
+	now := play.Start
+	allowed(h, now, byRate, 10)
+	h.Release(play.Start, "acme")
+	reports := 0
+	for range 40 {
+		now = now.Add(time.Second)
+		for _, r := range h.Reports(now, false) {
+			reports++
+			if g, ok := l.Report(now, "a", r); ok {
+				h.Apply(now, []Grant{g})
+			}
+		}
+	}
+	if got, _ := l.Reserved(now); got != (Amounts{}) || len(l.children) != 0 {
+		t.Errorf("%v stays reserved for %d children", got, len(l.children))
+	}
+	if got := len(h.Reports(now, false)); got != 0 {
+		t.Errorf("%d reports of an idle organisation, %d before", got, reports)
+	}
+}
+
+func TestAllowAllocatesNothing(t *testing.T) {
+	h := holding(1e9, 1e9)
+	big := snapshot.NewLimit("acme", 1e7, 1e6)
+	if n := testing.AllocsPerRun(1000, func() {
+		h.Allow(play.Start.Add(time.Second), big)
+		h.Release(play.Start, "acme")
+	}); n != 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
+
+func BenchmarkAllowAndRelease(b *testing.B) {
+	for _, n := range []int{1, 100, 1000} {
+		b.Run(fmt.Sprintf("organisations=%d", n), func(b *testing.B) {
+			h := NewHolder(DefaultShare(1))
+			limits := make([]snapshot.Limit, n)
+			for i := range limits {
+				limits[i] = snapshot.NewLimit(fmt.Sprintf("organisation-%d", i), 1e7, 1e6)
+			}
+			now, i := play.Start, 0
+			b.ReportAllocs()
+			for b.Loop() {
+				i = (i + 7) % n
+				now = now.Add(time.Microsecond)
+				h.Allow(now, limits[i])
+				h.Release(now, limits[i].Organisation())
+			}
+		})
+	}
+}
+
+// One heartbeat of one organisation at a domain's relay of 190 nodes.
+func BenchmarkLedgerReport(b *testing.B) {
+	l := NewLedger(play.Start, Limited(Of(byRate)), Planned(190), Expect("node-0"))
+	names := make([]string, 190)
+	held := make([]Grant, 190)
+	for i := range names {
+		names[i] = fmt.Sprintf("node-%d", i)
+	}
+	now, i := play.Start, 0
+	b.ReportAllocs()
+	for b.Loop() {
+		i = (i + 1) % len(names)
+		now = now.Add(time.Second / 190)
+		r := NewReport("acme", NewAmounts(float64(5+i%7), 1), held[i].Seq(), held[i].Amount(), held[i].Floor())
+		if g, ok := l.Report(now, names[i], r); ok {
+			held[i] = g
+		}
+	}
+}
