Tell fewer reports of limits, play a cold herd

Cause: a node told each change of demand by a fifth, which at small rates is chance, and a ledger took back each share a hundredth too large.

Conclusion: a share is told when it is too small or far too large.

--- a/internal/policy/balance/load_test.go
+++ b/internal/policy/balance/load_test.go
@@ -182,3 +182,38 @@
 	}
 	t.Logf("failed %d of %d, in turn %d", got.failed, got.asked, turn.failed)
 }
+
+// Half of a pool is replaced at once and starts cold: three times slower for
+// three seconds. The other half can't carry all: the cold targets must take
+// their part before lines form at the warm ones, but not more than they can.
+func TestColdHerdSharesTheLoad(t *testing.T) {
+	t.Parallel()
+	run := func(policy func(*stage) *stage) *stage {
+		var s *stage
+		targets := servers(10, "sabana")
+		cold := between(&s, 5*time.Second, 8*time.Second, 2)
+		for _, sv := range targets[:5] {
+			sv.slow = func() float64 { return 1 + cold() }
+		}
+		s = policy(newStage(domains(20, "sabana"), targets...))
+		s.After(5*time.Second, func() {
+			if b, ok := s.picker.(*balanced); ok {
+				b.reboot(5)
+			}
+		})
+		// 6600 calls a second hold 66 slots of 120, and 60 are warm.
+		s.play(6600, 12*time.Second)
+		return s
+	}
+	got, turn := run(balance), run(roundRobin)
+	before, during := got.p99(0, 5*time.Second), got.p99(5*time.Second, 8*time.Second)
+	turnDuring := turn.p99(5*time.Second, 8*time.Second)
+	if during > 5*before/2 || turnDuring < 5*before {
+		t.Errorf("p99 %v before and %v while half of the pool is cold, in turn %v", before, during, turnDuring)
+	}
+	longest := 0
+	for _, sv := range got.servers {
+		longest = max(longest, sv.longest)
+	}
+	t.Logf("p99 %v before, %v during, in turn %v; longest line %d", before, during, turnDuring, longest)
+}
--- a/internal/policy/balance/play_test.go
+++ b/internal/policy/balance/play_test.go
@@ -177,6 +177,21 @@
 	return s
 }
 
+// reboot announces the first n targets anew, as just started.
+func (b *balanced) reboot(n int) {
+	var records []membership.Record
+	for i, sv := range b.s.servers {
+		boot := uint64(1)
+		if i < n {
+			boot = 2
+		}
+		records = append(records, record(i, sv.domain, boot, membership.Ready))
+	}
+	for _, one := range b.balancers {
+		one.Update(b.s.Now(), "pool", slots, records)
+	}
+}
+
 func record(i int, domain string, boot uint64, state membership.State) membership.Record {
 	return membership.NewRecord(fmt.Sprintf("target-%d", i), membership.Domain(domain), membership.Pool("pool"),
 		membership.Address(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(1000+i))),
--- a/internal/policy/limit/holder.go
+++ b/internal/policy/limit/holder.go
@@ -30,11 +30,13 @@
 	surelyGone = 10
 	// idleRate is a demand so small that the default share serves it.
 	idleRate = 0.01
-	// sameDemand is how little a demand must have changed not to be told with
-	// each heartbeat; the share is still renewed when half of its lease is
-	// over. A node that serves hundreds of organisations would otherwise send
-	// and get tens of bytes for each of them every second.
-	sameDemand = 0.2
+	// halved is how far a demand must have sunk to be told with the next
+	// heartbeat, and telling the least that it must have been. One that grows
+	// within its share need not be told, and other changes wait until half of
+	// the lease is over: a node that serves hundreds of organisations would
+	// otherwise send and get tens of bytes for each of them every second.
+	halved  = 0.5
+	telling = 5
 	// farewells is how often an idle organisation tells that it holds nothing,
 	// so that a lost heartbeat or two leave nothing counted for it.
 	farewells = 3
@@ -233,10 +235,10 @@
 		return true
 	}
 	half := a.share.until.Add(-a.share.lease / 2)
-	return !now.Before(half) || changed(a.told.rate, want.rate) || changed(a.told.concurrency, want.concurrency)
+	return !now.Before(half) || sunk(a.told.rate, want.rate) || sunk(a.told.concurrency, want.concurrency)
 }
 
-func changed(from, to float64) bool { return math.Abs(to-from) > sameDemand*from }
+func sunk(from, to float64) bool { return from >= telling && to < halved*from }
 
 // report tells the calls at once that still run beyond a smaller share too: the
 // ledger would otherwise let others begin before these have ended.
--- a/internal/policy/limit/ledger.go
+++ b/internal/policy/limit/ledger.go
@@ -56,7 +56,9 @@
 	// what they may be using once their leases have run out.
 	total      Amounts
 	floorTotal Amounts
-	refreshed  time.Time
+	// short is whether the children want more than there is.
+	short     bool
+	refreshed time.Time
 }
 
 // child is one node or domain below a ledger.
@@ -167,7 +169,7 @@
 	amount = amount.whole()
 	floor := l.floorFor(c, r.heldSeq, amount, unknown)
 	amount = amount.most(floor)
-	if c.holds(now, amount, l.lease) {
+	if c.holds(now, amount, l.lease, l.short) {
 		return Grant{}, false
 	}
 	l.seq = max(l.seq, c.seq) + 1
@@ -329,6 +331,11 @@
 			demands = append(demands, c.want)
 		}
 	}
+	var wanted Amounts
+	for _, d := range demands {
+		wanted = wanted.plus(d)
+	}
+	l.short = !wanted.within(left)
 	for i, share := range Allocate(left, demands) {
 		sharing[i].target = share
 	}
@@ -410,18 +417,22 @@
 }
 
 // holds reports whether the child has a grant in force that will do for amount.
-func (c *child) holds(now time.Time, amount Amounts, lease time.Duration) bool {
+func (c *child) holds(now time.Time, amount Amounts, lease time.Duration, short bool) bool {
 	if len(c.grants) != 1 || c.grants[0].seq != c.seq {
 		return false
 	}
 	g := c.grants[0]
-	return g.until.Sub(now) > lease/2 && near(g.amount.rate, amount.rate) && near(g.amount.concurrency, amount.concurrency)
+	return g.until.Sub(now) > lease/2 && near(g.amount.rate, amount.rate, short) && near(g.amount.concurrency, amount.concurrency, short)
 }
 
-// near reports whether a held share is as good as amount: a little less does
-// the child no harm, and a little more would be missing elsewhere.
-func near(held, amount float64) bool {
-	return held == amount || (held <= amount*(1+sameShare/10) && held >= amount*(1-sameShare))
+// near reports whether a held share is as good as amount. A little less does
+// the child no harm; a little more does others none unless the limit is short.
+func near(held, amount float64, short bool) bool {
+	over := sameShare
+	if short {
+		over = sameShare / 10
+	}
+	return held == amount || (held <= amount*(1+over) && held >= amount*(1-sameShare))
 }
 
 // silent reports whether the child's demand is no longer known.
