--- a/internal/control/peer/node_test.go
+++ b/internal/control/peer/node_test.go
@@ -67,7 +67,7 @@
 	}
 	addr := ln.Addr().(*net.TCPAddr).AddrPort()
 	now := f.clock.Now()
-	self := membership.NewSelf(now, name, membership.Domain(domain), membership.Pool("p"), membership.Peer(addr),
+	self := membership.NewSelf(now, newRand(uint64(now.UnixNano())), name, membership.Domain(domain), membership.Pool("p"), membership.Peer(addr),
 		membership.Address(addr), membership.InState(membership.Ready))
 	opts := []Option{WithSeeds(seeds...)}
 	if st != nil {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"time"
@@ -37,7 +38,7 @@
 	view      *membership.View
 	peer      *peer.Node
 	hop       *hop.Client
-	callers   *http1.Server
+	callers   *caller.Server
 	slots     *target.Slots
 	targets   *target.Server
 	local     netip.AddrPort
@@ -129,7 +130,7 @@
 	if seed == 0 {
 		seed = uint64(now.UnixNano())
 	}
-	self := membership.NewSelf(now, n.cfg.instance,
+	self := membership.NewSelf(now, rand.New(rand.NewPCG(seed, 2)), n.cfg.instance,
 		membership.Domain(n.cfg.domain), membership.Pool(n.cfg.pool), membership.InState(membership.Starting),
 		membership.Address(addrOf(n.listeners.mesh)), membership.Peer(addrOf(n.listeners.peers)))
 	n.view = membership.New(n.cfg.domain, seed|1)
@@ -153,14 +154,15 @@
 	credential, sealer := hop.NewCredential(key), hop.NewSealer(key)
 	n.hop = hop.NewClient(n.clock, hop.WithCredential(credential), hop.WithTLS(dialing), hop.AskFirst())
 	calls := caller.New(n.peer.Holder(), directory{n.view}, n.hop, sealer, n.clock, caller.WithMetrics(n.metrics))
-	n.callers = http1.New(calls, n.clock)
+	n.callers = caller.NewServer(calls, n.clock, n.log)
 	if n.cfg.pool == "" {
 		return
 	}
 	// The settings have been checked, so the address can be read.
 	n.local, _ = netip.ParseAddrPort(n.cfg.target)
 	n.slots = target.NewSlots(n.peer.Holder(), n.cfg.pool, n.clock)
-	h := target.New(n.slots, n.local, hop.NewClient(n.clock), credential, sealer, n.clock)
+	h := target.New(n.slots, n.local, hop.NewClient(n.clock), credential, sealer, n.clock,
+		target.WithLog(n.log), target.WithMetrics(n.metrics))
 	n.targets = target.NewServer(h, n.clock, http1.WithTLS(serving))
 }
 
@@ -250,13 +252,10 @@
 	dctx, cancel := n.clock.WithTimeout(ctx, n.cfg.drainTimeout)
 	defer cancel()
 	if n.targets != nil {
-		if err := n.targets.Drain(dctx); err != nil {
-			n.log.Emit(event.StopCutOff, event.F("error", err), event.F("side", "mesh"))
-		}
-	}
-	if err := n.callers.Drain(dctx); err != nil {
-		n.log.Emit(event.StopCutOff, event.F("error", err), event.F("side", "callers"))
+		// What a drain cut off is in the log; the stop goes on all the same.
+		_ = n.targets.Drain(dctx)
 	}
+	_ = n.callers.Drain(dctx)
 	n.peer.Announce(membership.Gone)
 	fctx, cancel = n.clock.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
