Versions are decided by the pure rules alone

Cause: the holder had its own comparison of numbers beside policy/version, and a relay would have given a whole version to a peer on another branch of history, which reverts what that peer holds. The -settle setting is gone: a start without the store waits for enough serving peers, not for a time.

--- a/internal/control/peer/read.go
+++ b/internal/control/peer/read.go
@@ -7,6 +7,7 @@
 
 	"banyanlug.example/banyanlug/internal/control/publish"
 	"banyanlug.example/banyanlug/internal/log/event"
+	"banyanlug.example/banyanlug/internal/policy/version"
 )
 
 const (
@@ -19,6 +20,9 @@
 	readPause = 2 * time.Second
 )
 
+// storeName is what events call the store as the source of a version.
+const storeName = "store"
+
 // read watches the store for the failure domain while the node is a reader.
 func (n *Node) read(ctx context.Context, done chan<- error) {
 	r := &reader{n: n}
@@ -74,10 +78,12 @@
 		return err
 	}
 	for _, d := range deltas {
-		if err := n.offer(d); needsFull(err) {
+		full, err := n.offer(ctx, version.Store, version.Delta{Delta: d}, storeName)
+		if err != nil {
+			return err
+		}
+		if full {
 			return r.load(ctx)
-		} else if err != nil {
-			return n.refused(ctx, err, "store")
 		}
 	}
 	return nil
@@ -88,8 +94,8 @@
 	if err != nil {
 		return err
 	}
-	r.n.offerFull(s)
-	return nil
+	_, err = r.n.offer(ctx, version.Store, version.Full{Snapshot: s}, storeName)
+	return err
 }
 
 func (r *reader) failed(ctx context.Context, err error) {
--- a/internal/control/peer/server.go
+++ b/internal/control/peer/server.go
@@ -8,8 +8,10 @@
 
 	"banyanlug.example/banyanlug/internal/config/snapshot"
 	"banyanlug.example/banyanlug/internal/control/peer/peerpb"
+	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/policy/membership"
 	"banyanlug.example/banyanlug/internal/policy/tree"
+	"banyanlug.example/banyanlug/internal/policy/version"
 )
 
 const (
@@ -59,7 +61,7 @@
 	orphan := n.clock.Subscribe(orphanAfter / 2)
 	defer orphan.Stop()
 	for {
-		version, members := n.holder.Changed(), n.memberChange()
+		applied, members := n.holder.Changed(), n.memberChange()
 		resp, news := s.answer(req)
 		if !known {
 			s.unknown(req, resp)
@@ -76,10 +78,10 @@
 		case <-wait.C():
 			resp, _ := s.answer(req)
 			return resp, nil
-		case <-version:
+		case <-applied:
 		case <-orphan.C():
 		case <-members:
-			s.gather(ctx, version)
+			s.gather(ctx, applied)
 		}
 	}
 }
@@ -124,12 +126,12 @@
 
 // gather waits for more member changes unless a version comes first: nobody
 // holds back a confirmed configuration.
-func (s server) gather(ctx context.Context, version <-chan struct{}) {
+func (s server) gather(ctx context.Context, applied <-chan struct{}) {
 	batch := s.n.clock.After(memberBatch)
 	defer batch.Stop()
 	select {
 	case <-batch.C():
-	case <-version:
+	case <-applied:
 	case <-ctx.Done():
 	}
 }
@@ -146,18 +148,25 @@
 }
 
 func (s server) answerVersion(req *peerpb.PullRequest, resp *peerpb.PullResponse) bool {
-	held := s.n.holder.Current()
-	resp.Version = held.Version()
-	if req.GetVersion() > held.Version() ||
-		req.GetVersion() == held.Version() && req.GetDigest() == shortDigest(held.Digest()) {
+	n := s.n
+	resp.Version = n.holder.Current().Version()
+	switch a := n.holder.Answer(req.GetVersion(), req.GetDigest()).(type) {
+	case version.Deltas:
+		for _, d := range a.Deltas {
+			resp.Deltas = append(resp.Deltas, d.Bytes())
+		}
+		return true
+	case version.Whole:
+		resp.Full = true
+		return true
+	case version.Forked:
+		// A whole version would revert what the peer holds; an operator has to
+		// look at it.
+		n.log.Emit(event.VersionForked, event.F("error", a.Err), event.F("peer", req.GetInstance()))
+		return false
+	default:
 		return false
 	}
-	deltas, ok := s.n.holder.Since(req.GetVersion(), req.GetDigest())
-	resp.Full = !ok
-	for _, d := range deltas {
-		resp.Deltas = append(resp.Deltas, d.Bytes())
-	}
-	return true
 }
 
 func (s server) answerMembers(req *peerpb.PullRequest, resp *peerpb.PullResponse) bool {
--- a/internal/control/peer/session.go
+++ b/internal/control/peer/session.go
@@ -11,6 +11,7 @@
 	"banyanlug.example/banyanlug/internal/control/peer/peerpb"
 	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/policy/version"
 )
 
 const (
@@ -117,18 +118,16 @@
 func (s *session) apply(ctx context.Context, resp *peerpb.PullResponse) error {
 	full := resp.GetFull()
 	for _, b := range resp.GetDeltas() {
-		d, err := snapshot.DecodeDelta(b)
-		if err == nil {
-			err = s.n.offer(d)
-		}
-		if err == nil {
-			continue
+		if full {
+			break
 		}
-		if !needsFull(err) {
+		d, err := snapshot.DecodeDelta(b)
+		if err != nil {
 			return s.n.refused(ctx, err, s.at.name)
 		}
-		full = true
-		break
+		if full, err = s.n.offer(ctx, version.Peer, version.Delta{Delta: d}, s.at.name); err != nil {
+			return err
+		}
 	}
 	if full {
 		return s.whole(ctx)
@@ -150,32 +149,30 @@
 	if err != nil {
 		return s.n.refused(ctx, err, s.at.name)
 	}
-	s.n.offerFull(v)
-	return nil
-}
-
-// offer puts the version that a delta leads to in force.
-func (n *Node) offer(d *snapshot.Delta) error {
-	applied, err := n.holder.Offer(d)
-	if applied {
-		n.applied()
-	}
+	_, err = s.n.offer(ctx, version.Peer, version.Full{Snapshot: v}, s.at.name)
 	return err
 }
 
-// offerFull puts a whole version in force.
-func (n *Node) offerFull(s *snapshot.Snapshot) {
-	if n.holder.OfferFull(s) {
-		n.applied()
-	}
-}
-
-func (n *Node) applied() {
-	s := n.holder.Current()
-	if n.versions != nil {
-		n.versions.Saw(s)
+// offer lets the decision on a version act, and reports whether the whole
+// version is needed.
+func (n *Node) offer(ctx context.Context, source version.Source, o version.Offer, from string) (full bool, err error) {
+	switch a := n.holder.Offer(source, o).(type) {
+	case version.Apply:
+		if n.versions != nil {
+			n.versions.Saw(a.Next)
+		}
+		n.log.Emit(event.VersionApplied, event.F("version", a.Next.Version()), event.F("plan", a.Next.PlanID()))
+		return false, nil
+	case version.Ask:
+		return true, nil
+	case version.Refuse:
+		return false, n.refused(ctx, a.Err, from)
+	case version.Alarm:
+		n.log.Emit(event.VersionForked, event.F("error", a.Err), event.F("peer", from))
+		return false, n.clock.Sleep(ctx, n.jitter(refusedPause))
+	default:
+		return false, nil
 	}
-	n.log.Emit(event.VersionApplied, event.F("version", s.Version()), event.F("plan", s.PlanID()))
 }
 
 // refused notes a version that can't be applied. The refusal stands until a
--- a/internal/control/peer/sync.go
+++ b/internal/control/peer/sync.go
@@ -2,21 +2,23 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"banyanlug.example/banyanlug/internal/control/peer/peerpb"
+	"banyanlug.example/banyanlug/internal/control/publish"
 	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/policy/version"
 )
 
 const (
-	// syncPeers is how many members of the domain are asked for their version
-	// while the store is out: one may have been cut off for long, and it is
-	// unlikely that five were.
-	syncPeers = 5
 	// syncPause is how often a starting node looks whether it has caught up.
 	syncPause = 50 * time.Millisecond
+	// syncAsked is how many members are asked for their version in one round.
+	syncAsked = 8
 	// statusTimeout bounds one status call.
 	statusTimeout = time.Second
 	// statusFanout bounds the status calls that run at once: at the letter's
@@ -26,22 +28,28 @@
 
 // Sync waits until the node holds a version that it can start with. A process
 // that restarted remembers nothing; to answer calls by an older version than
-// its earlier self had would be a step back. So it asks the store for the
-// newest version or, while that is out, several peers, for at least settle,
-// and waits until it holds the highest it heard of.
-func (n *Node) Sync(ctx context.Context, settle time.Duration) error {
-	start := n.clock.Now()
-	want, sure := uint64(0), false
-	for {
-		if !sure {
-			want, sure = n.newest(ctx, want)
-		}
-		held := n.holder.Current().Version()
-		settled := sure || n.hasTried() && n.clock.Since(start) >= settle
-		if settled && held >= want {
-			return nil
+// its earlier self had would be a step back. So it asks the store and peers,
+// and waits until it holds the highest version it heard of.
+func (n *Node) Sync(ctx context.Context) error {
+	r := version.NewRecovery()
+	for pause := syncPause; ; pause = min(2*pause, time.Second) {
+		if n.hasTried() {
+			n.askStore(ctx, r)
+			n.askPeers(ctx, r)
+			for range 20 {
+				if r.Done(n.holder.Current().Version()) {
+					return nil
+				}
+				if r.Least() <= n.holder.Current().Version() {
+					break
+				}
+				// What leads to the highest version heard of is on its way.
+				if err := n.clock.Sleep(ctx, syncPause); err != nil {
+					return err
+				}
+			}
 		}
-		if err := n.clock.Sleep(ctx, syncPause); err != nil {
+		if err := n.clock.Sleep(ctx, n.jitter(pause)); err != nil {
 			return err
 		}
 	}
@@ -53,30 +61,51 @@
 	return n.tried
 }
 
-// newest returns the highest version heard of and whether the store itself
-// told it.
-func (n *Node) newest(ctx context.Context, known uint64) (uint64, bool) {
-	if n.versions != nil {
-		sctx, cancel := n.clock.WithTimeout(ctx, statusTimeout)
-		head, err := n.versions.Head(sctx)
-		cancel()
-		if err == nil {
-			return max(known, head.Version()), true
-		}
+func (n *Node) askStore(ctx context.Context, r *version.Recovery) {
+	if n.versions == nil {
+		r.StoreFailed()
+		return
+	}
+	sctx, cancel := n.clock.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	head, err := n.versions.Head(sctx)
+	var older *publish.OlderError
+	switch {
+	case errors.As(err, &older):
+		// It answers, and what this node has heard from its peers is newer.
+		r.StoreSaid(older.Stored)
+	case err != nil:
 		n.log.Emit(event.StoreUnavailable, event.F("error", err), event.F("step", "read head at start"))
+		r.StoreFailed()
+	default:
+		r.StoreSaid(head.Version())
 	}
-	var some []membership.Record
-	for _, r := range n.view.Members(n.view.Domain()) {
-		if r.State() == membership.Ready && len(some) < syncPeers {
-			some = append(some, r)
+}
+
+// askPeers asks the parents that the tree names first: what an earlier process
+// of this instance held came through one of them.
+func (n *Node) askPeers(ctx context.Context, r *version.Recovery) {
+	self := n.Self()
+	place, _ := n.place()
+	asked := place.Parents()
+	known := 0
+	for _, m := range n.view.Members(n.view.Domain()) {
+		if m.Instance() == self.Instance() || m.State() == membership.Gone {
+			continue
+		}
+		known++
+		if len(asked) < syncAsked && !slices.ContainsFunc(asked, func(o membership.Record) bool { return o.Instance() == m.Instance() }) {
+			asked = append(asked, m)
 		}
 	}
-	for _, s := range n.Fleet(ctx, some) {
-		if s.Err() == nil {
-			known = max(known, s.Version())
+	r.Knows(known)
+	for _, s := range n.Fleet(ctx, asked) {
+		if s.Err() != nil {
+			r.PeerFailed(s.Record().Instance())
+			continue
 		}
+		r.PeerSaid(s.Record().Instance(), s.Version(), s.Record().State() == membership.Ready)
 	}
-	return known, false
 }
 
 // NodeStatus is what one node said of itself, or why it said nothing.
--- a/internal/process/node/settings.go
+++ b/internal/process/node/settings.go
@@ -28,16 +28,13 @@
 	seeds, fleetKey, fleetKeyFile   string
 	operatorTokens                  string
 	tlsCert, tlsKey, tlsCA          string
-	drainTimeout, settleTime        time.Duration
+	drainTimeout                    time.Duration
 	seed                            uint64
 }
 
 // Bounds of durations: a drain shorter than a call would cut calls off, one
 // longer than any deadline only keeps the slot from its successor.
-const (
-	minDrain, maxDrain   = 100 * time.Millisecond, 10 * time.Minute
-	minSettle, maxSettle = time.Duration(0), time.Minute
-)
+const minDrain, maxDrain = 100 * time.Millisecond, 10 * time.Minute
 
 // Register adds the settings to a flag set and returns where they are kept.
 func Register(fs *flag.FlagSet) *Settings {
@@ -62,8 +59,6 @@
 	text(&s.tlsCA, "tls-ca", "", "PEM `FILE` of the authority that signs the nodes' certificates")
 	fs.DurationVar(&s.drainTimeout, "drain-timeout", 30*time.Second,
 		"how long a stop waits for calls in flight, a duration between 100ms and 10m")
-	fs.DurationVar(&s.settleTime, "settle", 2*time.Second,
-		"how long a starting node asks peers for a newer version while the store is out, a duration between 0s and 1m")
 	fs.Uint64Var(&s.seed, "seed", 0, "seed of random choices; 0 takes one from the start time")
 	return s
 }
@@ -125,9 +120,6 @@
 	if s.drainTimeout < minDrain || s.drainTimeout > maxDrain {
 		return &SettingError{"drain-timeout", fmt.Sprintf("%v must be between %v and %v", s.drainTimeout, minDrain, maxDrain)}
 	}
-	if s.settleTime < minSettle || s.settleTime > maxSettle {
-		return &SettingError{"settle", fmt.Sprintf("%v must be between %v and %v", s.settleTime, minSettle, maxSettle)}
-	}
 	return nil
 }
 
--- a/internal/process/node/watch.go
+++ b/internal/process/node/watch.go
@@ -26,7 +26,7 @@
 // whether the target wants no new work. That it lives is seen from whether it
 // takes connections.
 func (n *Node) watchTarget(ctx context.Context, done chan<- error) {
-	if err := n.peer.Sync(ctx, n.cfg.settleTime); err != nil {
+	if err := n.peer.Sync(ctx); err != nil {
 		done <- err
 		return
 	}
