Sockets are read and written without waking the runtime's monitor

Cause: perf on a caller's node at 62 calls/s gave 24% of its time to the runtime's monitor thread, which each read and write of a process that has slept wakes first. Raw system calls on sockets that never block skip that; the look at pooled connections too, or it alone would wake it.

--- a/internal/traffic/hop/pool.go
+++ b/internal/traffic/hop/pool.go
@@ -146,6 +146,7 @@
 	if err != nil {
 		return nil, &DialError{To: to, Err: err}
 	}
+	conn = http1.Quick(conn)
 	if c.tls == nil {
 		return newLink(to, conn), nil
 	}
--- a/internal/traffic/http1/conn.go
+++ b/internal/traffic/http1/conn.go
@@ -247,7 +247,7 @@
 	if t, ok := rwc.(*tls.Conn); ok {
 		raw = t.NetConn()
 	}
-	if tcp, ok := raw.(*net.TCPConn); ok {
+	if tcp, ok := raw.(interface{ SetLinger(sec int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = raw.Close()
--- a/internal/traffic/http1/server.go
+++ b/internal/traffic/http1/server.go
@@ -179,7 +179,7 @@
 }
 
 func (s *Server) start(ctx context.Context, rwc net.Conn) {
-	c := newConn(s, &s.shards[s.next.Add(1)%shardCount], rwc)
+	c := newConn(s, &s.shards[s.next.Add(1)%shardCount], Quick(rwc))
 	c.shard.mu.Lock()
 	c.shard.conns[c] = struct{}{}
 	c.shard.mu.Unlock()
