--- a/cmd/banyanlug/main.go
+++ b/cmd/banyanlug/main.go
@@ -2,6 +2,22 @@
 // drives the mesh's configuration.
 package main
 
-import "fmt"
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
 
-func main() { fmt.Println("banyanlug") }
+	"banyanlug.example/banyanlug/internal/cli/command"
+	"banyanlug.example/banyanlug/internal/process/node"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := app().Run(ctx, os.Args[1:])
+	stop()
+	os.Exit(code)
+}
+
+// app returns the command with every subcommand.
+func app() *command.App { return command.New(command.Subcommand(node.Command)) }
--- /dev/null
+++ b/internal/log/event/store.go
@@ -0,0 +1,10 @@
+package event
+
+// The 1600s are about the platform's store.
+const (
+	StoreUnavailable Code = 1601
+)
+
+var storeEvents = map[Code]Entry{
+	StoreUnavailable: {Warn, "the platform store did not answer", "see docs/operators/store.md; calls go on with the version held"},
+}
