Further control services share the peers' address

Cause: records of calls that run at most once and reports are asked of other nodes too; an address and an authentication of their own would be one more thing to open and to guard.

--- a/internal/control/peer/node.go
+++ b/internal/control/peer/node.go
@@ -35,6 +35,7 @@
 	bytes    Bytes
 	rand     *rand.Rand
 	fulls    *tree.Admission
+	services []Service
 
 	mu       sync.Mutex
 	self     *membership.Self
@@ -71,6 +72,16 @@
 	return func(n *Node) { n.serving, n.dialing = serving, dialing }
 }
 
+// WithService mounts a further control service, which then shares the address,
+// the authentication and the byte count of the peers' own.
+func WithService(s Service) Option { return func(n *Node) { n.services = append(n.services, s) } }
+
+// Service is a control service between nodes, such as twirp generates.
+type Service interface {
+	http.Handler
+	PathPrefix() string
+}
+
 // WithSeed sets the seed of the jitter.
 func WithSeed(seed uint64) Option { return func(n *Node) { n.rand = newRand(seed) } }
 
@@ -127,6 +138,17 @@
 // View returns what the node knows of all instances.
 func (n *Node) View() *membership.View { return n.view }
 
+// Client returns the HTTP client for control calls to peers.
+func (n *Node) Client() *http.Client { return n.client }
+
+// BaseURL returns what the address of a peer's services begins with.
+func (n *Node) BaseURL(a netip.AddrPort) string {
+	if n.dialing != nil {
+		return "https://" + a.String()
+	}
+	return "http://" + a.String()
+}
+
 // Bytes returns the count of the node's control traffic.
 func (n *Node) Bytes() *Bytes { return &n.bytes }
 
@@ -209,7 +231,11 @@
 
 // Serve answers peers on ln until ctx ends and then reports on done.
 func (n *Node) Serve(ctx context.Context, ln net.Listener, done chan<- error) {
-	srv := newServer(Authenticated(n.key, peerpb.NewPeerServer(server{n}, pathOption)), n.serving)
+	mux := http.NewServeMux()
+	for _, s := range append(n.services, peerpb.NewPeerServer(server{n}, pathOption)) {
+		mux.Handle(s.PathPrefix(), s)
+	}
+	srv := newServer(Authenticated(n.key, mux), n.serving)
 	ln = countedListener{ln, &n.bytes}
 	ended := make(chan error, 1)
 	go serve(srv, ln, n.serving != nil, ended)
--- a/internal/control/peer/session.go
+++ b/internal/control/peer/session.go
@@ -41,11 +41,7 @@
 }
 
 func (n *Node) dial(a netip.AddrPort) peerpb.Peer {
-	scheme := "http"
-	if n.dialing != nil {
-		scheme = "https"
-	}
-	return peerpb.NewPeerProtobufClient(scheme+"://"+a.String(), n.client, twirp.WithClientPathPrefix(pathPrefix))
+	return peerpb.NewPeerProtobufClient(n.BaseURL(a), n.client, twirp.WithClientPathPrefix(pathPrefix))
 }
 
 // session is a row of pulls from one parent, which resumes where it stopped.
