--- a/internal/traffic/caller/errors.go
+++ b/internal/traffic/caller/errors.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"banyanlug.example/banyanlug/internal/policy/balance"
+	"banyanlug.example/banyanlug/internal/policy/limit"
 	"banyanlug.example/banyanlug/internal/policy/retry"
 	"banyanlug.example/banyanlug/internal/traffic/http1"
 )
@@ -43,12 +44,20 @@
 // LimitError tells of an organisation that is at one of its limits.
 type LimitError struct {
 	Organisation string
-	What         string
+	Quantity     limit.Quantity
 	RetryAfter   time.Duration
 }
 
 func (e *LimitError) Error() string {
-	return fmt.Sprintf("%s is at its limit of %s", e.Organisation, e.What)
+	return fmt.Sprintf("%s is at its limit of %s", e.Organisation, e.Quantity)
+}
+
+// LimitDecisionError tells of a decision of a kind that this package does not
+// know.
+type LimitDecisionError struct{ Decision limit.Decision }
+
+func (e *LimitDecisionError) Error() string {
+	return fmt.Sprintf("decision of unknown kind %T", e.Decision)
 }
 
 // NoTargetError tells of a pool without a target that may be asked now.
--- a/internal/traffic/caller/failure_test.go
+++ b/internal/traffic/caller/failure_test.go
@@ -15,6 +15,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/policy/limit"
 	"banyanlug.example/banyanlug/internal/traffic/caller"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
 	"banyanlug.example/banyanlug/internal/traffic/http1"
@@ -366,6 +367,59 @@
 	}
 }
 
+// The targets that get new work turn a call away, and the directory knows of
+// one that may only be tried then, as of a failure domain that looks cut off.
+func TestFallbackTargetsAreTriedLast(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, rigOptions{targets: 2})
+	r.mu.Lock()
+	r.fallback = r.ready[1:]
+	r.ready = r.ready[:1:1]
+	r.mu.Unlock()
+	for _, want := range []int{0, 1} {
+		got, _, _ := r.do(r.browser(), r.newRequest("POST", "/bind?size=1", map[string]string{hop.KeyHeader: fmt.Sprint(want)}))
+		if got.Status != http.StatusOK || r.targets[want].app.Runs()[fmt.Sprint(want)] != 1 {
+			t.Errorf("%+v, not run by target %d", got, want)
+		}
+		_ = r.targets[0].app.Close()
+	}
+}
+
+// An organisation has a limit of one call at once and makes a second. It must
+// hear at once when to come back, and nothing of the second may run; once the
+// first has ended, the next one runs.
+func TestOrganisationsAreHeldToTheirLimits(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, rigOptions{targets: 1, caller: []caller.Option{caller.WithLimits(limit.NewHolder(limit.DefaultShare(1)))}})
+	_, limited, err := r.config.Current().Next(snapshot.NewChange([]snapshot.Object{snapshot.NewLimit("harbour", 0, 1)}, nil), snapshot.Stamp{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.config.snap.Store(limited)
+	app := r.targets[0].app
+	ctx, cancel := context.WithCancel(r.ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		r.do(r.browser(), r.newRequest("GET", "/read?sleep=1h", nil).WithContext(ctx))
+	}()
+	r.eventually("the first call runs", func() bool { return app.Busy() == 1 })
+	resp, err := r.browser().Do(r.newRequest("POST", "/bind", map[string]string{hop.KeyHeader: "second"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusTooManyRequests || resp.Header.Get("Retry-After") == "" || r.runs("second") != 0 {
+		t.Errorf("%d, Retry-After %q, ran %d times", resp.StatusCode, resp.Header.Get("Retry-After"), r.runs("second"))
+	}
+	cancel()
+	<-ended
+	r.eventually("a call is let in again", func() bool {
+		got, _, _ := r.do(r.browser(), r.newRequest("GET", "/read?size=1", nil))
+		return got.Status == http.StatusOK
+	})
+}
+
 func TestEachEndedCallIsObserved(t *testing.T) {
 	t.Parallel()
 	seen := make(chan caller.Observation, 10)
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -10,6 +10,7 @@
 	"banyanlug.example/banyanlug/internal/clock/timer"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
 	"banyanlug.example/banyanlug/internal/policy/balance"
+	"banyanlug.example/banyanlug/internal/policy/limit"
 	"banyanlug.example/banyanlug/internal/policy/membership"
 	"banyanlug.example/banyanlug/internal/policy/retry"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
@@ -26,6 +27,14 @@
 	Targets(pool string) []membership.Record
 }
 
+// Fallback is a Directory that also knows targets to be tried only when those
+// of Targets turned the call away, as those of a failure domain that looks cut
+// off.
+type Fallback interface {
+	Directory
+	Fallback(pool string) []membership.Record
+}
+
 // DefaultMaxDepth is the deepest that the users' services call each other.
 const DefaultMaxDepth = 11
 
@@ -37,7 +46,7 @@
 	sealer    *hop.Sealer
 	clk       *timer.Service
 
-	limiter  Limiter
+	limits   *limit.Holder
 	balancer *balance.Balancer
 	budgets  *retry.Budgets
 	views    views
@@ -49,8 +58,9 @@
 // Option sets one property of a handler.
 type Option func(*Handler)
 
-// WithLimiter sets what holds organisations to their limits.
-func WithLimiter(l Limiter) Option { return func(h *Handler) { h.limiter = l } }
+// WithLimits sets what holds organisations to their limits; without it nothing
+// does.
+func WithLimits(l *limit.Holder) Option { return func(h *Handler) { h.limits = l } }
 
 // WithBalancer sets what chooses targets, as by their distance.
 func WithBalancer(b *balance.Balancer) Option { return func(h *Handler) { h.balancer = b } }
@@ -76,7 +86,7 @@
 func New(config Config, directory Directory, client *hop.Client, sealer *hop.Sealer, clk *timer.Service, opts ...Option) *Handler {
 	h := &Handler{
 		config: config, directory: directory, hop: client, sealer: sealer, clk: clk,
-		limiter: unlimited{}, claims: unclaimed{},
+		claims:   unclaimed{},
 		maxDepth: DefaultMaxDepth, meters: newMeters(),
 	}
 	for _, opt := range opts {
--- a/internal/traffic/caller/pick.go
+++ b/internal/traffic/caller/pick.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"banyanlug.example/banyanlug/internal/config/snapshot"
 	"banyanlug.example/banyanlug/internal/policy/balance"
 	"banyanlug.example/banyanlug/internal/policy/membership"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
@@ -15,14 +14,28 @@
 
 // pick chooses the target of the next attempt.
 func (c *call) pick() (balance.Picked, error) {
-	now := c.h.clk.Now()
 	pool, _ := c.snap.Pool(c.rt.Pool())
-	c.h.views.follow(c.h.balancer, now, pool, c.h.directory.Targets(pool.Name()))
-	switch choice := c.h.balancer.Pick(now, pool.Name(), c.ask, c.tried).(type) {
+	p, err := c.pickFrom(pool.Name(), pool.Slots(), c.h.directory.Targets(pool.Name()))
+	if last, ok := c.h.directory.(Fallback); ok && err != nil {
+		if others := last.Fallback(pool.Name()); len(others) > 0 {
+			return c.pickFrom(pool.Name()+fallbackSuffix, pool.Slots(), others)
+		}
+	}
+	return p, err
+}
+
+// fallbackSuffix keeps what the balancer knows of a pool's fallback apart; no
+// pool's name holds a space.
+const fallbackSuffix = " fallback"
+
+func (c *call) pickFrom(name string, slots int, ready []membership.Record) (balance.Picked, error) {
+	now := c.h.clk.Now()
+	c.h.views.follow(c.h.balancer, now, name, slots, ready)
+	switch choice := c.h.balancer.Pick(now, name, c.ask, c.tried).(type) {
 	case balance.Picked:
 		return choice, nil
 	case balance.None:
-		return balance.Picked{}, &NoTargetError{Pool: pool.Name(), Reason: choice.Reason(), RetryAfter: choice.RetryAfter()}
+		return balance.Picked{}, &NoTargetError{Pool: name, Reason: choice.Reason(), RetryAfter: choice.RetryAfter()}
 	default:
 		return balance.Picked{}, &ChoiceError{Choice: choice}
 	}
@@ -41,10 +54,10 @@
 
 // follow tells the balancer of a pool whose targets have changed. A directory
 // gives the same slice until they do, so that this costs a call next to nothing.
-func (v *views) follow(b *balance.Balancer, now time.Time, p snapshot.Pool, ready []membership.Record) {
-	held, ok := v.byPool.Load(p.Name())
+func (v *views) follow(b *balance.Balancer, now time.Time, name string, slots int, ready []membership.Record) {
+	held, ok := v.byPool.Load(name)
 	if !ok {
-		held, _ = v.byPool.LoadOrStore(p.Name(), &view{})
+		held, _ = v.byPool.LoadOrStore(name, &view{})
 	}
 	w := held.(*view)
 	var first *membership.Record
@@ -53,11 +66,11 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.told && w.first == first && w.n == len(ready) && w.slots == p.Slots() {
+	if w.told && w.first == first && w.n == len(ready) && w.slots == slots {
 		return
 	}
-	w.told, w.first, w.n, w.slots = true, first, len(ready), p.Slots()
-	b.Update(now, p.Name(), p.Slots(), ready)
+	w.told, w.first, w.n, w.slots = true, first, len(ready), slots
+	b.Update(now, name, slots, ready)
 }
 
 // report tells the balancer how an attempt ended.
--- a/internal/traffic/caller/rig_test.go
+++ b/internal/traffic/caller/rig_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,8 +45,9 @@
 	targets []*spot
 	config  *fixedConfig
 
-	mu    sync.Mutex
-	ready []membership.Record
+	mu       sync.Mutex
+	ready    []membership.Record
+	fallback []membership.Record
 }
 
 // spot is one instance: a target and the node beside it.
@@ -57,9 +59,11 @@
 	record membership.Record
 }
 
-type fixedConfig struct{ snap *snapshot.Snapshot }
+type fixedConfig struct {
+	snap atomic.Pointer[snapshot.Snapshot]
+}
 
-func (c *fixedConfig) Current() *snapshot.Snapshot { return c.snap }
+func (c *fixedConfig) Current() *snapshot.Snapshot { return c.snap.Load() }
 
 func (r *rig) Targets(string) []membership.Record {
 	r.mu.Lock()
@@ -67,6 +71,12 @@
 	return r.ready
 }
 
+func (r *rig) Fallback(string) []membership.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fallback
+}
+
 type rigOptions struct {
 	targets int
 	app     []standin.Option
@@ -78,7 +88,8 @@
 func newRig(t testing.TB, o rigOptions) *rig {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &rig{t: t, ctx: ctx, clk: timer.New(), config: &fixedConfig{snap: testSnapshot(t)}}
+	r := &rig{t: t, ctx: ctx, clk: timer.New(), config: &fixedConfig{}}
+	r.config.snap.Store(testSnapshot(t))
 	ticks := make(chan error, 1)
 	go r.clk.Run(ctx, ticks)
 	t.Cleanup(func() { cancel(); <-ticks })
