--- a/internal/standin/measure/overhead.go
+++ b/internal/standin/measure/overhead.go
@@ -174,13 +174,14 @@
 		o.series[i].latency = hdrhistogram.New(1, maxMicros, 3)
 		// Connections, caches and the target's own start belong to no kind.
 		warm := &series{by: kinds[i].by, write: kinds[i].write, latency: hdrhistogram.New(1, maxMicros, 3)}
-		if err := o.burst(ctx, warm, window/2); err != nil {
+		if err := o.burst(ctx, warm, min(window/2, length)); err != nil {
 			return err
 		}
 	}
-	for done := time.Duration(0); done < length; done += window {
+	turn := min(window, length)
+	for done := time.Duration(0); done < length; done += turn {
 		for i := range o.series {
-			if err := o.burst(ctx, &o.series[i], window); err != nil {
+			if err := o.burst(ctx, &o.series[i], turn); err != nil {
 				return err
 			}
 		}
