Report service-level burn over the fleet

Cause: operators could not see which service spends its objective's budget, or why. Each node counts calls by service, class and cause, and the node that is asked merges all others' counts; text, JSON and a drawn SVG.

The operators' API is on 127.0.0.1:7400 by default now, where the command line looks for it; without tokens it lets nobody in.

--- a/internal/control/operator/client.go
+++ b/internal/control/operator/client.go
@@ -194,6 +194,11 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
+// Report reads a report over the fleet, such as "burn".
+func (c *Client) Report(ctx context.Context, name string, report any) error {
+	return c.ask(ctx, http.MethodGet, "/v1/report/"+name, nil, report)
+}
+
 // ask asks node after node until one answers for good.
 func (c *Client) ask(ctx context.Context, method, path string, body []byte, answer any) error {
 	var last error = &RequestError{Reason: "no node is given"}
--- a/internal/control/operator/server.go
+++ b/internal/control/operator/server.go
@@ -45,6 +45,28 @@
 	return mux
 }
 
+// Authenticated returns a handler that lets operators with a token through to
+// next and nobody else.
+func Authenticated(next http.Handler, service *Service, allowed ...Token) http.Handler {
+	s := &server{service: service, tokens: allowed}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := s.letIn(r); err != nil {
+			writeError(w, err)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// letIn returns who a request is from, and notes one from nobody.
+func (s *server) letIn(r *http.Request) (string, error) {
+	name, err := s.tokens.operator(r)
+	if err != nil {
+		s.service.log.Emit(event.OperatorRefused, event.F("from", r.RemoteAddr), event.F("path", r.URL.Path))
+	}
+	return name, err
+}
+
 // request is an operator's request with the body read.
 type request struct {
 	ctx      context.Context
@@ -66,9 +88,8 @@
 }
 
 func (s *server) serve(w http.ResponseWriter, r *http.Request, do func(request) (int, any, error)) (int, any, error) {
-	name, err := s.tokens.operator(r)
+	name, err := s.letIn(r)
 	if err != nil {
-		s.service.log.Emit(event.OperatorRefused, event.F("from", r.RemoteAddr), event.F("path", r.URL.Path))
 		return 0, nil, err
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
--- /dev/null
+++ b/internal/process/node/burn.go
@@ -0,0 +1,168 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"html"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/twitchtv/twirp"
+
+	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/report/burn"
+	"banyanlug.example/banyanlug/internal/report/burnpb"
+	"banyanlug.example/banyanlug/internal/traffic/caller"
+)
+
+const (
+	// burnTimeout bounds the answer of one node; the report says how many
+	// answered rather than wait for those that do not.
+	burnTimeout = 2 * time.Second
+	// burnFanout bounds the nodes that are asked at once.
+	burnFanout = 128
+)
+
+// callerFaults are refusals that the caller brought about: no change to a
+// service could have answered such a call, so they spend none of its budget.
+var callerFaults = map[string]bool{
+	"unauthenticated": true, "unknown-parent-call": true, "ambiguous-path": true, "no-route": true,
+	"too-deep": true, "bad-header": true, "limit": true, "malformed": true, "slow-sender": true,
+	"body-too-large": true, "head-too-large": true, "protocol-version": true, "tunnel": true,
+	"expectation": true, "connection-closed": true, "cancelled": true,
+}
+
+// observe counts a call that has ended for the burn report.
+func (n *Node) observe(o caller.Observation) {
+	cause := o.Cause()
+	if o.Service() == "" || callerFaults[cause] {
+		return
+	}
+	if o.Ending() == caller.EndTargetError {
+		cause = string(caller.EndTargetError)
+	}
+	n.burn.Record(n.clock.Now(), burn.NewCall(o.Service(), o.Class(), cause, o.Took()))
+}
+
+// objective returns how long a good call of a service takes at most.
+func (n *Node) objective(service string) (time.Duration, bool) {
+	o, ok := n.peer.Holder().Current().Object(snapshot.Key{Kind: snapshot.KindObjective, Name: service})
+	if !ok {
+		return 0, false
+	}
+	objective, ok := o.(snapshot.Objective)
+	return objective.Latency(), ok
+}
+
+// counts answers other nodes that make a report.
+type counts struct{ n *Node }
+
+// Counts implements burnpb.Burn.
+func (c counts) Counts(context.Context, *burnpb.CountsRequest) (*burnpb.CountsResponse, error) {
+	m, err := c.n.burn.Counts()
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return m, nil
+}
+
+// burnReport asks all live nodes and merges their counts.
+func (n *Node) burnReport(ctx context.Context) burn.Report {
+	var live []membership.Record
+	for _, r := range n.view.Records() {
+		if r.State() != membership.Gone {
+			live = append(live, r)
+		}
+	}
+	answers := make([]*burnpb.CountsResponse, len(live))
+	slots := make(chan struct{}, burnFanout)
+	var wg sync.WaitGroup
+	for i, r := range live {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			bctx, cancel := n.clock.WithTimeout(ctx, burnTimeout)
+			defer cancel()
+			client := burnpb.NewBurnProtobufClient(n.peer.BaseURL(r.Peer()), n.peer.Client())
+			// A node that does not answer is missing from the share that did.
+			answers[i], _ = client.Counts(bctx, &burnpb.CountsRequest{})
+		})
+	}
+	wg.Wait()
+	fleet := burn.NewFleet(len(live))
+	for _, a := range answers {
+		if a != nil {
+			// A node of another program version may count in another way; it
+			// is then one that did not answer.
+			_ = fleet.Add(a)
+		}
+	}
+	return fleet.Make(n.clock.Now(), n.peer.Holder().Current())
+}
+
+// tellBurn serves the report as text, JSON, a picture or a page.
+func (n *Node) tellBurn(w http.ResponseWriter, r *http.Request) {
+	report := n.burnReport(r.Context())
+	format := r.URL.Query().Get("format")
+	var kind string
+	var body []byte
+	var err error
+	switch format {
+	case "", "json":
+		kind = "application/json"
+		body, err = json.Marshal(report)
+	case "text":
+		kind, body = "text/plain; charset=utf-8", []byte(report.Text())
+	case "svg":
+		kind = "image/svg+xml"
+		body, err = report.SVG()
+	case "html":
+		kind = "text/html; charset=utf-8"
+		body, err = burnPage(report)
+	default:
+		http.Error(w, `{"error":{"type":"request","message":"format must be json, text, svg or html"}}`, http.StatusBadRequest)
+		return
+	}
+	if err != nil {
+		http.Error(w, `{"error":{"type":"internal","message":"the report could not be drawn"}}`, http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", kind)
+	_, _ = w.Write(body)
+}
+
+func burnPage(r burn.Report) ([]byte, error) {
+	svg, err := r.SVG()
+	if err != nil {
+		return nil, err
+	}
+	return fmt.Appendf(nil, "<!doctype html><meta charset=utf-8><title>Service-level burn</title>"+
+		"<body style=\"font-family:sans-serif;max-width:70em;margin:2em auto\"><pre>%s</pre>%s</body>\n",
+		html.EscapeString(r.Text()), svg), nil
+}
+
+// writeBurnMetrics writes this node's burn, ready for an alert on the sum over
+// nodes or on the node that asks the fleet.
+func (n *Node) writeBurnMetrics(w io.Writer) {
+	m, err := n.burn.Counts()
+	if err != nil {
+		return
+	}
+	fleet := burn.NewFleet(1)
+	if fleet.Add(m) != nil {
+		return
+	}
+	for _, row := range fleet.Make(n.clock.Now(), n.peer.Holder().Current()).Rows {
+		for _, b := range row.Burn {
+			metrics.WriteGaugeFloat64(w, fmt.Sprintf(
+				`banyanlug_burn_rate{service=%q,class=%q,window=%q}`, row.Service, row.Class, b.Window), b.Rate)
+		}
+		metrics.WriteGaugeFloat64(w, fmt.Sprintf(
+			`banyanlug_burn_budget_left{service=%q,class=%q}`, row.Service, row.Class), row.BudgetLeft)
+	}
+}
--- a/internal/process/node/layout_test.go
+++ b/internal/process/node/layout_test.go
@@ -79,7 +79,8 @@
 		{
 			"the product does not know its stand-ins",
 			[]string{"internal/config", "internal/control", "internal/traffic", "internal/policy", "internal/process", "internal/cli", "cmd/banyanlug"},
-			[]string{module + "internal/standin", module + "examples"}, nil,
+			[]string{module + "internal/standin", module + "examples"},
+			nil,
 		},
 		{"nothing imports a command", []string{"internal", "cmd", "examples"}, []string{module + "cmd"}, nil},
 		{"no process starts another", []string{"internal/config", "internal/control", "internal/traffic", "internal/policy", "internal/process", "internal/cli", "cmd/banyanlug"}, []string{"os/exec"}, nil},
--- a/internal/process/node/metrics.go
+++ b/internal/process/node/metrics.go
@@ -9,6 +9,7 @@
 // tellMetrics writes the node's metrics in the Prometheus text format.
 func (n *Node) tellMetrics(w http.ResponseWriter, _ *http.Request) {
 	n.metrics.WritePrometheus(w)
+	n.writeBurnMetrics(w)
 	metrics.WriteProcessMetrics(w)
 }
 
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -17,6 +17,8 @@
 	"banyanlug.example/banyanlug/internal/control/publish"
 	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/report/burn"
+	"banyanlug.example/banyanlug/internal/report/burnpb"
 	"banyanlug.example/banyanlug/internal/traffic/caller"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
 	"banyanlug.example/banyanlug/internal/traffic/http1"
@@ -37,6 +39,7 @@
 	versions  *publish.Log
 	view      *membership.View
 	peer      *peer.Node
+	burn      *burn.Recorder
 	hop       *hop.Client
 	callers   *caller.Server
 	slots     *target.Slots
@@ -133,10 +136,14 @@
 	self := membership.NewSelf(now, rand.New(rand.NewPCG(seed, 2)), n.cfg.instance,
 		membership.Domain(n.cfg.domain), membership.Pool(n.cfg.pool), membership.InState(membership.Starting),
 		membership.Address(addrOf(n.listeners.mesh)), membership.Peer(addrOf(n.listeners.peers)))
+	n.burn = burn.NewRecorder(n.objective)
 	n.view = membership.New(n.cfg.domain, seed|1)
 	// The settings have been checked, so the seeds can be read.
 	seeds, _ := n.cfg.seedAddrs()
-	opts := []peer.Option{peer.WithSeeds(seeds...), peer.WithSeed(seed)}
+	opts := []peer.Option{
+		peer.WithSeeds(seeds...), peer.WithSeed(seed),
+		peer.WithService(burnpb.NewBurnServer(counts{n})),
+	}
 	if n.store != nil {
 		opts = append(opts, peer.WithStore(n.store, n.versions))
 	}
@@ -153,7 +160,7 @@
 	}
 	credential, sealer := hop.NewCredential(key), hop.NewSealer(key)
 	n.hop = hop.NewClient(n.clock, hop.WithCredential(credential), hop.WithTLS(dialing), hop.AskFirst())
-	calls := caller.New(n.peer.Holder(), directory{n.view}, n.hop, sealer, n.clock, caller.WithMetrics(n.metrics))
+	calls := caller.New(n.peer.Holder(), directory{n.view}, n.hop, sealer, n.clock, caller.WithMetrics(n.metrics), caller.WithObserver(n.observe))
 	n.callers = caller.NewServer(calls, n.clock, n.log)
 	if n.cfg.pool == "" {
 		return
--- a/internal/process/node/parts.go
+++ b/internal/process/node/parts.go
@@ -87,7 +87,10 @@
 	}
 	// The settings have been checked, so the tokens can be read.
 	tokens, _ := n.cfg.tokens()
-	serveHTTP(ctx, n.listeners.operators, operator.NewHandler(service, tokens...), done)
+	mux := http.NewServeMux()
+	mux.Handle("/", operator.NewHandler(service, tokens...))
+	mux.Handle("GET /v1/report/burn", operator.Authenticated(http.HandlerFunc(n.tellBurn), service, tokens...))
+	serveHTTP(ctx, n.listeners.operators, mux, done)
 }
 
 func refuseOperators(w http.ResponseWriter, _ *http.Request) {
--- a/internal/process/node/settings.go
+++ b/internal/process/node/settings.go
@@ -47,7 +47,7 @@
 	text(&s.callers, "callers", "127.0.0.1:7001", "`IP:PORT` on which callers reach this node")
 	text(&s.mesh, "mesh", "127.0.0.1:7002", "`IP:PORT` on which other nodes send calls for the local target")
 	text(&s.peers, "peers", "127.0.0.1:7003", "`IP:PORT` on which other nodes reach this node for control")
-	text(&s.operators, "operators", "", "`IP:PORT` of the operators' API; empty turns it off")
+	text(&s.operators, "operators", "127.0.0.1:7400", "`IP:PORT` of the operators' API; empty turns it off")
 	text(&s.admin, "admin", "127.0.0.1:7004", "`IP:PORT` of /metrics, /healthz, /readyz and /debug/pprof")
 	text(&s.store, "store", "", "`IP:PORT` of the platform's key-value service; empty for none")
 	text(&s.seeds, "seeds", "", "control addresses `IP:PORT`, separated by commas, to ask first when the store is out")
