--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -16,7 +16,10 @@
 	"banyanlug.example/banyanlug/internal/control/platform"
 	"banyanlug.example/banyanlug/internal/control/publish"
 	"banyanlug.example/banyanlug/internal/log/event"
+	"banyanlug.example/banyanlug/internal/policy/balance"
 	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/policy/retry"
+	"banyanlug.example/banyanlug/internal/policy/tree"
 	"banyanlug.example/banyanlug/internal/report/burn"
 	"banyanlug.example/banyanlug/internal/report/burnpb"
 	"banyanlug.example/banyanlug/internal/traffic/caller"
@@ -33,6 +36,7 @@
 	log     *event.Logger
 	metrics *metrics.Set
 	life    *life
+	seed    uint64
 
 	listeners listeners
 	store     platform.Store
@@ -129,19 +133,18 @@
 
 func (n *Node) wireControl(key []byte, secure *tlsPair) {
 	now := n.clock.Now()
-	seed := n.cfg.seed
-	if seed == 0 {
-		seed = uint64(now.UnixNano())
+	if n.seed = n.cfg.seed; n.seed == 0 {
+		n.seed = uint64(now.UnixNano())
 	}
-	self := membership.NewSelf(now, rand.New(rand.NewPCG(seed, 2)), n.cfg.instance,
+	self := membership.NewSelf(now, rand.New(rand.NewPCG(n.seed, 2)), n.cfg.instance,
 		membership.Domain(n.cfg.domain), membership.Pool(n.cfg.pool), membership.InState(membership.Starting),
 		membership.Address(addrOf(n.listeners.mesh)), membership.Peer(addrOf(n.listeners.peers)))
 	n.burn = burn.NewRecorder(n.objective)
-	n.view = membership.New(n.cfg.domain, seed|1)
+	n.view = membership.New(n.cfg.domain, n.seed|1)
 	// The settings have been checked, so the seeds can be read.
 	seeds, _ := n.cfg.seedAddrs()
 	opts := []peer.Option{
-		peer.WithSeeds(seeds...), peer.WithSeed(seed),
+		peer.WithSeeds(seeds...), peer.WithSeed(n.seed),
 		peer.WithService(burnpb.NewBurnServer(counts{n})),
 	}
 	if n.store != nil {
@@ -160,7 +163,11 @@
 	}
 	credential, sealer := hop.NewCredential(key), hop.NewSealer(key)
 	n.hop = hop.NewClient(n.clock, hop.WithCredential(credential), hop.WithTLS(dialing), hop.AskFirst())
-	calls := caller.New(n.peer.Holder(), directory{n.view}, n.hop, sealer, n.clock, caller.WithMetrics(n.metrics), caller.WithObserver(n.observe))
+	choice := balance.New(n.clock.Now(), rand.New(rand.NewPCG(n.seed, 3)),
+		balance.Domain(n.cfg.domain), balance.Tiers(regionTier(n.cfg.domain)))
+	calls := caller.New(n.peer.Holder(), directory{n.view}, n.hop, sealer, n.clock,
+		caller.WithMetrics(n.metrics), caller.WithObserver(n.observe), caller.WithBalancer(choice),
+		caller.WithBudgets(retry.NewBudgets(rand.New(rand.NewPCG(n.seed, 4)))))
 	n.callers = caller.NewServer(calls, n.clock, n.log)
 	if n.cfg.pool == "" {
 		return
@@ -179,9 +186,29 @@
 // directory tells the traffic side which targets get new work.
 type directory struct{ view *membership.View }
 
+var _ caller.Fallback = directory{}
+
 // Targets implements caller.Directory.
 func (d directory) Targets(pool string) []membership.Record { return d.view.Pool(pool) }
 
+// Fallback implements caller.Fallback.
+func (d directory) Fallback(pool string) []membership.Record { return d.view.Fallback(pool) }
+
+// regionTier tells how far a failure domain is: the own one, the own region,
+// the rest.
+func regionTier(home string) func(domain string) int {
+	return func(domain string) int {
+		switch {
+		case domain == home:
+			return 0
+		case tree.Region(domain) == tree.Region(home):
+			return 1
+		default:
+			return 2
+		}
+	}
+}
+
 // Callers returns the address on which callers reach the node.
 func (n *Node) Callers() netip.AddrPort { return addrOf(n.listeners.callers) }
 
