--- a/internal/standin/try/run.go
+++ b/internal/standin/try/run.go
@@ -13,7 +13,7 @@
 	"banyanlug.example/banyanlug/internal/clock/timer"
 	"banyanlug.example/banyanlug/internal/config/declaration"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
-	"banyanlug.example/banyanlug/internal/control/operator"
+	"banyanlug.example/banyanlug/internal/standin/fleet"
 )
 
 // Result is what came of a try.
@@ -49,6 +49,11 @@
 // JSON ends the output with the result as one JSON object on the last line.
 func JSON(on bool) Option { return func(o *Options) { o.json = on } }
 
+// domains are the failure domains that the instances are spread over.
+var domains = []string{
+	"ulaanbaatar/bayanzurkh", "ulaanbaatar/sukhbaatar", "ulaanbaatar/khan-uul", "ulaanbaatar/songino",
+}
+
 // demoCalls are made through different nodes once the plan is in force.
 var demoCalls = []struct{ key, method, path string }{
 	{"demo-big-wall-gyms", http.MethodGet, "/walls/erdenet"},
@@ -89,16 +94,14 @@
 	t := &try{o: o, clock: clock}
 	// A stop that comes early does not cut the story short: its result would
 	// say nothing.
-	running, stopFleet := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopFleet()
-	res, err := t.play(running)
+	res, err := t.play(context.WithoutCancel(ctx))
 	if err == nil {
-		t.tell(res)
+		t.tell()
 		<-ctx.Done()
 	}
-	stopFleet()
+	cancel()
 	if t.fleet != nil {
-		t.fleet.wait()
+		t.fleet.Stop()
 	}
 	if err == nil && o.json {
 		err = json.NewEncoder(o.out).Encode(res)
@@ -109,7 +112,7 @@
 type try struct {
 	o     Options
 	clock *timer.Service
-	fleet *fleet
+	fleet *fleet.Fleet
 }
 
 func (t *try) say(format string, args ...any) {
@@ -129,45 +132,35 @@
 			pools = append(pools, p)
 		}
 	}
-	if t.fleet, err = startFleet(ctx, t.clock, t.o.events, pools); err != nil {
+	t.fleet, err = fleet.Start(t.clock, pools, fleet.Domains(domains...), fleet.Events(t.o.events))
+	if err != nil {
 		return Result{}, err
 	}
-	whole, cancel := t.clock.WithTimeout(ctx, playLimit)
+	limited, cancel := t.clock.WithTimeout(ctx, playLimit)
 	defer cancel()
-	if err := t.fleet.until(whole, "nodes become ready", t.fleet.ready); err != nil {
+	if err := t.fleet.Until(limited, "nodes become ready", t.fleet.Ready); err != nil {
 		return Result{}, err
 	}
-	t.say("%d instances in %d failure domains are ready; none carries a call yet", len(t.fleet.nodes), len(domains))
-	res := Result{Nodes: len(t.fleet.nodes), Targets: len(t.fleet.nodes)}
-	if err := t.confirm(whole, set, &res); err != nil {
+	count := len(t.fleet.Instances())
+	t.say("%d instances in %d failure domains are ready; none carries a call yet", count, len(domains))
+	res := Result{Nodes: count, Targets: count}
+	if err := t.confirm(limited, set, &res); err != nil {
 		return Result{}, err
 	}
-	t.call(whole, &res)
+	t.call(limited, &res)
 	t.say("%d calls carried, %d failed", res.CallsOK, res.CallsFailed)
 	return res, nil
 }
 
-// confirm makes a plan of the declarations at one node, confirms it at another
-// and waits until all nodes hold it.
+// confirm puts the declarations in force on all nodes.
 func (t *try) confirm(ctx context.Context, set *declaration.Set, res *Result) error {
-	first, _ := t.fleet.nodes[0].Operators()
-	last, _ := t.fleet.nodes[len(t.fleet.nodes)-1].Operators()
-	plan, err := operator.NewClient([]string{"http://" + first.String()}, operatorToken).Plan(ctx, operator.NewWhole(set.Objects()))
-	if err != nil {
-		return err
-	}
-	t.say("plan %s adds %d objects; confirming it", plan.ID(), len(plan.Items()))
-	began := t.clock.Now()
-	done, err := operator.NewClient([]string{"http://" + last.String()}, operatorToken).Confirm(ctx, plan.ID())
+	plan, version, took, err := t.fleet.Confirm(ctx, set.Objects())
 	if err != nil {
 		return err
 	}
-	all := func() bool { return t.fleet.inForce(done.Version) == len(t.fleet.nodes) }
-	if err := t.fleet.until(ctx, "the version is in force everywhere", all); err != nil {
-		return err
-	}
-	res.Version, res.NodesInForce = done.Version, t.fleet.inForce(done.Version)
-	res.ConvergenceMS = float64(t.clock.Since(began).Microseconds()) / 1000
+	t.say("plan %s adds %d objects; confirmed", plan.ID(), len(plan.Items()))
+	res.Version, res.NodesInForce = version, t.fleet.InForce(version)
+	res.ConvergenceMS = float64(took.Microseconds()) / 1000
 	t.say("version %d is in force on %d of %d nodes, %.0f ms after the confirm began",
 		res.Version, res.NodesInForce, res.Nodes, res.ConvergenceMS)
 	return nil
@@ -178,7 +171,8 @@
 	defer client.CloseIdleConnections()
 	for round := range demoRounds {
 		for i, c := range demoCalls {
-			n := t.fleet.nodes[(round*len(demoCalls)+i)%len(t.fleet.nodes)]
+			all := t.fleet.Instances()
+			n := all[(round*len(demoCalls)+i)%len(all)].Node()
 			url := "http://" + n.Callers().String() + c.path
 			req, err := http.NewRequestWithContext(ctx, c.method, url, strings.NewReader("{}"))
 			if err != nil {
@@ -204,11 +198,11 @@
 }
 
 // tell says how to go on by hand.
-func (t *try) tell(res Result) {
-	n := t.fleet.nodes[0]
+func (t *try) tell() {
+	n := t.fleet.Instances()[0].Node()
 	ops, _ := n.Operators()
 	t.say("\ncall it:\n  curl -i -H 'Authorization: Bearer demo-big-wall-gyms' http://%s/walls/erdenet", n.Callers())
-	t.say("operate it:\n  BANYANLUG_TOKEN=%s go run ./cmd/banyanlug status -node http://%s", operatorToken, ops)
+	t.say("operate it:\n  BANYANLUG_TOKEN=%s go run ./cmd/banyanlug status -node http://%s", fleet.OperatorToken, ops)
 	t.say("watch it:\n  curl http://%s/metrics", n.Admin())
 	if t.o.forHow == 0 {
 		t.say("\nserving until interrupted")
