Measure what a trial flood does to the paying

Cause: isolation was shown by plays of the decision code alone. An open-loop generator now loads real nodes, in one run with and without the flood, and the same straight at targets that queue.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -33,6 +33,7 @@
 	{"try", "run the whole path in one process, for a newcomer", runTry},
 	{"target", "run a stand-in target", runTarget},
 	{"proxy", "run one side of the call path with a fixed configuration", runProxy},
+	{"measure isolation", "what a flood of trial calls does to the paying", measure.Isolation},
 	{"measure overhead", "what the nodes on the way add to a call", measure.Overhead},
 }
 
--- a/internal/standin/target/call.go
+++ b/internal/standin/target/call.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"banyanlug.example/banyanlug/internal/config/snapshot"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
 )
 
@@ -43,6 +44,18 @@
 const maxAskedSize = 64 << 20
 
 func (s *Server) call(w http.ResponseWriter, r *http.Request) {
+	if s.waiting != nil {
+		select {
+		case s.waiting <- struct{}{}:
+			defer func() { <-s.waiting }()
+		case <-r.Context().Done():
+			return
+		}
+	}
+	if r.Header.Get(hop.ClassHeader) == snapshot.Trial.String() {
+		raise(&s.mostTrial, s.trial.Add(1))
+		defer s.trial.Add(-1)
+	}
 	busy := s.busy.Add(1)
 	defer s.busy.Add(-1)
 	if s.draining.Load() || s.slots > 0 && busy > int64(s.slots) {
@@ -82,13 +95,18 @@
 	}
 }
 
-func (s *Server) count(key string, busy int64) {
+// raise makes a high mark at least n.
+func raise(mark *atomic.Int64, n int64) {
 	for {
-		most := s.most.Load()
-		if busy <= most || s.most.CompareAndSwap(most, busy) {
-			break
+		most := mark.Load()
+		if n <= most || mark.CompareAndSwap(most, n) {
+			return
 		}
 	}
+}
+
+func (s *Server) count(key string, busy int64) {
+	raise(&s.most, busy)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.all++
--- a/internal/standin/target/server.go
+++ b/internal/standin/target/server.go
@@ -28,11 +28,14 @@
 	crash    func()
 	client   *http.Client
 
-	busy     atomic.Int64
-	most     atomic.Int64
-	whole    atomic.Int64
-	draining atomic.Bool
-	slow     atomic.Int64
+	busy      atomic.Int64
+	most      atomic.Int64
+	trial     atomic.Int64
+	mostTrial atomic.Int64
+	waiting   chan struct{}
+	whole     atomic.Int64
+	draining  atomic.Bool
+	slow      atomic.Int64
 
 	mu   sync.Mutex
 	next string
@@ -76,6 +79,10 @@
 	return func(s *Server) { s.health, s.lag = h, lag }
 }
 
+// Waits makes calls beyond the slots wait for one, in the order they came, in
+// place of being shed, as a target does without a node before it.
+func Waits() Option { return func(s *Server) { s.waiting = make(chan struct{}, max(s.slots, 1)) } }
+
 // OnCrash sets what a call marked to crash the target does; it must not
 // return normally in a process of its own.
 func OnCrash(f func()) Option { return func(s *Server) { s.crash = f } }
@@ -152,6 +159,9 @@
 // Most returns the most calls that ran at once.
 func (s *Server) Most() int64 { return s.most.Load() }
 
+// MostTrial returns the most calls of trial organisations that ran at once.
+func (s *Server) MostTrial() int64 { return s.mostTrial.Load() }
+
 // ServeHTTP implements http.Handler; paths under /standin/ are for tests.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
