Measure what callers get while nodes, targets and the store fail

Cause: promises were held by tests of single failures; a load of both classes against an oracle of what ran shows them together.

A domain that is cut off is not in this run.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -34,6 +34,7 @@
 	{"target", "run a stand-in target", runTarget},
 	{"proxy", "run one side of the call path with a fixed configuration", runProxy},
 	{"measure isolation", "what a flood of trial calls does to the paying", measure.Isolation},
+	{"measure faults", "what callers get while targets, nodes and the store fail", measure.Faults},
 	{"measure overhead", "what the nodes on the way add to a call", measure.Overhead},
 }
 
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -38,6 +38,7 @@
 	domains []string
 	targets []target.Option
 
+	callers   int
 	store     *store.Store
 	storeAddr string
 	endStore  func()
@@ -49,6 +50,7 @@
 	name, domain string
 	pool         snapshot.Pool
 	target       *target.Server
+	crashed      []*target.Server
 	targetAddr   string
 	endTarget    func()
 	node         *node.Node
@@ -67,6 +69,21 @@
 // Target returns the stand-in target.
 func (i *Instance) Target() *target.Server { return i.target }
 
+// Runs returns how often each call ran here, by idempotency key, crashed targets
+// included.
+func (i *Instance) Runs() map[string]int {
+	all := map[string]int{}
+	if i.target == nil {
+		return all
+	}
+	for _, t := range append(i.crashed, i.target) {
+		for key, n := range t.Runs() {
+			all[key] += n
+		}
+	}
+	return all
+}
+
 // TargetAddr returns where the target itself listens.
 func (i *Instance) TargetAddr() string { return i.targetAddr }
 
@@ -82,6 +99,9 @@
 // Domains sets the failure domains that the instances are spread over.
 func Domains(names ...string) Option { return func(f *Fleet) { f.domains = names } }
 
+// Callers adds a number of nodes without a target, from which calls only come.
+func Callers(n int) Option { return func(f *Fleet) { f.callers = n } }
+
 // Targets sets options of every target besides its slots.
 func Targets(opts ...target.Option) Option { return func(f *Fleet) { f.targets = opts } }
 
@@ -97,16 +117,26 @@
 	}
 	for _, p := range pools {
 		for range p.Upstreams() {
-			k := len(f.instances)
-			i := &Instance{name: fmt.Sprintf("instance-%02d", k+1), domain: f.domains[k%len(f.domains)], pool: p}
-			if err := f.startInstance(i); err != nil {
+			if err := f.startInstance(f.newInstance(p)); err != nil {
 				return f, err
 			}
 		}
 	}
+	for range f.callers {
+		if err := f.startNode(f.newInstance(snapshot.Pool{})); err != nil {
+			return f, err
+		}
+	}
 	return f, nil
 }
 
+func (f *Fleet) newInstance(p snapshot.Pool) *Instance {
+	k := len(f.instances)
+	i := &Instance{name: fmt.Sprintf("instance-%02d", k+1), domain: f.domains[k%len(f.domains)], pool: p, endTarget: func() {}}
+	f.instances = append(f.instances, i)
+	return i
+}
+
 func (f *Fleet) startStore() error {
 	ln, err := listen()
 	if err != nil {
@@ -132,10 +162,17 @@
 }
 
 func (f *Fleet) startInstance(i *Instance) error {
-	ln, err := listen()
-	if err != nil {
+	if err := f.startTarget(i, "127.0.0.1:0"); err != nil {
 		return err
 	}
+	return f.startNode(i)
+}
+
+func (f *Fleet) startTarget(i *Instance, addr string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return &StartError{What: "target", Err: err}
+	}
 	i.targetAddr = ln.Addr().String()
 	i.target = target.New(f.clock, append([]target.Option{target.Slots(i.pool.Slots())}, f.targets...)...)
 	served := make(chan error, 1)
@@ -144,8 +181,7 @@
 		i.target.Close()
 		<-served
 	})
-	f.instances = append(f.instances, i)
-	return f.startNode(i)
+	return nil
 }
 
 func (f *Fleet) startNode(i *Instance) error {
@@ -200,6 +236,15 @@
 // RestartNode starts a stopped node again.
 func (f *Fleet) RestartNode(i *Instance) error { return f.startNode(i) }
 
+// CrashTarget ends an instance's target at once, and with it what it runs.
+func (f *Fleet) CrashTarget(i *Instance) { i.endTarget() }
+
+// RestartTarget starts a new target in place of a crashed one.
+func (f *Fleet) RestartTarget(i *Instance) error {
+	i.crashed = append(i.crashed, i.target)
+	return f.startTarget(i, i.targetAddr)
+}
+
 // Stop stops all nodes together, then what stays up while they drain.
 func (f *Fleet) Stop() {
 	var wg sync.WaitGroup
@@ -232,7 +277,7 @@
 // Ready reports whether all nodes are ready and know of each other's targets.
 func (f *Fleet) Ready() bool {
 	for _, i := range f.instances {
-		if !i.node.Ready() || i.node.Targets() != len(f.instances) {
+		if !i.node.Ready() || i.node.Targets() != len(f.instances)-f.callers {
 			return false
 		}
 	}
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -85,6 +85,8 @@
 	Status int
 	// Type is why the call failed, or "".
 	Type string
+	// Length is how many bytes of the answer's body came.
+	Length int
 	// Outcome is what the answer says of whether the call ran, or "".
 	Outcome string
 }
@@ -188,7 +190,7 @@
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxRead))
-	e.Status, e.Outcome = resp.StatusCode, resp.Header.Get("Banyanlug-Outcome")
+	e.Status, e.Outcome, e.Length = resp.StatusCode, resp.Header.Get("Banyanlug-Outcome"), len(b)
 	switch {
 	case err != nil:
 		e.Type = "truncated"
--- /dev/null
+++ b/internal/standin/measure/faults.go
@@ -0,0 +1,310 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"banyanlug.example/banyanlug/examples"
+	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/config/declaration"
+	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/standin/fleet"
+	"banyanlug.example/banyanlug/internal/standin/load"
+	"banyanlug.example/banyanlug/internal/standin/target"
+)
+
+const (
+	// faultBody is the length of the answers that are checked to be whole.
+	faultBody = 3000
+	// faultRate is the calls a second, a fifth of what 14 targets carry at the
+	// work below; the rest is room for what faults take away.
+	faultRate = 800
+	faultWork = 30 * time.Millisecond
+	// callerNodes are the nodes that calls come from; they are not stopped.
+	callerNodes = 4
+)
+
+// faultFigures is the measurement's one line.
+type faultFigures struct {
+	Seed             uint64         `json:"seed"`
+	Calls            int            `json:"calls"`
+	OK               int            `json:"calls_ok"`
+	FailedByType     map[string]int `json:"failed_by_type"`
+	PlannedCalls     int            `json:"calls_while_planned_stops"`
+	PlannedFailed    map[string]int `json:"failed_while_planned_stops"`
+	RanTwice         int            `json:"ran_twice"`
+	WronglyNotRun    int            `json:"wrongly_not_run"`
+	TruncatedAsWhole int            `json:"truncated_as_whole"`
+	CutOff           int            `json:"cut_off_by_planned_stop"`
+	OnPromised       int64          `json:"trial_on_promised_slots"`
+	Faults           map[string]int `json:"faults"`
+	P50              float64        `json:"ms_p50"`
+	P99              float64        `json:"ms_p99"`
+}
+
+// Faults loads the climbing ledger's deployment with calls of both classes
+// while nodes are stopped as planned, then while targets crash, drain and slow
+// down and the store goes away, and compares what callers got with what ran.
+func Faults(ctx context.Context, args []string, out io.Writer) error {
+	fs := flag.NewFlagSet("measure faults", flag.ContinueOnError)
+	seconds := fs.Float64("seconds", 8, "how long each of the two phases takes")
+	seed := fs.Uint64("seed", 1, "seed of the order of faults")
+	asJSON := fs.Bool("json", false, "write one JSON line in place of text")
+	if err := fs.Parse(args); err != nil {
+		return err
+	}
+	if *seconds < 1 || *seconds > 600 {
+		return &SettingError{Text: "seconds 1 to 600"}
+	}
+	m := &faults{
+		clock: timer.New(), length: time.Duration(*seconds * float64(time.Second)),
+		rand: rand.New(rand.NewPCG(*seed, 1)), notRun: map[string]bool{}, once: map[string]bool{},
+		figures: faultFigures{Seed: *seed, Faults: map[string]int{}},
+	}
+	g := newGroup(context.WithoutCancel(ctx))
+	defer g.stop()
+	g.start(m.clock.Run)
+	if err := m.run(ctx); err != nil {
+		return err
+	}
+	b, err := json.Marshal(m.figures)
+	if err != nil {
+		return fmt.Errorf("encode the figures: %w", err)
+	}
+	if !*asJSON {
+		_, err = fmt.Fprintf(out, "%d calls, %d answered; ran twice %d, wrongly not run %d, truncated as whole %d, cut off by a planned stop %d\n%s\n",
+			m.figures.Calls, m.figures.OK, m.figures.RanTwice, m.figures.WronglyNotRun, m.figures.TruncatedAsWhole, m.figures.CutOff, b)
+		return err
+	}
+	_, err = fmt.Fprintf(out, "%s\n", b)
+	return err
+}
+
+type faults struct {
+	clock   *timer.Service
+	length  time.Duration
+	rand    *rand.Rand
+	fleet   *fleet.Fleet
+	callers []string
+	figures faultFigures
+
+	mu sync.Mutex
+	// notRun are the calls that were said not to have run, once those that may
+	// run once only.
+	notRun, once map[string]bool
+	truncated    int
+}
+
+// faultCalls are what callers ask, by the keys of the example's organisations.
+var faultCalls = []struct {
+	key, method, path string
+	once              bool
+}{
+	{"demo-big-wall-gyms", http.MethodGet, "/walls/erdenet", false},
+	{"demo-big-wall-gyms", http.MethodPost, "/ascents", true},
+	{"demo-altai-climbing-club", http.MethodGet, "/walls/khovd", false},
+	{"demo-gobi-boulder", http.MethodPost, "/resets/7", true},
+	{"demo-steppe-crimpers", http.MethodPost, "/ascents", true},
+	{"demo-standings", http.MethodGet, "/ascents/43", false},
+}
+
+func (m *faults) run(ctx context.Context) error {
+	set, err := declaration.Load(examples.Khadtai())
+	if err != nil {
+		return err
+	}
+	var pools []snapshot.Pool
+	var objects []snapshot.Object
+	for _, o := range set.Objects() {
+		switch o := o.(type) {
+		case snapshot.Pool:
+			pools = append(pools, o)
+			objects = append(objects, o)
+		case snapshot.Limit:
+			// Limits would refuse what the faults are to be seen by.
+		default:
+			objects = append(objects, o)
+		}
+	}
+	m.fleet, err = fleet.Start(m.clock, pools, fleet.Callers(callerNodes), fleet.Domains("ulaanbaatar/bayanzurkh", "ulaanbaatar/khan-uul"),
+		fleet.Targets(target.Slots(0)))
+	defer m.fleet.Stop()
+	if err != nil {
+		return err
+	}
+	if err := m.fleet.Until(ctx, "nodes become ready", m.fleet.Ready); err != nil {
+		return err
+	}
+	if _, _, _, err := m.fleet.Confirm(ctx, objects); err != nil {
+		return err
+	}
+	for _, i := range m.fleet.Instances() {
+		if i.Target() == nil {
+			m.callers = append(m.callers, "http://"+i.Node().Callers().String())
+		}
+	}
+	return m.phases(ctx)
+}
+
+func (m *faults) phases(ctx context.Context) error {
+	planned, err := m.under(ctx, "p", m.plannedStops)
+	if err != nil {
+		return err
+	}
+	broken, err := m.under(ctx, "f", m.breakThings)
+	if err != nil {
+		return err
+	}
+	f := &m.figures
+	f.PlannedCalls, f.PlannedFailed = planned.Calls(), maps.Clone(planned.Failed())
+	for kind, n := range planned.Failed() {
+		if !harmlessInStop[kind] {
+			f.CutOff += n
+		}
+	}
+	planned.Merge(broken)
+	f.Calls, f.OK, f.FailedByType = planned.Calls(), planned.OK(), planned.Failed()
+	f.P50, f.P99 = planned.QuantileMS(50), planned.QuantileMS(99)
+	f.TruncatedAsWhole = m.truncated
+	m.compare()
+	return nil
+}
+
+// harmlessInStop are failures of calls that were never in flight at the node
+// that stopped: refused before they ran, with when to come back.
+var harmlessInStop = map[string]bool{"no-target": true, "draining": true, "queue-full": true, "too-late": true}
+
+// under loads the fleet while faults are played.
+func (m *faults) under(ctx context.Context, phase string, play func(context.Context) error) (*load.Result, error) {
+	gen := load.New(m.clock, load.OnEnd(m.note))
+	defer gen.Close()
+	var played error
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		pctx, cancel := m.clock.WithTimeout(ctx, m.length)
+		defer cancel()
+		played = play(pctx)
+	})
+	res := gen.Run(ctx, faultRate, m.length, func(n int) load.Call {
+		c := faultCalls[n%len(faultCalls)]
+		id := phase + strconv.Itoa(n)
+		if c.once {
+			m.mu.Lock()
+			m.once[id] = true
+			m.mu.Unlock()
+		}
+		return load.Call{
+			URL:    fmt.Sprintf("%s%s?size=%d&sleep=%v", m.callers[n%len(m.callers)], c.path, faultBody, faultWork),
+			Method: c.method, Key: c.key, Once: id,
+		}
+	})
+	wg.Wait()
+	return res, played
+}
+
+func (m *faults) note(e load.Ended) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if e.Outcome == "not-run" {
+		m.notRun[e.Call.Once] = true
+	}
+	if e.Type == "" && e.Length != faultBody {
+		m.truncated++
+	}
+}
+
+// compare holds what callers were told against what ran.
+func (m *faults) compare() {
+	runs := map[string]int{}
+	for _, i := range m.fleet.Instances() {
+		for key, n := range i.Runs() {
+			runs[key] += n
+		}
+		if i.Target() != nil {
+			over := i.Target().MostTrial() - int64(i.Pool().Slots()-i.Pool().Promised())
+			m.figures.OnPromised = max(m.figures.OnPromised, over)
+		}
+	}
+	for key, n := range runs {
+		if m.once[key] && n > 1 {
+			m.figures.RanTwice++
+		}
+		if m.notRun[key] && n > 0 {
+			m.figures.WronglyNotRun++
+		}
+	}
+}
+
+// withTargets are the instances that faults are played on.
+func (m *faults) withTargets() []*fleet.Instance {
+	var out []*fleet.Instance
+	for _, i := range m.fleet.Instances() {
+		if i.Target() != nil {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// plannedStops stops and restarts nodes, one at a time.
+func (m *faults) plannedStops(ctx context.Context) error {
+	all := m.withTargets()
+	for ctx.Err() == nil {
+		i := all[m.rand.IntN(len(all))]
+		m.fleet.StopNode(i)
+		m.figures.Faults["planned_stop"]++
+		if err := m.fleet.RestartNode(i); err != nil {
+			return err
+		}
+		if m.clock.Sleep(ctx, 500*time.Millisecond) != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+// breakThings plays crashes, slow targets and outages of the store.
+func (m *faults) breakThings(ctx context.Context) error {
+	all := m.withTargets()
+	store := m.fleet.Store()
+	defer store.SetDown(false)
+	for ctx.Err() == nil {
+		i := all[m.rand.IntN(len(all))]
+		switch m.rand.IntN(4) {
+		case 0:
+			m.figures.Faults["crash"]++
+			m.fleet.CrashTarget(i)
+			_ = m.clock.Sleep(ctx, 400*time.Millisecond)
+			if err := m.fleet.RestartTarget(i); err != nil {
+				return err
+			}
+		case 1:
+			m.figures.Faults["slow"]++
+			i.Target().SetSlow(10 * faultWork)
+			_ = m.clock.Sleep(ctx, 400*time.Millisecond)
+			i.Target().SetSlow(0)
+		case 2:
+			m.figures.Faults["store_down"]++
+			store.SetDown(true)
+			_ = m.clock.Sleep(ctx, 400*time.Millisecond)
+			store.SetDown(false)
+		case 3:
+			m.figures.Faults["planned_stop"]++
+			m.fleet.StopNode(i)
+			if err := m.fleet.RestartNode(i); err != nil {
+				return err
+			}
+		}
+		_ = m.clock.Sleep(ctx, 100*time.Millisecond)
+	}
+	return nil
+}
