Mend two waits without an end in the admission gate

Cause: (1) a queued call's ticket was read from its record after the decision, and another call could displace it in between, so its owner waited for a wake of a ticket that no longer was; (2) a trial call that waited because paying calls had lately used all slots was not looked at again when they stayed away, and waited for its deadline beside an idle target. Both showed as a test of sixteen concurrent callers that did not end within ten minutes.

The decision now holds the ticket, Expire also runs what may run, and NextExpiry counts the moment when the level of paying use frees a slot. The level also no longer rises above the slots there are.

Conclusion: an API whose answer had to be read at once was a trap under load.

--- a/internal/policy/admission/decision.go
+++ b/internal/policy/admission/decision.go
@@ -11,8 +11,11 @@
 // Admitted lets the call run now.
 type Admitted struct{ c *call }
 
-// Queued makes the call wait until a Wake names its ticket.
-type Queued struct{ c *call }
+// Queued makes the call wait until a Wake names its ticket. It holds the ticket
+// itself: by the time its owner reads it another call may have displaced this
+// one, and its record may be in use again. The owner would then wait for a wake
+// that never comes.
+type Queued struct{ ticket Ticket }
 
 // Refused turns the call away; it has not run.
 type Refused struct {
@@ -23,8 +26,8 @@
 // Ticket returns what to give to Leave; read it before Leave.
 func (d Admitted) Ticket() Ticket { return d.c.ticket() }
 
-// Ticket returns what to wait for and to give to Leave; read it at once.
-func (d Queued) Ticket() Ticket { return d.c.ticket() }
+// Ticket returns what to wait for and to give to Leave.
+func (d Queued) Ticket() Ticket { return d.ticket }
 
 // Reason returns why the call is turned away.
 func (d Refused) Reason() Reason { return d.reason }
--- a/internal/policy/admission/gate.go
+++ b/internal/policy/admission/gate.go
@@ -64,6 +64,7 @@
 	all, short work
 	free       []*call
 	turn       float64
+	latest     int64
 }
 
 // Option sets one property of a gate.
@@ -104,14 +105,14 @@
 	if g.slots != before {
 		g.open = float64(g.slots)
 	}
-	return g.dispatch(g.at(now), wakes)
+	return g.dispatch(g.advance(now), wakes)
 }
 
 // Enter decides about a call; wakes gets what became of calls that waited.
 func (g *Gate) Enter(now time.Time, r Request, wakes []Wake) (Decision, []Wake) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	at := g.at(now)
+	at := g.advance(now)
 	o := g.orgOf(r.org)
 	c := g.record(at, r, o)
 	if reason := g.shut(at, c); reason != 0 {
@@ -119,7 +120,7 @@
 		return g.refuse(at, c.class, o, reason), wakes
 	}
 	if c.class == snapshot.Paying {
-		g.demand.arrive(at, g.runPaying+len(g.paying.calls))
+		g.demand.arrive(at, g.runPaying+len(g.paying.calls), g.capacity())
 	}
 	if g.may(at, c) {
 		g.start(at, c)
@@ -139,7 +140,7 @@
 		wakes = g.dismiss(at, q, i, Displaced, wakes)
 	}
 	q.push(c)
-	return Queued{c}, wakes
+	return Queued{c.ticket()}, wakes
 }
 
 // shut returns why no call like c is let in at all, or 0.
@@ -165,7 +166,7 @@
 	if c == nil || c.gen != t.gen {
 		return wakes
 	}
-	at := g.at(now)
+	at := g.advance(now)
 	switch c.state {
 	case queued:
 		g.queueOf(c.class).removeCall(c)
@@ -179,12 +180,14 @@
 	return g.dispatch(at, wakes)
 }
 
-// Expire dismisses the waiting calls that can no longer finish in time.
+// Expire dismisses the waiting calls that can no longer finish in time, and runs
+// trial calls whose turn came because paying calls have stayed away. Without the
+// latter a trial call would wait for its deadline beside an idle target.
 func (g *Gate) Expire(now time.Time, wakes []Wake) []Wake {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	at := g.at(now)
-	return g.expire(at, &g.trial, g.expire(at, &g.paying, wakes))
+	at := g.advance(now)
+	return g.dispatch(at, wakes)
 }
 
 // NextExpiry returns when Expire has something to do, if any call waits.
@@ -200,6 +203,9 @@
 	if !ok {
 		return time.Time{}, false
 	}
+	if len(g.trial.calls) > 0 {
+		next = min(next, g.demand.nextFall(g.latest))
+	}
 	return g.epoch.Add(time.Duration(next) + 1), true
 }
 
@@ -208,7 +214,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.draining = true
-	at := g.at(now)
+	at := g.advance(now)
 	for _, q := range []*queue{&g.paying, &g.trial} {
 		for len(q.calls) > 0 {
 			wakes = g.dismiss(at, q, 0, Draining, wakes)
@@ -217,6 +223,13 @@
 	return wakes
 }
 
+// advance remembers the latest time that a decision was asked for.
+func (g *Gate) advance(now time.Time) int64 {
+	at := g.at(now)
+	g.latest = max(g.latest, at)
+	return at
+}
+
 func (g *Gate) at(now time.Time) int64 { return int64(now.Sub(g.epoch)) }
 
 // capacity returns how many calls may run now.
--- a/internal/policy/admission/gate_test.go
+++ b/internal/policy/admission/gate_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -122,6 +125,108 @@
 	}
 }
 
+// Many callers at once: never more calls run than there are slots, nor more
+// trial calls than are not promised, and all slots are free in the end.
+func TestGateUnderConcurrentUse(t *testing.T) {
+	t.Parallel()
+	g := NewGate(play.Start, Slots(4), Promised(2))
+	var running, trials atomic.Int32
+	var wakers sync.Map
+	run := func(class snapshot.Class) {
+		if n := running.Add(1); n > 4 {
+			t.Errorf("%d calls run", n)
+		}
+		if class == snapshot.Trial {
+			if n := trials.Add(1); n > 2 {
+				t.Errorf("%d trial calls run", n)
+			}
+			trials.Add(-1)
+		}
+		running.Add(-1)
+	}
+	wake := func(wakes []Wake) {
+		for _, w := range wakes {
+			ch, _ := wakers.LoadOrStore(w.Ticket(), make(chan Decision, 1))
+			ch.(chan Decision) <- w.Decision()
+		}
+	}
+	var clock atomic.Int64
+	tick := func() time.Time { return play.Start.Add(time.Duration(clock.Add(1)) * ms) }
+	var callers sync.WaitGroup
+	for i := range 16 {
+		callers.Go(func() {
+			class := snapshot.Class(i % 2)
+			for range 200 {
+				now := tick()
+				d, wakes := g.Enter(now, NewRequest(fmt.Sprint(i), class, "r", now.Add(time.Second)), nil)
+				wake(wakes)
+				if q, ok := d.(Queued); ok {
+					ch, _ := wakers.LoadOrStore(q.Ticket(), make(chan Decision, 1))
+					d = <-ch.(chan Decision)
+				}
+				if a, ok := d.(Admitted); ok {
+					run(class)
+					wake(g.Leave(tick(), a.Ticket(), Done, nil))
+				}
+			}
+		})
+	}
+	ended := make(chan struct{})
+	go func() {
+		callers.Wait()
+		close(ended)
+	}()
+	// What waits beside an idle target is woken by the clock alone.
+	for done := false; !done; {
+		select {
+		case <-ended:
+			done = true
+		default:
+			wake(g.Expire(tick(), nil))
+			runtime.Gosched()
+		}
+	}
+	l := g.Load(play.Start)
+	if l.Running(snapshot.Paying)+l.Running(snapshot.Trial)+l.Waiting(snapshot.Paying)+l.Waiting(snapshot.Trial) != 0 {
+		t.Errorf("calls are left: %+v", l)
+	}
+}
+
+// A trial call waits because paying calls lately used all slots. They stay away;
+// the call must run when their level has sunk by a slot, not wait for its
+// deadline beside an idle target.
+func TestTrialCallRunsWhenPayingCallsStayAway(t *testing.T) {
+	t.Parallel()
+	g := NewGate(play.Start, Slots(2))
+	var paying []Ticket
+	for range 2 {
+		d, _ := g.Enter(play.Start, NewRequest("broker", snapshot.Paying, "r", play.Start.Add(time.Second)), nil)
+		paying = append(paying, d.(Admitted).Ticket())
+	}
+	d, _ := g.Enter(play.Start, NewRequest("free", snapshot.Trial, "r", play.Start.Add(time.Minute)), nil)
+	waiting := d.(Queued).Ticket()
+	for range 20 {
+		// Paying calls in one moment raise the level to all slots.
+		d, _ := g.Enter(play.Start, NewRequest("broker", snapshot.Paying, "r", play.Start.Add(time.Second)), nil)
+		if q, ok := d.(Queued); ok {
+			g.Leave(play.Start, q.Ticket(), Cancelled, nil)
+		}
+	}
+	for _, p := range paying {
+		if wakes := g.Leave(play.Start, p, Done, nil); len(wakes) != 0 {
+			t.Fatal("the trial call runs at once, so the level is not at play")
+		}
+	}
+	next, ok := g.NextExpiry()
+	if !ok || next.After(play.Start.Add(2*time.Second)) {
+		t.Fatalf("the gate wants to be asked again at %v", next)
+	}
+	wakes := g.Expire(next, nil)
+	if len(wakes) != 1 || wakes[0].Ticket() != waiting {
+		t.Errorf("%d calls woken", len(wakes))
+	}
+}
+
 func TestEntryOnFreeSlotAllocatesNothing(t *testing.T) {
 	g := NewGate(play.Start, Slots(insurerSlots), Promised(8))
 	r := NewRequest("broker", snapshot.Paying, "quote", play.Start.Add(time.Second))
--- a/internal/policy/balance/balancer_test.go
+++ b/internal/policy/balance/balancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -239,6 +240,32 @@
 	}
 }
 
+// Many calls and announcements at once: nothing stays outstanding.
+func TestBalancerUnderConcurrentUse(t *testing.T) {
+	t.Parallel()
+	b := three()
+	reports := []Report{Answered(Load(0.5), Kept()), Failed(), Unreachable(), Shed(ForOrganisation, ms), Cancelled()}
+	var callers sync.WaitGroup
+	for i := range 8 {
+		callers.Go(func() {
+			for n := range 200 {
+				now := play.Start.Add(time.Duration(n) * ms)
+				if p, ok := b.Pick(now, "pool", broker, nil).(Picked); ok {
+					b.Done(now, p, broker, ms, reports[(i+n)%len(reports)])
+					b.Closed(p)
+				}
+				b.Update(now, "pool", slots, ready(3))
+			}
+		})
+	}
+	callers.Wait()
+	for _, target := range b.lookup("pool").all {
+		if target.outstanding != 0 {
+			t.Errorf("%d calls stay outstanding", target.outstanding)
+		}
+	}
+}
+
 func TestPickAllocatesNothing(t *testing.T) {
 	b := three()
 	if n := testing.AllocsPerRun(1000, func() {
