--- a/internal/log/event/catalogue.go
+++ b/internal/log/event/catalogue.go
@@ -28,31 +28,17 @@
 	Do string
 }
 
-// The events, by area: 1000 process, 1100 configuration, 1200 distribution,
-// 1300 membership, 1400 calls, 1500 operators, 1600 platform store, 1700 at
-// most once and poison.
-const (
-	NodeStarted Code = 1001
-	NodeReady   Code = 1002
-	NodeDrains  Code = 1003
-	NodeStopped Code = 1004
-	NodeFailed  Code = 1005
-
-	VersionApplied Code = 1101
-	VersionRefused Code = 1102
-	StoreIsOlder   Code = 1103
+// catalogue holds the events of all areas; each area has a file of its own.
+var catalogue = gather(
+	processEvents, configurationEvents, distributionEvents, membershipEvents, callsEvents, operatorsEvents, storeEvents,
 )
 
-var catalogue = map[Code]Entry{
-	NodeStarted: {Info, "node started", "nothing"},
-	NodeReady:   {Info, "node ready", "nothing"},
-	NodeDrains:  {Info, "node drains: new work is refused as not run, work in flight finishes", "nothing"},
-	NodeStopped: {Info, "node stopped", "nothing"},
-	NodeFailed:  {Error, "node failed", "read the error; the process ends and its slot's supervisor starts it again"},
-
-	VersionApplied: {Info, "configuration version applied", "nothing"},
-	VersionRefused: {Error, "configuration version refused; the version held stays in force", "read the error; a format error asks for a newer program on this node"},
-	StoreIsOlder:   {Error, "the platform store holds an older version than the fleet", "see docs/operators/versions.md; the fleet keeps its version"},
+func gather(areas ...map[Code]Entry) map[Code]Entry {
+	all := map[Code]Entry{}
+	for _, area := range areas {
+		maps.Copy(all, area)
+	}
+	return all
 }
 
 // Markdown returns the catalogue as the page docs/EVENTS.md.
--- /dev/null
+++ b/internal/log/event/process.go
@@ -0,0 +1,18 @@
+package event
+
+// The 1000s are about the process.
+const (
+	NodeStarted Code = 1001
+	NodeReady   Code = 1002
+	NodeDrains  Code = 1003
+	NodeStopped Code = 1004
+	NodeFailed  Code = 1005
+)
+
+var processEvents = map[Code]Entry{
+	NodeStarted: {Info, "node started", "nothing"},
+	NodeReady:   {Info, "node ready", "nothing"},
+	NodeDrains:  {Info, "node drains: new work is refused as not run, work in flight finishes", "nothing"},
+	NodeStopped: {Info, "node stopped", "nothing"},
+	NodeFailed:  {Error, "node failed", "read the error; the process ends and its slot's supervisor starts it again"},
+}
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -8,7 +9,10 @@
 
 	"banyanlug.example/banyanlug/internal/clock/timer"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/policy/balance"
+	"banyanlug.example/banyanlug/internal/policy/limit"
 	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/policy/retry"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
 )
 
@@ -17,11 +21,20 @@
 	Current() *snapshot.Snapshot
 }
 
-// Directory tells which targets of a pool are ready.
+// Directory tells which targets of a pool are ready: the same slice until they
+// change, then another one.
 type Directory interface {
 	Targets(pool string) []membership.Record
 }
 
+// Fallback is a Directory that also knows targets to be tried only when those
+// of Targets turned the call away, as those of a failure domain that looks cut
+// off.
+type Fallback interface {
+	Directory
+	Fallback(pool string) []membership.Record
+}
+
 // DefaultMaxDepth is the deepest that the users' services call each other.
 const DefaultMaxDepth = 11
 
@@ -33,8 +46,10 @@
 	sealer    *hop.Sealer
 	clk       *timer.Service
 
-	limiter  Limiter
-	picker   Picker
+	limits   *limit.Holder
+	balancer *balance.Balancer
+	budgets  *retry.Budgets
+	views    views
 	claims   Claims
 	maxDepth int
 	meters   *meters
@@ -43,11 +58,15 @@
 // Option sets one property of a handler.
 type Option func(*Handler)
 
-// WithLimiter sets what holds organisations to their limits.
-func WithLimiter(l Limiter) Option { return func(h *Handler) { h.limiter = l } }
+// WithLimits sets what holds organisations to their limits; without it nothing
+// does.
+func WithLimits(l *limit.Holder) Option { return func(h *Handler) { h.limits = l } }
+
+// WithBalancer sets what chooses targets, as by their distance.
+func WithBalancer(b *balance.Balancer) Option { return func(h *Handler) { h.balancer = b } }
 
-// WithPicker sets what chooses targets and decides on further attempts.
-func WithPicker(p Picker) Option { return func(h *Handler) { h.picker = p } }
+// WithBudgets sets what decides on further attempts.
+func WithBudgets(b *retry.Budgets) Option { return func(h *Handler) { h.budgets = b } }
 
 // WithClaims sets what keeps calls that must not run twice from doing so.
 func WithClaims(c Claims) Option { return func(h *Handler) { h.claims = c } }
@@ -67,12 +86,18 @@
 func New(config Config, directory Directory, client *hop.Client, sealer *hop.Sealer, clk *timer.Service, opts ...Option) *Handler {
 	h := &Handler{
 		config: config, directory: directory, hop: client, sealer: sealer, clk: clk,
-		limiter: unlimited{}, picker: newPicker(), claims: unclaimed{},
+		claims:   unclaimed{},
 		maxDepth: DefaultMaxDepth, meters: newMeters(),
 	}
 	for _, opt := range opts {
 		opt(h)
 	}
+	if h.balancer == nil {
+		h.balancer = balance.New(clk.Now(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	}
+	if h.budgets == nil {
+		h.budgets = retry.NewBudgets(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	}
 	return h
 }
 
@@ -88,9 +113,17 @@
 	parent *hop.Parent
 	rt     snapshot.Route
 	until  time.Time
-	meta   hop.Meta
-	body   hop.Body
-	claim  Claim
+	// hurried marks a call that has less time than its route allows.
+	hurried bool
+	meta    hop.Meta
+	ask     balance.Ask
+	body    hop.Body
+	claim   Claim
+
+	attempts   retry.Call
+	tried      []balance.Picked
+	held       *heldAnswer
+	mayHaveRun bool
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/traffic/http1/server.go
+++ b/internal/traffic/http1/server.go
@@ -30,15 +30,20 @@
 	// defaultMaxBody bounds one request body. Bodies are streamed, so it is no
 	// matter of memory but of how long one call may hold a slot.
 	defaultMaxBody = 64 << 20
-	// watchPeriod is how soon a peer's leaving is noticed; ticks cost about
-	// 10 us each, so 20 ms stays under a thousandth of a core.
-	watchPeriod = 20 * time.Millisecond
+	// watchPeriod is how soon a peer's leaving is noticed. A tick costs a
+	// process that has slept about 100 us, so 20 a second stay at a fifth of a
+	// percent of a core; a call that its caller has left holds its slot for two
+	// periods at most.
+	watchPeriod = 50 * time.Millisecond
 	// lingerTimeout is how long a closed connection takes what its peer had
 	// already sent. Closing with bytes unread makes the kernel send a reset,
 	// which can overtake the last answer; 300 ms is twice the longest way.
 	lingerTimeout = 300 * time.Millisecond
 	// lingerBytes bounds what is read and dropped meanwhile.
 	lingerBytes = 256 << 10
+	// deafFor is how long connections that are being opened may take to open,
+	// before the listener closes: several round trips inside a region.
+	deafFor = 50 * time.Millisecond
 	// shardCount spreads connections over locks; a power of two.
 	shardCount = 16
 )
@@ -52,6 +57,8 @@
 	onFault     func(error)
 	drainRefuse *Refusal
 	idle        time.Duration
+	head        time.Duration
+	body        time.Duration
 	maxBody     int64
 
 	draining atomic.Bool
@@ -107,7 +114,7 @@
 // New returns a server for handler.
 func New(handler http.Handler, clk *timer.Service, opts ...Option) *Server {
 	s := &Server{
-		handler: handler, clk: clk, idle: defaultIdle, maxBody: defaultMaxBody,
+		handler: handler, clk: clk, idle: defaultIdle, head: headTimeout, body: bodyTimeout, maxBody: defaultMaxBody,
 		connContext: func(ctx context.Context, _ net.Conn) context.Context { return ctx },
 		onFault:     func(error) {},
 		drainRefuse: &Refusal{
@@ -172,7 +179,7 @@
 }
 
 func (s *Server) start(ctx context.Context, rwc net.Conn) {
-	c := newConn(s, &s.shards[s.next.Add(1)%shardCount], rwc)
+	c := newConn(s, &s.shards[s.next.Add(1)%shardCount], Quick(rwc))
 	c.shard.mu.Lock()
 	c.shard.conns[c] = struct{}{}
 	c.shard.mu.Unlock()
@@ -188,10 +195,14 @@
 	ln, cancel := s.listener, s.cancel
 	s.mu.Unlock()
 	if ln != nil {
+		deafen(ln)
+		_ = s.clk.Sleep(ctx, deafFor)
 		_ = ln.Close()
 	}
-	// Connections taken while the others ended are refused, not served.
-	cut += s.finish(ctx)
+	if cut == 0 {
+		// Connections taken while the others ended are refused, not served.
+		cut = s.finish(ctx)
+	}
 	if cut == 0 {
 		return nil
 	}
