--- a/internal/policy/limit/limit_test.go
+++ b/internal/policy/limit/limit_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -136,6 +138,35 @@
 	}
 }
 
+// Many calls, heartbeats and grants at once: never more calls run than the share
+// allows, and none is left.
+func TestHolderUnderConcurrentUse(t *testing.T) {
+	t.Parallel()
+	h := holding(1e6, 5)
+	now := play.Start.Add(time.Second)
+	var running atomic.Int32
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() {
+			for n := range 200 {
+				if _, ok := h.Allow(now, byAtOnce).(Allowed); ok {
+					if r := running.Add(1); r > 5 {
+						t.Errorf("%d calls run on a share of 5", r)
+					}
+					running.Add(-1)
+					h.Release(now, "acme")
+				}
+				h.Reports(now, n%2 == 0)
+				h.Apply(now, []Grant{NewGrant("acme", uint64(n+2), NewAmounts(1e6, 5), Amounts{}, NodeLease)})
+			}
+		})
+	}
+	callers.Wait()
+	if a := h.shard("acme").orgs["acme"]; a == nil || a.running != 0 {
+		t.Errorf("the account is %+v", a)
+	}
+}
+
 func TestAllowAllocatesNothing(t *testing.T) {
 	h := holding(1e9, 1e9)
 	big := snapshot.NewLimit("acme", 1e7, 1e6)
