--- a/internal/traffic/caller/rig_test.go
+++ b/internal/traffic/caller/rig_test.go
@@ -167,6 +167,7 @@
 		snapshot.NewService("quoting"),
 		snapshot.NewPool("quotes", "quoting", snapshot.Slots(12), snapshot.Promised(8), snapshot.Connections(120), snapshot.Upstreams(5)),
 		snapshot.NewRoute("read", "/read", "quoting", "quotes", snapshot.Idempotent(), snapshot.Retries(2), snapshot.Deadline(5*time.Second)),
+		snapshot.NewRoute("long", "/long", "quoting", "quotes", snapshot.Idempotent(), snapshot.Deadline(time.Minute)),
 		snapshot.NewRoute("short", "/short", "quoting", "quotes", snapshot.Idempotent(), snapshot.Deadline(time.Second)),
 		snapshot.NewRoute("bind", "/bind", "quoting", "quotes", snapshot.Retries(2), snapshot.Deadline(5*time.Second)),
 	}, nil)
