Start the real processes in tests, and a deployment by hand

The tests of process/node now build both programs once and start a store, targets and nodes as processes that can be killed, frozen and told to stop; each wait is on a condition. cmd/standin gains store, and a node can advertise other addresses than it listens on, as behind address translation.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -31,6 +31,7 @@
 
 var commands = []command{
 	{"try", "run the whole path in one process, for a newcomer", runTry},
+	{"store", "run a stand-in of the platform's key-value service", runStore},
 	{"target", "run a stand-in target", runTarget},
 	{"proxy", "run one side of the call path with a fixed configuration", runProxy},
 	{"measure overhead", "what the nodes on the way add to a call", measure.Overhead},
--- /dev/null
+++ b/internal/process/node/fleet_test.go
@@ -0,0 +1,412 @@
+package node_test
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"banyanlug.example/banyanlug/internal/log/event"
+)
+
+const (
+	fleetKey  = "a-fleet-key-of-tests-0123456789"
+	callerKey = "demo-gyms"
+	anaToken  = "token-of-ana"
+	boToken   = "token-of-bo"
+)
+
+// The declarations of the tests; routes that take long have long deadlines.
+var declarations = fmt.Sprintf(`
+services:
+  - name: walls
+pools:
+  - name: walls
+    service: walls
+    upstreams: 4
+    slots: 40
+    promised: 20
+    connections: 200
+organisations:
+  - name: gyms
+    class: paying
+    keys:
+      - %s
+routes:
+  - name: view
+    path: /walls
+    methods: [GET]
+    service: walls
+    pool: walls
+    idempotent: true
+    deadline: 10s
+    retries: 3
+  - name: send
+    path: /sends
+    methods: [POST]
+    service: walls
+    pool: walls
+    idempotent: false
+    deadline: 10s
+`, hash(callerKey))
+
+// edit is a change of one object, different for each n.
+func edit(n int) string {
+	return fmt.Sprintf(`
+services:
+  - name: extra-%d
+`, n)
+}
+
+func hash(secret string) string {
+	h := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(h[:])
+}
+
+// fleet is a store, nodes and targets, each in a process of its own.
+type fleet struct {
+	t     *testing.T
+	dir   string
+	store *process
+	at    string
+	nodes []*node
+	edits int
+}
+
+// node is a node's process with where it serves.
+type node struct {
+	*process
+	instance, domain, target string
+	logged
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{t: t, dir: t.TempDir()}
+	f.store = start(t, "store", binaries.standin, "store", "-addr", "127.0.0.1:0")
+	f.at = f.store.line("store serves on ")
+	t.Cleanup(f.neverBack)
+	return f
+}
+
+// neverBack checks that no process put an older version in force than one it
+// had before.
+func (f *fleet) neverBack() {
+	for _, n := range f.nodes {
+		last := uint64(0)
+		for _, e := range n.events(event.VersionApplied) {
+			if e.Version <= last {
+				f.t.Errorf("%s put version %d in force after %d", n.name, e.Version, last)
+			}
+			last = e.Version
+		}
+	}
+}
+
+// fault tells the store what goes wrong from now on.
+func (f *fleet) fault(body string) {
+	f.t.Helper()
+	resp, err := http.Post("http://"+f.at+"/fault", "application/json", strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		f.t.Fatalf("fault %s: status %d", body, resp.StatusCode)
+	}
+}
+
+// startTarget starts a stand-in target and returns it with its address.
+func (f *fleet) startTarget(name string) (*process, string) {
+	f.t.Helper()
+	p := start(f.t, name, binaries.standin, "target", "-slots", "40")
+	return p, p.line("target serves on ")
+}
+
+// startNode starts a node, beside a target if that is not "".
+func (f *fleet) startNode(instance, domain, target string, more ...string) *node {
+	f.t.Helper()
+	args := []string{
+		"node", "-instance", instance, "-failure-domain", domain, "-store", f.at, "-fleet-key", fleetKey,
+		"-callers", "127.0.0.1:0", "-mesh", "127.0.0.1:0", "-peers", "127.0.0.1:0", "-admin", "127.0.0.1:0",
+		"-operators", "127.0.0.1:0", "-operator-tokens", "ana:" + hash(anaToken) + ",bo:" + hash(boToken),
+		"-settle", "500ms", "-drain-timeout", "20s",
+	}
+	if target != "" {
+		args = append(args, "-pool", "walls", "-target", target)
+	}
+	n := &node{
+		process:  start(f.t, instance, binaries.banyanlug, append(args, more...)...),
+		instance: instance, domain: domain, target: target,
+	}
+	n.logged = n.awaitEvent(event.NodeStarted)
+	f.nodes = append(f.nodes, n)
+	return n
+}
+
+// instances starts a target and a node for each domain named, as instance i1,
+// i2 and so on, and waits until all are ready and know each other.
+func (f *fleet) instances(domains ...string) []*node {
+	f.t.Helper()
+	var out []*node
+	for i, d := range domains {
+		_, target := f.startTarget(fmt.Sprintf("t%d", i+1))
+		out = append(out, f.startNode(fmt.Sprintf("i%d", i+1), d, target))
+	}
+	f.met(out...)
+	return out
+}
+
+// met waits until each of the nodes is ready and knows all of them.
+func (f *fleet) met(nodes ...*node) {
+	f.t.Helper()
+	for _, n := range nodes {
+		until(f.t, n.name+" is ready and knows the others", func() bool {
+			return n.ready() && n.metric("banyanlug_members") >= uint64(len(nodes))
+		}, processes(nodes)...)
+	}
+}
+
+func processes(nodes []*node) []*process {
+	var out []*process
+	for _, n := range nodes {
+		out = append(out, n.process)
+	}
+	return out
+}
+
+func (n *node) ready() bool {
+	resp, err := http.Get("http://" + n.Admin + "/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// metric returns a metric's value, or 0 if the node does not tell it.
+func (n *node) metric(name string) uint64 {
+	resp, err := http.Get("http://" + n.Admin + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(b)) {
+		if text, ok := strings.CutPrefix(line, name+" "); ok {
+			v, _ := strconv.ParseFloat(strings.TrimSpace(text), 64)
+			return uint64(v)
+		}
+	}
+	return 0
+}
+
+func (n *node) version() uint64 { return n.metric("banyanlug_config_version") }
+
+// role returns what the node last logged of its place in the tree.
+func (n *node) role() logged {
+	found := n.events(event.Placed)
+	if len(found) == 0 {
+		return logged{Rank: -1}
+	}
+	return found[len(found)-1]
+}
+
+// holds waits until each of the nodes has a version in force.
+func (f *fleet) holds(version uint64, nodes ...*node) {
+	f.t.Helper()
+	for _, n := range nodes {
+		until(f.t, fmt.Sprintf("%s holds version %d", n.name, version), func() bool { return n.version() == version }, processes(nodes)...)
+	}
+}
+
+// operator returns the environment of an operator who asks the given nodes.
+func operator(token string, nodes ...*node) []string {
+	var urls []string
+	for _, n := range nodes {
+		urls = append(urls, "http://"+n.Operators)
+	}
+	return []string{"BANYANLUG_TOKEN=" + token, "BANYANLUG_NODE=" + strings.Join(urls, ",")}
+}
+
+// file writes a file for a command to read.
+func (f *fleet) file(name, content string) string {
+	f.t.Helper()
+	path := filepath.Join(f.dir, name)
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		f.t.Fatal(err)
+	}
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return path
+}
+
+// decoded reads a command's JSON.
+func decoded[T any](t *testing.T, r result) T {
+	t.Helper()
+	var v T
+	if err := json.Unmarshal([]byte(r.out), &v); err != nil {
+		t.Fatalf("%v in %q %s", err, r.out, r.errOut)
+	}
+	return v
+}
+
+type planned struct {
+	ID string `json:"id"`
+}
+
+type confirmed struct {
+	Version uint64 `json:"version"`
+}
+
+// failed is a command's failure as -json tells it.
+type failed struct {
+	Error struct {
+		Type      string `json:"type"`
+		Message   string `json:"message"`
+		Conflicts []struct {
+			Object  string `json:"object"`
+			Version uint64 `json:"version"`
+		} `json:"conflicts"`
+	} `json:"error"`
+}
+
+// declare puts the tests' declarations in force as version 1.
+func (f *fleet) declare(nodes ...*node) {
+	f.t.Helper()
+	f.file("declared/all.yaml", declarations)
+	env := operator(anaToken, nodes[0])
+	p := decoded[planned](f.t, command(f.t, env, "plan", "-json", filepath.Join(f.dir, "declared")).want(f.t, 0))
+	command(f.t, env, "confirm", p.ID).want(f.t, 0)
+	f.holds(1, nodes...)
+}
+
+// planEdit makes a plan of a further change and returns its id.
+func (f *fleet) planEdit(at *node) string {
+	f.t.Helper()
+	f.edits++
+	path := f.file(fmt.Sprintf("edit-%d.yaml", f.edits), edit(f.edits))
+	return decoded[planned](f.t, command(f.t, operator(anaToken, at), "plan", "-json", "-set", path).want(f.t, 0)).ID
+}
+
+// change plans and confirms a further change and returns its version.
+func (f *fleet) change(at *node) uint64 {
+	f.t.Helper()
+	id := f.planEdit(at)
+	return decoded[confirmed](f.t, command(f.t, operator(anaToken, at), "confirm", "-json", id).want(f.t, 0)).Version
+}
+
+// answer is what one call came to.
+type answer struct {
+	status  int
+	refusal string
+	outcome string
+	body    int
+	err     error
+}
+
+// call makes one call at a node's callers' address.
+func call(client *http.Client, n *node, method, path, key string) answer {
+	req, err := http.NewRequest(method, "http://"+n.Callers+path, nil)
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	a := answer{status: resp.StatusCode, body: len(b), err: err}
+	var refusal struct {
+		Error struct {
+			Type string `json:"type"`
+		} `json:"error"`
+		Outcome string `json:"outcome"`
+	}
+	if json.Unmarshal(b, &refusal) == nil {
+		a.refusal, a.outcome = refusal.Error.Type, refusal.Outcome
+	}
+	return a
+}
+
+// whole reports whether a call got its whole answer.
+func (a answer) whole(size int) bool { return a.err == nil && a.status == 200 && a.body == size }
+
+// typed reports whether a call was told by type why it failed.
+func (a answer) typed() bool { return a.err == nil && a.refusal != "" }
+
+// load is a stream of calls at one node, several at once.
+type load struct {
+	mu      sync.Mutex
+	answers []answer
+	stop    chan struct{}
+	wg      sync.WaitGroup
+}
+
+// startLoad calls a path at a node until end.
+func startLoad(t *testing.T, n *node, path string, atOnce int) *load {
+	l := &load{stop: make(chan struct{})}
+	for range atOnce {
+		l.wg.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			for {
+				select {
+				case <-l.stop:
+					return
+				default:
+				}
+				a := call(client, n, http.MethodGet, path, "")
+				l.mu.Lock()
+				l.answers = append(l.answers, a)
+				l.mu.Unlock()
+			}
+		})
+	}
+	t.Cleanup(func() { l.end() })
+	return l
+}
+
+func (l *load) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.answers)
+}
+
+// more waits until n further calls have ended.
+func (l *load) more(t *testing.T, n int) {
+	t.Helper()
+	want := l.count() + n
+	until(t, fmt.Sprintf("%d more calls end", n), func() bool { return l.count() >= want })
+}
+
+// end stops the calls and returns what came of all of them.
+func (l *load) end() []answer {
+	l.mu.Lock()
+	select {
+	case <-l.stop:
+	default:
+		close(l.stop)
+	}
+	l.mu.Unlock()
+	l.wg.Wait()
+	return slices.Clone(l.answers)
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -132,7 +132,8 @@
 	}
 	self := membership.NewSelf(now, rand.New(rand.NewPCG(seed, 2)), n.cfg.instance,
 		membership.Domain(n.cfg.domain), membership.Pool(n.cfg.pool), membership.InState(membership.Starting),
-		membership.Address(addrOf(n.listeners.mesh)), membership.Peer(addrOf(n.listeners.peers)))
+		membership.Address(told(n.cfg.advertiseMesh, n.listeners.mesh)),
+		membership.Peer(told(n.cfg.advertisePeers, n.listeners.peers)))
 	n.view = membership.New(n.cfg.domain, seed|1)
 	// The settings have been checked, so the seeds can be read.
 	seeds, _ := n.cfg.seedAddrs()
@@ -169,6 +170,15 @@
 // addrOf returns where others reach a listener.
 func addrOf(ln net.Listener) netip.AddrPort { return ln.Addr().(*net.TCPAddr).AddrPort() }
 
+// told returns the address that others are told for a listener. The settings
+// have been checked, so an advertised one can be read.
+func told(advertised string, ln net.Listener) netip.AddrPort {
+	if a, err := netip.ParseAddrPort(advertised); err == nil {
+		return a
+	}
+	return addrOf(ln)
+}
+
 // directory tells the traffic side which targets get new work.
 type directory struct{ view *membership.View }
 
@@ -205,8 +215,7 @@
 
 // Run serves until ctx ends, then drains, tells the mesh and returns.
 func (n *Node) Run(ctx context.Context) error {
-	n.log.Emit(event.NodeStarted, event.F("callers", n.Callers()), event.F("peers", n.Peers()),
-		event.F("mesh", addrOf(n.listeners.mesh)), event.F("admin", n.Admin()), event.F("failure_domain", n.cfg.domain))
+	n.started()
 	// What serves outlives ctx, which only asks for the stop.
 	serving, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
@@ -219,6 +228,18 @@
 	return err
 }
 
+// started logs where the node serves.
+func (n *Node) started() {
+	fields := []event.Field{
+		event.F("callers", n.Callers()), event.F("peers", n.Peers()), event.F("mesh", addrOf(n.listeners.mesh)),
+		event.F("admin", n.Admin()), event.F("failure_domain", n.cfg.domain),
+	}
+	if a, ok := n.Operators(); ok {
+		fields = append(fields, event.F("operators", a))
+	}
+	n.log.Emit(event.NodeStarted, fields...)
+}
+
 // untilStop watches the target and the parts until the node has to stop.
 func (n *Node) untilStop(ctx context.Context, parts *parts) error {
 	watched := make(chan error, 1)
--- /dev/null
+++ b/internal/process/node/process_test.go
@@ -0,0 +1,230 @@
+package node_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"banyanlug.example/banyanlug/internal/log/event"
+)
+
+// hang ends a wait whose condition never comes; no test passes or fails by how
+// long a step took below it.
+const hang = 60 * time.Second
+
+// binaries are the programs under test, built once.
+var binaries struct{ banyanlug, standin string }
+
+func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "banyanlug-processes")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	cmd := exec.Command("go", "build", "-o", dir, "../../../cmd/banyanlug", "../../../cmd/standin")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
+		return 1
+	}
+	binaries.banyanlug, binaries.standin = filepath.Join(dir, "banyanlug"), filepath.Join(dir, "standin")
+	return m.Run()
+}
+
+// process is one program that the test started.
+type process struct {
+	t    *testing.T
+	name string
+	cmd  *exec.Cmd
+
+	mu    sync.Mutex
+	lines []string
+	err   error
+	done  chan struct{}
+}
+
+// start starts a program and ends it with the test.
+func start(t *testing.T, name, program string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, cmd: exec.Command(program, args...), done: make(chan struct{})}
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.cmd.Stdout, p.cmd.Stderr = w, w
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	w.Close()
+	go p.read(r)
+	t.Cleanup(p.kill)
+	return p
+}
+
+func (p *process) read(r io.ReadCloser) {
+	defer close(p.done)
+	defer r.Close()
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, 1<<20)
+	for s.Scan() {
+		p.mu.Lock()
+		p.lines = append(p.lines, s.Text())
+		p.mu.Unlock()
+	}
+	err := p.cmd.Wait()
+	p.mu.Lock()
+	p.err = err
+	p.mu.Unlock()
+}
+
+func (p *process) signal(s syscall.Signal) {
+	if err := p.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		p.t.Errorf("%s: %v", p.name, err)
+	}
+}
+
+func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
+
+func (p *process) wake() { p.signal(syscall.SIGCONT) }
+
+func (p *process) terminate() { p.signal(syscall.SIGTERM) }
+
+// kill ends the process as a crash does and waits until it is gone.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// exit waits for the process to end by itself and returns its exit code.
+func (p *process) exit() int {
+	p.t.Helper()
+	until(p.t, p.name+" ends", func() bool {
+		select {
+		case <-p.done:
+			return true
+		default:
+			return false
+		}
+	}, p)
+	return p.cmd.ProcessState.ExitCode()
+}
+
+func (p *process) output() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]string(nil), p.lines...)
+}
+
+// line waits for a line that begins with prefix and returns the rest.
+func (p *process) line(prefix string) string {
+	p.t.Helper()
+	var rest string
+	until(p.t, p.name+" says "+prefix, func() bool {
+		for _, l := range p.output() {
+			if r, ok := strings.CutPrefix(l, prefix); ok {
+				rest = r
+				return true
+			}
+		}
+		return false
+	}, p)
+	return rest
+}
+
+// logged is one event of a node's log.
+type logged struct {
+	Event     event.Code `json:"event"`
+	Version   uint64     `json:"version"`
+	Callers   string     `json:"callers"`
+	Peers     string     `json:"peers"`
+	Mesh      string     `json:"mesh"`
+	Admin     string     `json:"admin"`
+	Operators string     `json:"operators"`
+	Rank      int        `json:"rank"`
+	Depth     int        `json:"depth"`
+	Reader    bool       `json:"reader"`
+}
+
+// events returns the events of a kind that the process has logged.
+func (p *process) events(code event.Code) []logged {
+	var out []logged
+	for _, l := range p.output() {
+		var e logged
+		if json.Unmarshal([]byte(l), &e) == nil && e.Event == code {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (p *process) awaitEvent(code event.Code) logged {
+	p.t.Helper()
+	var found []logged
+	until(p.t, fmt.Sprintf("%s logs event %d", p.name, code), func() bool {
+		found = p.events(code)
+		return len(found) > 0
+	}, p)
+	return found[len(found)-1]
+}
+
+// until waits for a condition. On a hang it shows what the processes said.
+func until(t *testing.T, what string, ok func() bool, show ...*process) {
+	t.Helper()
+	for end := time.Now().Add(hang); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().Before(end) {
+			continue
+		}
+		var b strings.Builder
+		for _, p := range show {
+			lines := p.output()
+			fmt.Fprintf(&b, "\n%s:\n%s", p.name, strings.Join(lines[max(0, len(lines)-25):], "\n"))
+		}
+		t.Fatalf("this never came: %s%s", what, b.String())
+	}
+}
+
+// result is what a command said and how it ended.
+type result struct {
+	code        int
+	out, errOut string
+}
+
+// command runs a subcommand of banyanlug to its end.
+func command(t *testing.T, env []string, args ...string) result {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), hang)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, binaries.banyanlug, args...)
+	cmd.Env = append(os.Environ(), env...)
+	var out, errOut bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &errOut
+	err := cmd.Run()
+	var ended *exec.ExitError
+	if err != nil && !errors.As(err, &ended) {
+		t.Fatalf("banyanlug %v: %v", args, err)
+	}
+	return result{code: cmd.ProcessState.ExitCode(), out: out.String(), errOut: errOut.String()}
+}
+
+// want fails the test unless the command ended with a code.
+func (r result) want(t *testing.T, code int) result {
+	t.Helper()
+	if r.code != code {
+		t.Fatalf("exit code %d, want %d\n%s%s", r.code, code, r.out, r.errOut)
+	}
+	return r
+}
--- a/internal/process/node/settings.go
+++ b/internal/process/node/settings.go
@@ -27,6 +27,7 @@
 	admin, target, store            string
 	seeds, fleetKey, fleetKeyFile   string
 	operatorTokens                  string
+	advertiseMesh, advertisePeers   string
 	tlsCert, tlsKey, tlsCA          string
 	drainTimeout, settleTime        time.Duration
 	seed                            uint64
@@ -50,6 +51,8 @@
 	text(&s.callers, "callers", "127.0.0.1:7001", "`IP:PORT` on which callers reach this node")
 	text(&s.mesh, "mesh", "127.0.0.1:7002", "`IP:PORT` on which other nodes send calls for the local target")
 	text(&s.peers, "peers", "127.0.0.1:7003", "`IP:PORT` on which other nodes reach this node for control")
+	text(&s.advertiseMesh, "advertise-mesh", "", "`IP:PORT` that others are told for -mesh, behind address translation; empty for the one it listens on")
+	text(&s.advertisePeers, "advertise-peers", "", "`IP:PORT` that others are told for -peers, behind address translation; empty for the one it listens on")
 	text(&s.operators, "operators", "", "`IP:PORT` of the operators' API; empty turns it off")
 	text(&s.admin, "admin", "127.0.0.1:7004", "`IP:PORT` of /metrics, /healthz, /readyz and /debug/pprof")
 	text(&s.store, "store", "", "`IP:PORT` of the platform's key-value service; empty for none")
@@ -90,6 +93,8 @@
 		{"callers", s.callers, false},
 		{"mesh", s.mesh, false},
 		{"peers", s.peers, false},
+		{"advertise-mesh", s.advertiseMesh, true},
+		{"advertise-peers", s.advertisePeers, true},
 		{"operators", s.operators, true},
 		{"admin", s.admin, false},
 		{"store", s.store, true},
--- a/internal/standin/store/fault.go
+++ b/internal/standin/store/fault.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"banyanlug.example/banyanlug/internal/control/platform"
@@ -81,6 +82,18 @@
 	s.faults.loseNext = n
 }
 
+// LoseAnswersOf loses the answers of the next n writes of a key, in place of any
+// other fault plan.
+func (s *Store) LoseAnswersOf(key string, n int) {
+	var lost atomic.Int64
+	s.SetPlan(func(c Call) Fault {
+		if c.key == key && c.kind.Write() && lost.Add(1) <= int64(n) {
+			return LoseAnswer
+		}
+		return Pass
+	})
+}
+
 // LoseShare loses that share of the answers to writes, chosen by seed.
 func (s *Store) LoseShare(share float64, seed uint64) {
 	s.faults.mu.Lock()
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -219,8 +219,10 @@
 	Seed            uint64   `json:"seed,omitempty"`
 	WritesPerSecond *float64 `json:"writes_per_second,omitempty"`
 	ReadsPerSecond  *float64 `json:"reads_per_second,omitempty"`
-	LapseLease      uint64   `json:"lapse_lease,omitempty"`
-	LapseAll        bool     `json:"lapse_all,omitempty"`
+	// LoseKey loses the answers of the next writes of this key alone.
+	LoseKey    string `json:"lose_key,omitempty"`
+	LapseLease uint64 `json:"lapse_lease,omitempty"`
+	LapseAll   bool   `json:"lapse_all,omitempty"`
 	// Image keeps a copy of the state; Rollback puts the copy back.
 	Image    bool `json:"image,omitempty"`
 	Rollback bool `json:"rollback,omitempty"`
@@ -249,7 +251,10 @@
 	if f.SlowMs != nil {
 		s.SetSlow(time.Duration(*f.SlowMs) * time.Millisecond)
 	}
-	if f.LoseNext != nil {
+	switch {
+	case f.LoseNext != nil && f.LoseKey != "":
+		s.LoseAnswersOf(f.LoseKey, *f.LoseNext)
+	case f.LoseNext != nil:
 		s.LoseAnswers(*f.LoseNext)
 	}
 	if f.LoseShare != nil {
