Let operators put the fleet's version back and abandon a plan

After the store was restored from a backup, the log could put the fleet's version back, but no command did it, so plans stayed refused for good; nor could a plan be given up after exit code 4. The operators' API and the command line gain restore and abandon. A restore is refused at a node that lags behind another, since the next version would then have a number that others hold already. An answer lost in either is told as unknown, with exit code 4, and the step can be done again.

--- a/internal/cli/command/app.go
+++ b/internal/cli/command/app.go
@@ -94,7 +94,7 @@
 		Name: name, ShortUsage: name + " SUBCOMMAND [flags]", FlagSet: fs,
 		LongHelp: "Carries calls for one instance of a service mesh, and drives the mesh's\nconfiguration: state an intent, read the plan, confirm it.\n\n" + exitHelp,
 	}
-	constructors := []Constructor{checkCommand, planCommand, confirmCommand, statusCommand, historyCommand, keyCommand, versionCommand}
+	constructors := []Constructor{checkCommand, planCommand, confirmCommand, abandonCommand, restoreCommand, statusCommand, historyCommand, keyCommand, versionCommand}
 	for _, c := range append(constructors, a.more...) {
 		root.Subcommands = append(root.Subcommands, c(a))
 	}
--- a/internal/cli/command/exit.go
+++ b/internal/cli/command/exit.go
@@ -66,13 +66,14 @@
 		usage    *UsageError
 		setting  *SettingError
 		unknown  *operator.OutcomeUnknownError
+		step     *operator.StepUnknownError
 		conflict *operator.ConflictError
 		remote   *operator.RemoteError
 	)
 	switch {
 	case errors.As(err, &usage), errors.As(err, &setting):
 		return exitUsage
-	case errors.As(err, &unknown):
+	case errors.As(err, &unknown), errors.As(err, &step):
 		return exitUnknown
 	case errors.As(err, &conflict):
 		return exitConflict
@@ -152,7 +153,8 @@
 // is "foo".
 func typeName(err error) string {
 	var unknown *operator.OutcomeUnknownError
-	if errors.As(err, &unknown) {
+	var step *operator.StepUnknownError
+	if errors.As(err, &unknown) || errors.As(err, &step) {
 		return string(operator.TypeUnknown)
 	}
 	t := fmt.Sprintf("%T", err)
--- a/internal/control/operator/answer.go
+++ b/internal/control/operator/answer.go
@@ -41,6 +41,9 @@
 	TypeConflict     Type = "conflict"
 	TypeExpired      Type = "expired"
 	TypeAbandoned    Type = "abandoned"
+	TypeInForce      Type = "in_force"
+	TypeLagging      Type = "lagging"
+	TypeNewer        Type = "store_newer"
 	TypeNotFound     Type = "not_found"
 	TypeBusy         Type = "busy"
 	TypeUnavailable  Type = "unavailable"
@@ -62,6 +65,9 @@
 	TypeConflict:     http.StatusConflict,
 	TypeExpired:      http.StatusGone,
 	TypeAbandoned:    http.StatusGone,
+	TypeInForce:      http.StatusConflict,
+	TypeLagging:      http.StatusConflict,
+	TypeNewer:        http.StatusConflict,
 	TypeNotFound:     http.StatusNotFound,
 	TypeBusy:         http.StatusServiceUnavailable,
 	TypeUnavailable:  http.StatusServiceUnavailable,
@@ -73,7 +79,7 @@
 // goes before all that it may wrap.
 func typeOf(err error) Type {
 	switch {
-	case is[*OutcomeUnknownError](err):
+	case is[*OutcomeUnknownError](err), is[*StepUnknownError](err):
 		return TypeUnknown
 	case is[*ConflictError](err):
 		return TypeConflict
@@ -99,6 +105,12 @@
 		return TypeExpired
 	case is[*AbandonedError](err):
 		return TypeAbandoned
+	case is[*AlreadyConfirmedError](err):
+		return TypeInForce
+	case is[*LaggingError](err), is[*NothingHeldError](err):
+		return TypeLagging
+	case is[*StoreNewerError](err):
+		return TypeNewer
 	case is[*PlanNotFoundError](err):
 		return TypeNotFound
 	case is[*BusyError](err):
--- a/internal/control/operator/client.go
+++ b/internal/control/operator/client.go
@@ -143,26 +143,55 @@
 // plan's id makes that harmless; if that settles nothing, it is an
 // OutcomeUnknownError unless no request can have left.
 func (c *Client) Confirm(ctx context.Context, planID string) (Confirmation, error) {
-	path := "/v1/plans/" + url.PathEscape(planID) + "/confirm"
-	maybe := false
+	var done Confirmation
+	maybe, err := c.settle(ctx, "/v1/plans/"+url.PathEscape(planID)+"/confirm", &done)
+	if maybe {
+		err = &OutcomeUnknownError{PlanID: planID, Err: err}
+	}
+	return done, err
+}
+
+// Abandon gives a plan up, with lost answers asked for again as in Confirm.
+func (c *Client) Abandon(ctx context.Context, planID string) (Abandonment, error) {
+	var done Abandonment
+	maybe, err := c.settle(ctx, "/v1/plans/"+url.PathEscape(planID)+"/abandon", &done)
+	if maybe {
+		err = &StepUnknownError{Step: "abandon of plan " + planID, Err: err}
+	}
+	return done, err
+}
+
+// Restore puts the version that a node holds back into the store, with lost
+// answers asked for again as in Confirm.
+func (c *Client) Restore(ctx context.Context) (Restoration, error) {
+	var done Restoration
+	maybe, err := c.settle(ctx, "/v1/restore", &done)
+	if maybe {
+		err = &StepUnknownError{Step: "restore", Err: err}
+	}
+	return done, err
+}
+
+// settle asks for a step that may be done again until an answer says what
+// became of it; maybe tells a failure after which it may have taken effect.
+func (c *Client) settle(ctx context.Context, path string, answer any) (maybe bool, err error) {
 	var last error = &RequestError{Reason: "no node is given"}
 	for range confirmTries {
 		for _, node := range c.nodes {
-			var done Confirmation
-			err := c.askNode(ctx, node, "POST", path, nil, &done)
+			err := c.askNode(ctx, node, "POST", path, nil, answer)
 			if err == nil {
-				return done, nil
+				return false, nil
 			}
 			if settles(err, maybe) {
-				return Confirmation{}, err
+				return false, err
 			}
 			maybe, last = maybe || !harmless(err), err
 		}
 	}
 	if maybe {
-		return Confirmation{}, &OutcomeUnknownError{PlanID: planID, Err: last}
+		return true, last
 	}
-	return Confirmation{}, noNode(last)
+	return false, noNode(last)
 }
 
 // settles tells the answers that say what became of a plan. After a request
@@ -174,9 +203,9 @@
 		return false
 	}
 	switch remote.Type {
-	case TypeConflict, TypeExpired, TypeAbandoned:
+	case TypeConflict, TypeExpired, TypeAbandoned, TypeInForce:
 		return true
-	case TypeUnknown, TypeUnavailable, TypeBusy, TypeInternal:
+	case TypeUnknown, TypeUnavailable, TypeBusy, TypeInternal, TypeLagging:
 		return false
 	default:
 		return !maybe
--- a/internal/control/operator/memory_test.go
+++ b/internal/control/operator/memory_test.go
@@ -175,6 +175,19 @@
 	return NotPublished{Abandoned: true}, nil
 }
 
+func (m *memory) Restore(_ context.Context, s *snapshot.Snapshot) error {
+	if m.enter("restore") == down {
+		return &UnavailableError{Step: "restore", Err: downError{}}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.head.Version() > s.Version() {
+		return &StoreNewerError{Stored: m.head.Version(), Held: s.Version()}
+	}
+	m.head = s
+	return nil
+}
+
 func (m *memory) SavePlan(_ context.Context, id string, b []byte, ttl time.Duration) error {
 	if m.enter("save") == down {
 		return downError{}
--- a/internal/control/operator/server.go
+++ b/internal/control/operator/server.go
@@ -40,6 +40,8 @@
 	mux.Handle("/v1/plans", s.handle(s.plan), "POST")
 	mux.Handle("/v1/plans/:id", s.handle(s.planStatus), "GET")
 	mux.Handle("/v1/plans/:id/confirm", s.handle(s.confirm), "POST")
+	mux.Handle("/v1/plans/:id/abandon", s.handle(s.abandon), "POST")
+	mux.Handle("/v1/restore", s.handle(s.restore), "POST")
 	mux.Handle("/v1/status", s.handle(s.status), "GET")
 	mux.Handle("/v1/history", s.handle(s.history), "GET")
 	return mux
@@ -165,17 +167,40 @@
 	Version uint64 `json:"version,omitempty"`
 }
 
+// noFields refuses a body that asks for what the path does not do.
+func (r request) noFields() error {
+	if len(r.body) == 0 || strict(r.body, &struct{}{}) == nil {
+		return nil
+	}
+	return &RequestError{Reason: "this request has no fields"}
+}
+
 func (s *server) confirm(r request) (int, any, error) {
-	if len(r.body) > 0 {
-		if err := strict(r.body, &struct{}{}); err != nil {
-			return 0, nil, &RequestError{Reason: "a confirm has no fields"}
-		}
+	if err := r.noFields(); err != nil {
+		return 0, nil, err
 	}
 	id := r.http.PathValue("id")
 	version, err := s.service.Confirm(r.ctx, r.operator, id)
 	return http.StatusOK, Confirmation{Plan: id, State: Confirmed, Version: version}, err
 }
 
+func (s *server) abandon(r request) (int, any, error) {
+	if err := r.noFields(); err != nil {
+		return 0, nil, err
+	}
+	id := r.http.PathValue("id")
+	err := s.service.Abandon(r.ctx, r.operator, id)
+	return http.StatusOK, Abandonment{Plan: id, State: Abandoned}, err
+}
+
+func (s *server) restore(r request) (int, any, error) {
+	if err := r.noFields(); err != nil {
+		return 0, nil, err
+	}
+	done, err := s.service.Restore(r.ctx, r.operator)
+	return http.StatusOK, done, err
+}
+
 // FleetStatus is the newest version and the nodes that should hold it.
 type FleetStatus struct {
 	Version uint64       `json:"version"`
--- a/internal/control/operator/service.go
+++ b/internal/control/operator/service.go
@@ -39,6 +39,7 @@
 	log      *event.Logger
 	random   io.Reader
 	ttl      time.Duration
+	held     func() *snapshot.Snapshot
 }
 
 // Option sets one property of a service.
@@ -60,6 +61,7 @@
 func New(v Versions, f Fleet, opts ...Option) *Service {
 	s := &Service{
 		versions: v, fleet: f, clock: timer.New(), log: event.Discard(), random: rand.Reader, ttl: DefaultPlanTTL,
+		held: snapshot.Empty,
 	}
 	for _, opt := range opts {
 		opt(s)
--- a/internal/process/node/fleet.go
+++ b/internal/process/node/fleet.go
@@ -62,5 +62,6 @@
 	if n.versions == nil {
 		return nil
 	}
-	return operator.New(operator.FromLog(n.versions), fleet{n}, operator.Clock(n.clock), operator.Log(n.log))
+	return operator.New(operator.FromLog(n.versions), fleet{n}, operator.Clock(n.clock), operator.Log(n.log),
+		operator.Held(n.peer.Holder().Current))
 }
