Don't take a restored store's word for the newest version at start

A node that started while the store had been put back to before the first version was ready at once, with version 0, while the fleet held version 1: its earlier self's callers were turned away. Sync trusted the store alone. It now also asks up to five members, and asks anew after 10 s if the version it heard of does not come.

--- a/internal/control/peer/sync.go
+++ b/internal/control/peer/sync.go
@@ -2,21 +2,25 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"banyanlug.example/banyanlug/internal/control/peer/peerpb"
+	"banyanlug.example/banyanlug/internal/control/publish"
 	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/policy/membership"
 )
 
 const (
-	// syncPeers is how many members of the domain are asked for their version
-	// while the store is out: one may have been cut off for long, and it is
-	// unlikely that five were.
+	// syncPeers is how many members are asked for their version: one may have
+	// been cut off for long, and it is unlikely that five were.
 	syncPeers = 5
 	// syncPause is how often a starting node looks whether it has caught up.
 	syncPause = 50 * time.Millisecond
+	// syncAgain is how long a starting node waits for the version it heard of
+	// before it asks anew: whoever had it may be gone.
+	syncAgain = 10 * time.Second
 	// statusTimeout bounds one status call.
 	statusTimeout = time.Second
 	// statusFanout bounds the status calls that run at once: at the letter's
@@ -27,12 +31,17 @@
 // Sync waits until the node holds a version that it can start with. A process
 // that restarted remembers nothing; to answer calls by an older version than
 // its earlier self had would be a step back. So it asks the store for the
-// newest version or, while that is out, several peers, for at least settle,
-// and waits until it holds the highest it heard of.
+// newest version and several peers, and waits until it holds the highest it
+// heard of. The store's word alone is not enough, as it may have been restored
+// to an older state; while it is out, peers are asked for at least settle.
 func (n *Node) Sync(ctx context.Context, settle time.Duration) error {
 	start := n.clock.Now()
+	asked := start
 	want, sure := uint64(0), false
 	for {
+		if n.clock.Since(asked) >= syncAgain {
+			asked, want, sure = n.clock.Now(), 0, false
+		}
 		if !sure {
 			want, sure = n.newest(ctx, want)
 		}
@@ -53,30 +62,49 @@
 	return n.tried
 }
 
-// newest returns the highest version heard of and whether the store itself
-// told it.
+// newest returns the highest version heard of, and whether both the store and
+// whoever else could be found were asked.
 func (n *Node) newest(ctx context.Context, known uint64) (uint64, bool) {
+	// Peers are known once the node has tried to join.
+	tried, stored := n.hasTried(), false
 	if n.versions != nil {
 		sctx, cancel := n.clock.WithTimeout(ctx, statusTimeout)
 		head, err := n.versions.Head(sctx)
 		cancel()
-		if err == nil {
-			return max(known, head.Version()), true
-		}
-		n.log.Emit(event.StoreUnavailable, event.F("error", err), event.F("step", "read head at start"))
-	}
-	var some []membership.Record
-	for _, r := range n.view.Members(n.view.Domain()) {
-		if r.State() == membership.Ready && len(some) < syncPeers {
-			some = append(some, r)
+		var older *publish.OlderError
+		switch {
+		case err == nil:
+			known, stored = max(known, head.Version()), true
+		case errors.As(err, &older):
+			// It answered, and a newer version has come from a peer already.
+			known, stored = max(known, older.Held), true
+		default:
+			n.log.Emit(event.StoreUnavailable, event.F("error", err), event.F("step", "read head at start"))
 		}
 	}
-	for _, s := range n.Fleet(ctx, some) {
+	for _, s := range n.Fleet(ctx, n.syncFrom()) {
 		if s.Err() == nil {
 			known = max(known, s.Version())
 		}
 	}
-	return known, false
+	return known, tried && stored
+}
+
+// syncFrom returns members to ask for their version, those of the own failure
+// domain first.
+func (n *Node) syncFrom() []membership.Record {
+	var own, others []membership.Record
+	for _, r := range n.view.Records() {
+		switch {
+		case r.State() != membership.Ready || r.Instance() == n.Self().Instance():
+		case r.Domain() == n.view.Domain():
+			own = append(own, r)
+		default:
+			others = append(others, r)
+		}
+	}
+	some := append(own, others...)
+	return some[:min(len(some), syncPeers)]
 }
 
 // NodeStatus is what one node said of itself, or why it said nothing.
--- a/internal/process/node/fleet_test.go
+++ b/internal/process/node/fleet_test.go
@@ -86,6 +86,8 @@
 type node struct {
 	*process
 	instance, domain, target string
+	// beside is the target's process, if the test started one.
+	beside *process
 	logged
 }
 
@@ -159,8 +161,10 @@
 	f.t.Helper()
 	var out []*node
 	for i, d := range domains {
-		_, target := f.startTarget(fmt.Sprintf("t%d", i+1))
-		out = append(out, f.startNode(fmt.Sprintf("i%d", i+1), d, target))
+		beside, target := f.startTarget(fmt.Sprintf("t%d", i+1))
+		n := f.startNode(fmt.Sprintf("i%d", i+1), d, target)
+		n.beside = beside
+		out = append(out, n)
 	}
 	f.met(out...)
 	return out
@@ -213,15 +217,55 @@
 	return 0
 }
 
+// runs returns how often the target beside the node ran a call, by its key.
+func (n *node) runs() map[string]int {
+	resp, err := http.Get("http://" + n.target + "/standin/runs")
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	runs := map[string]int{}
+	if json.NewDecoder(resp.Body).Decode(&runs) != nil {
+		return nil
+	}
+	return runs
+}
+
 func (n *node) version() uint64 { return n.metric("banyanlug_config_version") }
 
-// role returns what the node last logged of its place in the tree.
-func (n *node) role() logged {
+// rank returns the node's last place in its failure domain's tree; the root's
+// place is the one that a node has at first and does not log.
+func (n *node) rank() int {
 	found := n.events(event.Placed)
 	if len(found) == 0 {
-		return logged{Rank: -1}
+		return 0
 	}
-	return found[len(found)-1]
+	return found[len(found)-1].Rank
+}
+
+// root returns the one root among nodes of a failure domain, and the others.
+func (f *fleet) root(nodes ...*node) (root *node, others []*node) {
+	f.t.Helper()
+	until(f.t, "there is one root", func() bool {
+		root, others = nil, nil
+		for _, n := range nodes {
+			if n.rank() == 0 {
+				root = n
+			} else {
+				others = append(others, n)
+			}
+		}
+		return len(others) == len(nodes)-1
+	}, processes(nodes)...)
+	return root, others
+}
+
+// restart starts a node again in the slot of one that ended.
+func (f *fleet) restart(n *node, more ...string) *node {
+	f.t.Helper()
+	again := f.startNode(n.instance, n.domain, n.target, more...)
+	again.beside = n.beside
+	return again
 }
 
 // holds waits until each of the nodes has a version in force.
@@ -410,3 +454,45 @@
 	l.wg.Wait()
 	return slices.Clone(l.answers)
 }
+
+// knowsOf returns the state in which a node's status shows another, or "" if
+// it does not show it.
+func (n *node) knowsOf(f *fleet, other *node) string {
+	f.t.Helper()
+	var st struct {
+		Nodes []struct {
+			Name  string `json:"name"`
+			State string `json:"state"`
+		} `json:"nodes"`
+	}
+	r := command(f.t, operator(anaToken, n), "status", "-json")
+	if r.code != 0 || json.Unmarshal([]byte(r.out), &st) != nil {
+		return "unknown"
+	}
+	for _, shown := range st.Nodes {
+		if shown.Name == other.instance {
+			return shown.State
+		}
+	}
+	return ""
+}
+
+// heldWhenReady waits until the node is ready and returns the version that it
+// had in force at that moment, by the order of its log.
+func (n *node) heldWhenReady() uint64 {
+	n.awaitEvent(event.NodeReady)
+	held := uint64(0)
+	for _, line := range n.output() {
+		var e logged
+		if json.Unmarshal([]byte(line), &e) != nil {
+			continue
+		}
+		if e.Event == event.NodeReady {
+			break
+		}
+		if e.Event == event.VersionApplied {
+			held = e.Version
+		}
+	}
+	return held
+}
