--- a/internal/standin/store/fault.go
+++ b/internal/standin/store/fault.go
@@ -83,14 +83,18 @@
 }
 
 // LoseAnswersOf loses the answers of the next n writes of a key, in place of any
-// other fault plan.
-func (s *Store) LoseAnswersOf(key string, n int) {
+// other fault plan, and then refuses every call if down is set.
+func (s *Store) LoseAnswersOf(key string, n int, down bool) {
 	var lost atomic.Int64
 	s.SetPlan(func(c Call) Fault {
-		if c.key == key && c.kind.Write() && lost.Add(1) <= int64(n) {
+		switch {
+		case lost.Load() >= int64(n) && down:
+			return Refuse
+		case c.key == key && c.kind.Write() && lost.Add(1) <= int64(n):
 			return LoseAnswer
+		default:
+			return Pass
 		}
-		return Pass
 	})
 }
 
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -220,7 +220,10 @@
 	WritesPerSecond *float64 `json:"writes_per_second,omitempty"`
 	ReadsPerSecond  *float64 `json:"reads_per_second,omitempty"`
 	// LoseKey loses the answers of the next writes of this key alone.
-	LoseKey    string `json:"lose_key,omitempty"`
+	LoseKey string `json:"lose_key,omitempty"`
+	// DownAfter puts the store out of service once those are lost, until Down
+	// is set to false.
+	DownAfter  bool   `json:"down_after,omitempty"`
 	LapseLease uint64 `json:"lapse_lease,omitempty"`
 	LapseAll   bool   `json:"lapse_all,omitempty"`
 	// Image keeps a copy of the state; Rollback puts the copy back.
@@ -247,13 +250,14 @@
 	s := sv.store
 	if f.Down != nil {
 		s.SetDown(*f.Down)
+		s.SetPlan(nil)
 	}
 	if f.SlowMs != nil {
 		s.SetSlow(time.Duration(*f.SlowMs) * time.Millisecond)
 	}
 	switch {
 	case f.LoseNext != nil && f.LoseKey != "":
-		s.LoseAnswersOf(f.LoseKey, *f.LoseNext)
+		s.LoseAnswersOf(f.LoseKey, *f.LoseNext, f.DownAfter)
 	case f.LoseNext != nil:
 		s.LoseAnswers(*f.LoseNext)
 	}
