--- a/internal/process/node/fleet_test.go
+++ b/internal/process/node/fleet_test.go
@@ -141,7 +141,7 @@
 		"node", "-instance", instance, "-failure-domain", domain, "-store", f.at, "-fleet-key", fleetKey,
 		"-callers", "127.0.0.1:0", "-mesh", "127.0.0.1:0", "-peers", "127.0.0.1:0", "-admin", "127.0.0.1:0",
 		"-operators", "127.0.0.1:0", "-operator-tokens", "ana:" + hash(anaToken) + ",bo:" + hash(boToken),
-		"-settle", "500ms", "-drain-timeout", "20s",
+		"-drain-timeout", "20s",
 	}
 	if target != "" {
 		args = append(args, "-pool", "walls", "-target", target)
