Let a failure domain that restarted whole learn its version from others

With the store out and a whole failure domain restarted, a node asked only the members of its own domain for the version in force, of which none served: it was never ready, however many other domains served. It now asks ready members of other domains where its own has none.

--- a/internal/control/peer/sync.go
+++ b/internal/control/peer/sync.go
@@ -99,6 +99,11 @@
 		}
 	}
 	r.Knows(known)
+	if !slices.ContainsFunc(asked, isReady) {
+		// The whole domain restarted, or it is this node alone: with the store
+		// out, only other domains can say what was in force.
+		asked = append(asked, n.abroad()...)
+	}
 	for _, s := range n.Fleet(ctx, asked) {
 		if s.Err() != nil {
 			r.PeerFailed(s.Record().Instance())
@@ -108,6 +113,27 @@
 	}
 }
 
+// abroad returns ready members of other failure domains, one of each first, as
+// one domain may be cut off and behind.
+func (n *Node) abroad() []membership.Record {
+	var first, more []membership.Record
+	seen := map[string]bool{n.view.Domain(): true}
+	for _, r := range n.view.Records() {
+		switch {
+		case !isReady(r) || r.Domain() == n.view.Domain():
+		case seen[r.Domain()]:
+			more = append(more, r)
+		default:
+			seen[r.Domain()] = true
+			first = append(first, r)
+		}
+	}
+	all := append(first, more...)
+	return all[:min(len(all), syncAsked)]
+}
+
+func isReady(r membership.Record) bool { return r.State() == membership.Ready }
+
 // NodeStatus is what one node said of itself, or why it said nothing.
 type NodeStatus struct {
 	record membership.Record
