Cut a failure domain off, and freeze a node under load

The connections of the processes go through a small network of the test, which tells who dials by the kernel's socket table and can keep two sides apart without a reset.

--- a/internal/process/node/fleet_test.go
+++ b/internal/process/node/fleet_test.go
@@ -50,6 +50,14 @@
     idempotent: true
     deadline: 10s
     retries: 3
+  - name: quick
+    path: /quick
+    methods: [GET]
+    service: walls
+    pool: walls
+    idempotent: true
+    deadline: 1s
+    retries: 3
   - name: send
     path: /sends
     methods: [POST]
@@ -80,6 +88,8 @@
 	at    string
 	nodes []*node
 	edits int
+	// network carries what goes between processes, if the test cuts it.
+	network *network
 }
 
 // node is a node's process with where it serves.
@@ -88,6 +98,8 @@
 	instance, domain, target string
 	// beside is the target's process, if the test started one.
 	beside *process
+	// peersRoute leads to the node's control address over the network.
+	peersRoute *route
 	logged
 }
 
@@ -137,8 +149,19 @@
 // startNode starts a node, beside a target if that is not "".
 func (f *fleet) startNode(instance, domain, target string, more ...string) *node {
 	f.t.Helper()
+	store := f.at
+	var mesh, peers *route
+	if f.network != nil {
+		// The store has a route of its own for each node, under the node's name
+		// for whoever dials it, so that the cut sees both sides.
+		mesh, peers = f.network.listen(domain), f.network.listen(domain)
+		toStore := f.network.listen("store")
+		toStore.leadTo(f.at)
+		store = toStore.addr()
+		more = append(more, "-advertise-mesh", mesh.addr(), "-advertise-peers", peers.addr())
+	}
 	args := []string{
-		"node", "-instance", instance, "-failure-domain", domain, "-store", f.at, "-fleet-key", fleetKey,
+		"node", "-instance", instance, "-failure-domain", domain, "-store", store, "-fleet-key", fleetKey,
 		"-callers", "127.0.0.1:0", "-mesh", "127.0.0.1:0", "-peers", "127.0.0.1:0", "-admin", "127.0.0.1:0",
 		"-operators", "127.0.0.1:0", "-operator-tokens", "ana:" + hash(anaToken) + ",bo:" + hash(boToken),
 		"-drain-timeout", "20s",
@@ -150,7 +173,15 @@
 		process:  start(f.t, instance, binaries.banyanlug, append(args, more...)...),
 		instance: instance, domain: domain, target: target,
 	}
+	if f.network != nil {
+		f.network.join(n.process, domain)
+	}
 	n.logged = n.awaitEvent(event.NodeStarted)
+	if f.network != nil {
+		mesh.leadTo(n.Mesh)
+		peers.leadTo(n.Peers)
+		n.peersRoute = peers
+	}
 	f.nodes = append(f.nodes, n)
 	return n
 }
--- a/internal/process/node/killed_test.go
+++ b/internal/process/node/killed_test.go
@@ -42,6 +42,38 @@
 	t.Logf("%d calls, refused: %v", len(answers), refused)
 }
 
+// The node of a target freezes under load with its connections open, which
+// looks like a slow target. Calls under way at it end at their deadline with a
+// refusal that names its type, at the latest; then it gets no more, and every
+// caller has whole answers again while it is still frozen.
+func TestFreezingATargetsNodeUnderLoadLeavesWholeAnswersOrTypedRefusals(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	nodes := f.instances("songino", "songino", "songino")
+	f.declare(nodes...)
+	l := startLoad(t, nodes[0], "/quick/1?sleep=2ms&size=900", 6)
+	l.more(t, 200)
+	nodes[2].freeze()
+	until(t, "the frozen node is given up", func() bool { return nodes[0].knowsOf(f, nodes[2]) == "" }, nodes[0].process)
+	refused := map[string]int{}
+	for _, a := range l.end() {
+		switch {
+		case a.whole(900):
+		case a.typed():
+			refused[a.refusal]++
+		default:
+			t.Errorf("neither whole nor typed: %+v", a)
+		}
+	}
+	t.Logf("%d calls, refused: %v", len(l.end()), refused)
+	for range 100 {
+		if a := call(http.DefaultClient, nodes[0], "GET", "/quick/1?size=10", ""); !a.whole(10) {
+			t.Errorf("a call after the frozen node was given up: %+v", a)
+		}
+	}
+	nodes[2].wake()
+}
+
 // The node of a target dies while callers send calls that must not run twice.
 // A caller that is told "not run" may send again elsewhere, so it must be
 // true; a call that was under way at the dead node has an unknown outcome and
