--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -219,8 +219,13 @@
 	Seed            uint64   `json:"seed,omitempty"`
 	WritesPerSecond *float64 `json:"writes_per_second,omitempty"`
 	ReadsPerSecond  *float64 `json:"reads_per_second,omitempty"`
-	LapseLease      uint64   `json:"lapse_lease,omitempty"`
-	LapseAll        bool     `json:"lapse_all,omitempty"`
+	// LoseKey loses the answers of the next writes of this key alone.
+	LoseKey string `json:"lose_key,omitempty"`
+	// DownAfter puts the store out of service once those are lost, until Down
+	// is set to false.
+	DownAfter  bool   `json:"down_after,omitempty"`
+	LapseLease uint64 `json:"lapse_lease,omitempty"`
+	LapseAll   bool   `json:"lapse_all,omitempty"`
 	// Image keeps a copy of the state; Rollback puts the copy back.
 	Image    bool `json:"image,omitempty"`
 	Rollback bool `json:"rollback,omitempty"`
@@ -245,11 +250,15 @@
 	s := sv.store
 	if f.Down != nil {
 		s.SetDown(*f.Down)
+		s.SetPlan(nil)
 	}
 	if f.SlowMs != nil {
 		s.SetSlow(time.Duration(*f.SlowMs) * time.Millisecond)
 	}
-	if f.LoseNext != nil {
+	switch {
+	case f.LoseNext != nil && f.LoseKey != "":
+		s.LoseAnswersOf(f.LoseKey, *f.LoseNext, f.DownAfter)
+	case f.LoseNext != nil:
 		s.LoseAnswers(*f.LoseNext)
 	}
 	if f.LoseShare != nil {
