Measure how a confirmed change reaches a fleet, against a baseline

measure converge runs real nodes over loopback and, in the same run, nodes that watch the store's head and take the whole configuration, plain and compressed. Both sides go through the same confirm; bytes are counted once, where received, between nodes and to and from the store.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -33,6 +33,7 @@
 	{"try", "run the whole path in one process, for a newcomer", runTry},
 	{"target", "run a stand-in target", runTarget},
 	{"proxy", "run one side of the call path with a fixed configuration", runProxy},
+	{"measure converge", "how long a change takes and what it moves, against a baseline", measure.Converge},
 	{"measure overhead", "what the nodes on the way add to a call", measure.Overhead},
 }
 
