Relays at rest pass heartbeats on within the time the root allows

Cause: a heartbeat waits at each relay for that relay's next poll, up to 4 s at each of up to three relays and 4 s at the instance itself, while the root claims a ready member silent after 10 s. Living members two levels down and further were claimed and refuted without end, each a change for the fleet.

A node that others pull from now polls every third of a heartbeat, and tells its parent only of heartbeats that it did not tell before, so that the shorter polls do not repeat them.

--- a/internal/control/peer/children.go
+++ b/internal/control/peer/children.go
@@ -58,6 +58,13 @@
 	}
 }
 
+// any reports whether nodes pull from this one.
+func (c *children) any() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.byName) > 0
+}
+
 // suspect has an instance probed though it is no child: the parent of this
 // node that stopped answering.
 func (c *children) suspect(name string, now time.Time) {
--- a/internal/control/peer/follow.go
+++ b/internal/control/peer/follow.go
@@ -15,6 +15,11 @@
 	unknownPause = 100 * time.Millisecond
 	// pollWait is the length of an idle long poll, which is also the heartbeat.
 	pollWait = membership.Heartbeat
+	// relayWait is the same for a node that others pull from. Their heartbeats
+	// wait for its next poll, at up to three relays on the way to the root; at a
+	// whole heartbeat each, a living member would be heard of only after 16 s
+	// and be claimed silent at 10 s, over and over.
+	relayWait = membership.Heartbeat / 3
 	// rejoinEvery is how often a node that nobody is above looks for others of
 	// its domain that it does not know: two that started apart must meet.
 	rejoinEvery = 5 * time.Second
@@ -64,7 +69,11 @@
 		f.session = &session{n: n, at: parentOf(r)}
 		n.sendUp(ctx, parentOf(r), []membership.Record{n.Self()})
 	}
-	age, err := f.session.pull(ctx, pollWait, len(p.Parents()) < 2)
+	poll := pollWait
+	if n.children.any() {
+		poll = relayWait
+	}
+	age, err := f.session.pull(ctx, poll, len(p.Parents()) < 2)
 	f.judge(ctx, r, age, err)
 }
 
--- a/internal/control/peer/session.go
+++ b/internal/control/peer/session.go
@@ -22,8 +22,12 @@
 	// enough that 22 ages cost a few bytes a second.
 	agesEvery = 8 * time.Second
 	// pulsesEvery is how often a relay sends on the heartbeats from below; a
-	// poll that was answered early by a change does not carry them again.
-	pulsesEvery = membership.Heartbeat / 2
+	// poll that was answered early by a change does not carry them again. It is
+	// under relayWait, so that each poll of a relay at rest carries them.
+	pulsesEvery = relayWait / 2
+	// pulseSlack is the error of a heartbeat's age, in whole milliseconds: one
+	// that was sent on is not new because of it.
+	pulseSlack = 50 * time.Millisecond
 	// refusedPause keeps a node that can't apply a version from asking for it
 	// again in a tight loop.
 	refusedPause = 2 * time.Second
@@ -52,6 +56,8 @@
 	cursor uint64
 	ages   time.Time
 	pulses time.Time
+	// told holds when the heartbeats that were sent on had been heard.
+	told map[uint64]time.Time
 	// unknown is set when the parent lacks this node's announcement.
 	unknown bool
 }
@@ -102,13 +108,28 @@
 	}
 	if s.at.domain == self.Domain() && now.Sub(s.pulses) >= pulsesEvery {
 		s.pulses = now
-		for _, p := range n.view.Pulses(now) {
-			req.Pulses = append(req.Pulses, &peerpb.Pulse{Id: p.ID, AgeMs: uint32(p.Age.Milliseconds())})
-		}
+		req.Pulses = s.newPulses(now)
 	}
 	return req
 }
 
+// newPulses returns the heartbeats from below that the parent was not told of.
+func (s *session) newPulses(now time.Time) []*peerpb.Pulse {
+	var out []*peerpb.Pulse
+	told := map[uint64]time.Time{}
+	for _, p := range s.n.view.Pulses(now) {
+		heard := now.Add(-p.Age)
+		if last, ok := s.told[p.ID]; ok && heard.Sub(last) <= pulseSlack {
+			told[p.ID] = last
+			continue
+		}
+		told[p.ID] = heard
+		out = append(out, &peerpb.Pulse{Id: p.ID, AgeMs: uint32(p.Age.Milliseconds())})
+	}
+	s.told = told
+	return out
+}
+
 // apply puts the versions of an answer in force. One that can't be applied
 // leaves the version held in force and is no reason to leave the parent.
 func (s *session) apply(ctx context.Context, resp *peerpb.PullResponse) error {
