Measure what a fleet costs at rest; the store runs by itself

measure idle takes memory and processor time from one node in a process of its own, with its target, and bytes and store calls from the whole fleet.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -14,6 +14,7 @@
 	"syscall"
 
 	"banyanlug.example/banyanlug/internal/standin/measure"
+	"banyanlug.example/banyanlug/internal/standin/store"
 	"banyanlug.example/banyanlug/internal/standin/target"
 )
 
@@ -32,8 +33,11 @@
 var commands = []command{
 	{"try", "run the whole path in one process, for a newcomer", runTry},
 	{"target", "run a stand-in target", runTarget},
+	{"store", "run a stand-in of the platform's store", store.Command},
+	{"node", "run a node that ends with standard input", runNode},
 	{"proxy", "run one side of the call path with a fixed configuration", runProxy},
 	{"measure converge", "how long a change takes and what it moves, against a baseline", measure.Converge},
+	{"measure idle", "what a fleet costs while nothing changes", measure.Idle},
 	{"measure overhead", "what the nodes on the way add to a call", measure.Overhead},
 }
 
@@ -84,6 +88,10 @@
 	})
 }
 
+func runNode(ctx context.Context, args []string, out io.Writer) error {
+	return measure.Node(ctx, args, os.Stdin, out)
+}
+
 func runProxy(ctx context.Context, args []string, out io.Writer) error {
 	return measure.Proxy(ctx, args, os.Stdin, out)
 }
--- /dev/null
+++ b/internal/standin/measure/idle.go
@@ -0,0 +1,177 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/control/platform"
+)
+
+// Idle measures what a fleet costs while nothing changes. One node runs in a
+// process of its own, for its memory and processor time; the others share one.
+func Idle(ctx context.Context, args []string, out io.Writer) error {
+	fs := flag.NewFlagSet("measure idle", flag.ContinueOnError)
+	fs.SetOutput(out)
+	c := idle{}
+	fs.IntVar(&c.nodes, "nodes", 50, "nodes in all")
+	fs.IntVar(&c.domains, "domains", 0, "failure domains; 0 for one for each 191 nodes, two at least")
+	fs.IntVar(&c.services, "services", 28, "services of the configuration")
+	fs.DurationVar(&c.settle, "settle", 20*time.Second, "time between the last join and the measurement")
+	fs.DurationVar(&c.length, "for", 24*time.Second, "length of the measurement")
+	fs.Uint64Var(&c.seed, "seed", 1, "seed of the nodes' jitter and boots")
+	fs.Bool("json", false, "kept for uniformity: the last line always is JSON")
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("STANDIN_IDLE")); err != nil {
+		return fmt.Errorf("idle: %w", err)
+	}
+	if c.nodes < 1 || c.services < 1 || c.length <= 0 {
+		return fmt.Errorf("idle: %w", &SettingError{Text: "-nodes, -services and -for are above 0"})
+	}
+	f, err := c.run(ctx)
+	if err != nil {
+		return fmt.Errorf("idle: %w", err)
+	}
+	if err := json.NewEncoder(out).Encode(f); err != nil {
+		return fmt.Errorf("idle: %w", err)
+	}
+	return nil
+}
+
+type idle struct {
+	nodes, domains, services int
+	settle, length           time.Duration
+	seed                     uint64
+}
+
+// idleFigures is what the measurement ends with. Bytes of a node are those
+// received and those to and from the store; the spread is of both ways. The
+// own_ figures are of the node in a process of its own.
+type idleFigures struct {
+	Nodes         int     `json:"nodes"`
+	Domains       int     `json:"domains"`
+	Services      int     `json:"services"`
+	Seed          uint64  `json:"seed"`
+	Seconds       float64 `json:"seconds"`
+	Bytes         float64 `json:"control_bytes_per_node_per_s"`
+	StoreBytes    float64 `json:"store_bytes_per_node_per_s"`
+	BothP50       float64 `json:"both_ways_bytes_per_s_p50"`
+	BothMax       float64 `json:"both_ways_bytes_per_s_max"`
+	Changes       float64 `json:"member_changes_per_node_per_s"`
+	CPU           float64 `json:"cpu_percent_per_node"`
+	SharedCPU     float64 `json:"shared_cpu_percent_per_node"`
+	RSS           float64 `json:"rss_mb_per_node"`
+	OwnBytes      float64 `json:"own_both_ways_bytes_per_s"`
+	Calls         float64 `json:"store_calls_per_s"`
+	Writes        float64 `json:"store_writes_per_s"`
+}
+
+// still is the state of the fleet at one moment.
+type still struct {
+	at      time.Time
+	moved   uint64
+	store   uint64
+	each    []uint64
+	changes uint64
+	calls   platform.Calls
+	shared  time.Duration
+	cpu     time.Duration
+	own     map[string]float64
+}
+
+func (c *idle) run(ctx context.Context) (*idleFigures, error) {
+	g := newGroup(ctx)
+	defer g.stop()
+	clk := timer.New()
+	g.start(clk.Run)
+	s, err := startStore(g, clk)
+	if err != nil {
+		return nil, err
+	}
+	fl := newFleet(clk, s, c.seed, c.nodes, c.domains, c.services)
+	defer func() { fl.stop(fl.members...) }()
+	if err := fl.ready(ctx, c.services); err != nil {
+		return nil, err
+	}
+	o, err := startOwn(ctx, fl)
+	if err != nil {
+		return nil, err
+	}
+	defer o.stop()
+	if err := clk.Sleep(ctx, c.settle); err != nil {
+		return nil, err
+	}
+	before, err := c.look(ctx, clk, fl, o)
+	if err != nil {
+		return nil, err
+	}
+	if err := clk.Sleep(ctx, c.length); err != nil {
+		return nil, err
+	}
+	after, err := c.look(ctx, clk, fl, o)
+	if err != nil {
+		return nil, err
+	}
+	return c.figures(fl, before, after), nil
+}
+
+func (c *idle) look(ctx context.Context, clk *timer.Service, fl *fleet, o *own) (still, error) {
+	cpu, err := o.node.cpu()
+	if err != nil {
+		return still{}, err
+	}
+	own, err := o.metrics(ctx, clk)
+	if err != nil {
+		return still{}, err
+	}
+	s := still{
+		at: clk.Now(), moved: fl.moved(), store: fl.stored.wire.total.Load(), calls: fl.stored.store.Calls(), cpu: cpu, own: own,
+	}
+	for _, m := range fl.members {
+		s.each = append(s.each, m.node.Bytes().In()+m.node.Bytes().Out())
+		s.changes += m.node.View().Cursor().Seq()
+	}
+	s.shared, err = processorTime()
+	return s, err
+}
+
+// processorTime returns what this process has used.
+func processorTime() (time.Duration, error) {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0, &PartError{Part: "usage", Err: err}
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano()), nil
+}
+
+func (c *idle) figures(fl *fleet, a, b still) *idleFigures {
+	secs, n := b.at.Sub(a.at).Seconds(), float64(c.nodes)
+	each := make([]float64, len(a.each))
+	for i := range each {
+		each[i] = float64(b.each[i]-a.each[i]) / secs
+	}
+	slices.Sort(each)
+	calls := b.calls.Since(a.calls)
+	both := func(s still) float64 {
+		return s.own["banyanlug_control_received_bytes_total"] + s.own["banyanlug_control_sent_bytes_total"]
+	}
+	return &idleFigures{
+		Nodes: c.nodes, Domains: fl.domains, Services: c.services, Seed: c.seed, Seconds: round(secs),
+		Bytes:      round((float64(b.moved-a.moved) + float64(b.store-a.store)) / n / secs),
+		StoreBytes: round(float64(b.store-a.store) / n / secs),
+		BothP50:    round(each[len(each)/2]), BothMax: round(each[len(each)-1]),
+		Changes:   round(float64(b.changes-a.changes) / n / secs),
+		CPU:       round(100 * (b.cpu - a.cpu).Seconds() / secs),
+		SharedCPU: round(100 * (b.shared - a.shared).Seconds() / secs / n),
+		RSS:       round(b.own["process_resident_memory_bytes"] / 1e6),
+		OwnBytes:  round((both(b) - both(a)) / secs),
+		Calls:     round(float64(calls.Total()) / secs), Writes: round(float64(calls.Writes()) / secs),
+	}
+}
