--- a/internal/standin/measure/faults.go
+++ b/internal/standin/measure/faults.go
@@ -17,7 +17,7 @@
 	"banyanlug.example/banyanlug/internal/clock/timer"
 	"banyanlug.example/banyanlug/internal/config/declaration"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
-	"banyanlug.example/banyanlug/internal/standin/fleet"
+	mesh "banyanlug.example/banyanlug/internal/standin/fleet"
 	"banyanlug.example/banyanlug/internal/standin/load"
 	"banyanlug.example/banyanlug/internal/standin/target"
 )
@@ -93,7 +93,7 @@
 	clock   *timer.Service
 	length  time.Duration
 	rand    *rand.Rand
-	fleet   *fleet.Fleet
+	fleet   *mesh.Fleet
 	callers []string
 	figures faultFigures
 
@@ -135,8 +135,8 @@
 			objects = append(objects, o)
 		}
 	}
-	m.fleet, err = fleet.Start(m.clock, pools, fleet.Callers(callerNodes), fleet.Domains("ulaanbaatar/bayanzurkh", "ulaanbaatar/khan-uul"),
-		fleet.Targets(target.Slots(0)))
+	m.fleet, err = mesh.Start(m.clock, pools, mesh.Callers(callerNodes), mesh.Domains("ulaanbaatar/bayanzurkh", "ulaanbaatar/khan-uul"),
+		mesh.Targets(target.Slots(0)))
 	defer m.fleet.Stop()
 	if err != nil {
 		return err
@@ -245,8 +245,8 @@
 }
 
 // withTargets are the instances that faults are played on.
-func (m *faults) withTargets() []*fleet.Instance {
-	var out []*fleet.Instance
+func (m *faults) withTargets() []*mesh.Instance {
+	var out []*mesh.Instance
 	for _, i := range m.fleet.Instances() {
 		if i.Target() != nil {
 			out = append(out, i)
--- a/internal/standin/measure/isolation.go
+++ b/internal/standin/measure/isolation.go
@@ -13,7 +13,7 @@
 
 	"banyanlug.example/banyanlug/internal/clock/timer"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
-	"banyanlug.example/banyanlug/internal/standin/fleet"
+	mesh "banyanlug.example/banyanlug/internal/standin/fleet"
 	"banyanlug.example/banyanlug/internal/standin/load"
 	"banyanlug.example/banyanlug/internal/standin/target"
 )
@@ -121,7 +121,7 @@
 func (m *isolation) withNodes(ctx context.Context, f *isolationFigures) error {
 	pool := snapshot.NewPool("pool", "service", snapshot.Slots(isolationSlots), snapshot.Promised(isolationPromised),
 		snapshot.Connections(1000), snapshot.Upstreams(m.targets))
-	fl, err := fleet.Start(m.clock, []snapshot.Pool{pool}, fleet.Targets(target.Slots(0)))
+	fl, err := mesh.Start(m.clock, []snapshot.Pool{pool}, mesh.Targets(target.Slots(0)))
 	defer fl.Stop()
 	if err != nil {
 		return err
