--- a/internal/process/node/command.go
+++ b/internal/process/node/command.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"runtime"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -46,5 +47,8 @@
 	if err != nil {
 		return err
 	}
+	// More processors make each call dearer, since an idle one has to be woken
+	// for each hand-over.
+	runtime.GOMAXPROCS(cfg.procs)
 	return n.Run(ctx)
 }
--- a/internal/process/node/settings.go
+++ b/internal/process/node/settings.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"net"
@@ -10,6 +11,7 @@
 	"time"
 
 	"banyanlug.example/banyanlug/internal/control/operator"
+	"banyanlug.example/banyanlug/internal/traffic/http1"
 )
 
 // SettingError tells of a setting that can't be used.
@@ -30,6 +32,7 @@
 	advertiseMesh, advertisePeers   string
 	tlsCert, tlsKey, tlsCA          string
 	drainTimeout                    time.Duration
+	procs                           int
 	seed                            uint64
 }
 
@@ -37,6 +40,9 @@
 // longer than any deadline only keeps the slot from its successor.
 const minDrain, maxDrain = 100 * time.Millisecond, 10 * time.Minute
 
+// maxProcs is beyond what any slot has.
+const maxProcs = 64
+
 // Register adds the settings to a flag set and returns where they are kept.
 func Register(fs *flag.FlagSet) *Settings {
 	s := &Settings{}
@@ -62,6 +68,7 @@
 	text(&s.tlsCA, "tls-ca", "", "PEM `FILE` of the authority that signs the nodes' certificates")
 	fs.DurationVar(&s.drainTimeout, "drain-timeout", 30*time.Second,
 		"how long a stop waits for calls in flight, a duration between 100ms and 10m")
+	fs.IntVar(&s.procs, "procs", 2, "how many processors the node runs on at once, 1 to 64; the target beside it needs the others")
 	fs.Uint64Var(&s.seed, "seed", 0, "seed of random choices; 0 takes one from the start time")
 	return s
 }
@@ -122,6 +129,9 @@
 	if some, all := s.tlsCert+s.tlsKey+s.tlsCA != "", s.tlsCert != "" && s.tlsKey != "" && s.tlsCA != ""; some && !all {
 		return &SettingError{"tls-cert", "-tls-cert, -tls-key and -tls-ca go together"}
 	}
+	if s.procs < 1 || s.procs > maxProcs {
+		return &SettingError{"procs", fmt.Sprintf("%d must be between 1 and %d", s.procs, maxProcs)}
+	}
 	if s.drainTimeout < minDrain || s.drainTimeout > maxDrain {
 		return &SettingError{"drain-timeout", fmt.Sprintf("%v must be between %v and %v", s.drainTimeout, minDrain, maxDrain)}
 	}
@@ -180,9 +190,10 @@
 	return out, nil
 }
 
-// listen opens a TCP listener for a setting.
+// listen opens a TCP listener for a setting; its stop resets no connection
+// that waits to be accepted.
 func listen(name, addr string) (net.Listener, error) {
-	ln, err := net.Listen("tcp", addr)
+	ln, err := http1.Listen(context.Background(), addr)
 	if err != nil {
 		return nil, &SettingError{name, err.Error()}
 	}
