Test restore and abandon, and refuse to abandon a plan that is not kept

Abandon said "is abandoned" of any id, so an operator who mistyped one took the plan for given up while it could still be confirmed. It now looks the plan up first; an id that is not kept is a failure, exit code 1.

--- a/internal/cli/command/command_test.go
+++ b/internal/cli/command/command_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -78,6 +79,8 @@
 	fleet   *fleet
 	service *operator.Service
 	clock   *timer.Service
+	// held is the version that the node has in force.
+	held atomic.Pointer[snapshot.Snapshot]
 }
 
 // newMesh starts a node whose configuration is the climbing example.
@@ -88,8 +91,10 @@
 	}
 	m := &mesh{fleet: &fleet{}, clock: timer.NewManual(start)}
 	m.store = store.New(m.clock)
+	m.held.Store(snapshot.Empty())
 	log := publish.New(m.store, m.clock, publish.ResolveFor(0))
-	m.service = operator.New(operator.FromLog(log), m.fleet, operator.Clock(m.clock), operator.Random(rand.NewChaCha8([32]byte{1})))
+	m.service = operator.New(operator.FromLog(log), m.fleet, operator.Clock(m.clock), operator.Random(rand.NewChaCha8([32]byte{1})),
+		operator.Held(m.held.Load))
 	if err := m.change("setup", operator.NewWhole(set.Objects())); err != nil {
 		return err
 	}
@@ -152,6 +157,14 @@
 	m.fleet.old = args[0] == "old"
 }
 
+// holds lets the node put the store's newest version in force.
+func holds(ts *testscript.TestScript, _ bool, _ []string) {
+	m := ts.Value("mesh").(*mesh)
+	s, err := m.service.Newest(context.Background())
+	ts.Check(err)
+	m.held.Store(s)
+}
+
 // rival sets a file's objects as another operator.
 func rival(ts *testscript.TestScript, _ bool, args []string) {
 	set, err := declaration.Decode(args[0], []byte(ts.ReadFile(args[0])))
@@ -182,7 +195,7 @@
 			return newMesh(env)
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"exits": exits, "failing": failing, "rival": rival, "later": later,
+			"exits": exits, "failing": failing, "rival": rival, "later": later, "holds": holds,
 		},
 	})
 }
--- a/internal/control/operator/restore.go
+++ b/internal/control/operator/restore.go
@@ -92,16 +92,19 @@
 // Abandon makes sure that a plan is never put in force, or says that it is in
 // force already.
 func (s *Service) Abandon(ctx context.Context, operator, planID string) error {
+	// An operator who mistypes an id would else take the plan for given up.
+	if _, err := s.load(ctx, planID); err != nil {
+		return err
+	}
 	out, err := s.versions.Abandon(ctx, planID)
-	if err == nil {
-		err = abandoned(planID, out)
-	} else if !is[*PlanNotFoundError](err) {
-		err = &StepUnknownError{Step: "abandon of plan " + planID, Err: err}
+	if err != nil {
+		return &StepUnknownError{Step: "abandon of plan " + planID, Err: err}
 	}
-	if err == nil {
-		s.log.Emit(event.PlanAbandoned, event.F("plan", planID), event.F("operator", operator))
+	if err := abandoned(planID, out); err != nil {
+		return err
 	}
-	return err
+	s.log.Emit(event.PlanAbandoned, event.F("plan", planID), event.F("operator", operator))
+	return nil
 }
 
 func abandoned(planID string, out Outcome) error {
