--- a/internal/process/node/fleet_test.go
+++ b/internal/process/node/fleet_test.go
@@ -262,6 +262,22 @@
 	return runs
 }
 
+// busy returns how many calls run at the target beside the node.
+func (n *node) busy() int {
+	resp, err := http.Get("http://" + n.target + "/load")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	var load struct {
+		Busy int `json:"busy"`
+	}
+	if json.NewDecoder(resp.Body).Decode(&load) != nil {
+		return 0
+	}
+	return load.Busy
+}
+
 func (n *node) version() uint64 { return n.metric("banyanlug_config_version") }
 
 // rank returns the node's last place in its failure domain's tree; the root's
--- a/internal/process/node/killed_test.go
+++ b/internal/process/node/killed_test.go
@@ -92,12 +92,12 @@
 		key string
 		answer
 	}
-	results := make(chan ended)
+	results := make(chan ended, calls)
 	keys := make(chan string)
-	for range 8 {
+	for range 24 {
 		go func() {
 			for key := range keys {
-				results <- ended{key, call(client, nodes[0], "POST", "/sends?sleep=4ms&size=300", key)}
+				results <- ended{key, call(client, nodes[0], "POST", "/sends?sleep=40ms&size=300", key)}
 			}
 		}()
 	}
@@ -111,6 +111,8 @@
 		r := <-results
 		answers[r.key] = r.answer
 		if len(answers) == calls/4 {
+			// Some calls are then under way at the one that dies.
+			until(t, "calls run beside the node", func() bool { return nodes[2].busy() >= 3 })
 			nodes[2].kill()
 		}
 	}
