Calls between nodes over TLS reach their target

Cause: the call client named no server in its handshakes, which the library refuses, so that with TLS set every call was answered 503 no-target; the control side sets the name itself. The new test of whole nodes was red (three of three calls 503) and is green. Lines that net/http logs by itself are events now (1007).

--- a/internal/control/peer/node.go
+++ b/internal/control/peer/node.go
@@ -236,6 +236,7 @@
 		mux.Handle(s.PathPrefix(), s)
 	}
 	srv := newServer(Authenticated(n.key, mux), n.serving)
+	srv.ErrorLog = event.Standard(n.log, event.ServerFault)
 	ln = countedListener{ln, &n.bytes}
 	ended := make(chan error, 1)
 	go serve(srv, ln, n.serving != nil, ended)
--- a/internal/log/event/logger.go
+++ b/internal/log/event/logger.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	stdlog "log"
+	"strings"
 	"time"
 
 	"github.com/phuslu/log"
@@ -32,6 +34,21 @@
 // Discard returns a logger that writes nothing, for tests.
 func Discard() *Logger { return New(io.Discard, "") }
 
+// Standard returns a logger of the standard library whose lines become events
+// with a code, for libraries that log by themselves.
+func Standard(l *Logger, c Code) *stdlog.Logger { return stdlog.New(lines{l, c}, "", 0) }
+
+type lines struct {
+	log  *Logger
+	code Code
+}
+
+// Write implements io.Writer; the standard logger calls it once a line.
+func (w lines) Write(p []byte) (int, error) {
+	w.log.Emit(w.code, F("error", strings.TrimSpace(string(p))))
+	return len(p), nil
+}
+
 // Emit writes the event with a code, which must be in the catalogue.
 func (l *Logger) Emit(c Code, fields ...Field) {
 	entry, ok := catalogue[c]
--- a/internal/log/event/process.go
+++ b/internal/log/event/process.go
@@ -7,6 +7,7 @@
 	NodeDrains  Code = 1003
 	NodeStopped Code = 1004
 	NodeFailed  Code = 1005
+	ServerFault Code = 1007
 )
 
 var processEvents = map[Code]Entry{
@@ -15,4 +16,5 @@
 	NodeDrains:  {Info, "node drains: new work is refused as not run, work in flight finishes", "nothing"},
 	NodeStopped: {Info, "node stopped", "nothing"},
 	NodeFailed:  {Error, "node failed", "read the error; the process ends and its slot's supervisor starts it again"},
+	ServerFault: {Warn, "a connection to the control or operators' address failed before a request", "look at the error: a client without the fleet's certificate, or one that speaks another protocol"},
 }
--- a/internal/process/node/parts.go
+++ b/internal/process/node/parts.go
@@ -10,6 +10,7 @@
 	"github.com/alexedwards/flow"
 
 	"banyanlug.example/banyanlug/internal/control/operator"
+	"banyanlug.example/banyanlug/internal/log/event"
 )
 
 // parts are the goroutines of a running node.
@@ -25,7 +26,7 @@
 	p.run(ctx, n.peerServe)
 	p.run(ctx, n.peer.Run)
 	p.run(ctx, func(ctx context.Context, done chan<- error) { n.callers.Serve(ctx, n.listeners.callers, done) })
-	p.run(ctx, func(ctx context.Context, done chan<- error) { serveHTTP(ctx, n.listeners.admin, n.admin(), done) })
+	p.run(ctx, func(ctx context.Context, done chan<- error) { n.serveHTTP(ctx, n.listeners.admin, n.admin(), done) })
 	if n.targets != nil {
 		p.run(ctx, func(ctx context.Context, done chan<- error) { n.targets.Serve(ctx, n.listeners.mesh, done) })
 	} else {
@@ -65,8 +66,11 @@
 }
 
 // serveHTTP serves h with the library's server until ctx ends.
-func serveHTTP(ctx context.Context, ln net.Listener, h http.Handler, done chan<- error) {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
+func (n *Node) serveHTTP(ctx context.Context, ln net.Listener, h http.Handler, done chan<- error) {
+	srv := &http.Server{
+		Handler: h, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10,
+		ErrorLog: event.Standard(n.log, event.ServerFault),
+	}
 	ended := make(chan error, 1)
 	go func() { ended <- srv.Serve(ln) }()
 	select {
@@ -82,7 +86,7 @@
 func (n *Node) serveOperators(ctx context.Context, done chan<- error) {
 	service := n.operatorService()
 	if service == nil {
-		serveHTTP(ctx, n.listeners.operators, http.HandlerFunc(refuseOperators), done)
+		n.serveHTTP(ctx, n.listeners.operators, http.HandlerFunc(refuseOperators), done)
 		return
 	}
 	// The settings have been checked, so the tokens can be read.
@@ -90,7 +94,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", operator.NewHandler(service, tokens...))
 	mux.Handle("GET /v1/report/burn", operator.Authenticated(http.HandlerFunc(n.tellBurn), service, tokens...))
-	serveHTTP(ctx, n.listeners.operators, mux, done)
+	n.serveHTTP(ctx, n.listeners.operators, mux, done)
 }
 
 func refuseOperators(w http.ResponseWriter, _ *http.Request) {
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -39,6 +39,7 @@
 	targets []target.Option
 
 	callers   int
+	settings  []string
 	store     *store.Store
 	storeAddr string
 	endStore  func()
@@ -102,6 +103,9 @@
 // Callers adds a number of nodes without a target, from which calls only come.
 func Callers(n int) Option { return func(f *Fleet) { f.callers = n } }
 
+// Settings adds settings of the nodes, as their command line has them.
+func Settings(args ...string) Option { return func(f *Fleet) { f.settings = args } }
+
 // Targets sets options of every target besides its slots.
 func Targets(opts ...target.Option) Option { return func(f *Fleet) { f.targets = opts } }
 
@@ -209,6 +213,7 @@
 		"-callers", "127.0.0.1:0", "-mesh", "127.0.0.1:0", "-peers", "127.0.0.1:0", "-admin", "127.0.0.1:0",
 		"-operators", "127.0.0.1:0", "-operator-tokens", operatorName+":"+hash(OperatorToken), "-drain-timeout", "5s",
 	)
+	args = append(args, f.settings...)
 	if err := fs.Parse(args); err != nil {
 		return nil, &StartError{What: "node settings", Err: err}
 	}
--- /dev/null
+++ b/internal/standin/fleet/secure_test.go
@@ -0,0 +1,170 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/config/snapshot"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// authority signs certificates for loopback nodes.
+type authority struct {
+	t    *testing.T
+	dir  string
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	a := &authority{t: t, dir: t.TempDir()}
+	a.cert, a.key = a.issue("ca", nil)
+	return a
+}
+
+// issue writes NAME.pem and NAME.key, signed by the authority or by itself.
+func (a *authority) issue(name string, by *authority) (*x509.Certificate, *ecdsa.PrivateKey) {
+	a.t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	tmpl := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: by == nil, BasicConstraintsValid: true,
+		KeyUsage:    x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	parent, signer := tmpl, key
+	if by != nil {
+		parent, signer = by.cert, by.key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, parent, &key.PublicKey, signer)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	a.write(name+".pem", "CERTIFICATE", der)
+	a.write(name+".key", "EC PRIVATE KEY", keyDER)
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return cert, key
+}
+
+func (a *authority) write(name, kind string, der []byte) {
+	var b bytes.Buffer
+	if err := pem.Encode(&b, &pem.Block{Type: kind, Bytes: der}); err != nil {
+		a.t.Fatal(err)
+	}
+	if err := os.WriteFile(a.path(name), b.Bytes(), 0o600); err != nil {
+		a.t.Fatal(err)
+	}
+}
+
+func (a *authority) path(name string) string { return filepath.Join(a.dir, name) }
+
+// Nodes with certificates of the fleet's authority join, distribute and carry
+// calls over TLS. One with a certificate of another authority is turned away
+// on the control and on the call address, though it holds the fleet key.
+func TestNodesSpeakOverTLSAndTurnAwayStrangers(t *testing.T) {
+	t.Parallel()
+	clock := timer.New()
+	ctx, cancel := context.WithCancel(context.Background())
+	ticked := make(chan error, 1)
+	go clock.Run(ctx, ticked)
+	defer func() {
+		cancel()
+		<-ticked
+	}()
+	ours, theirs := newAuthority(t), newAuthority(t)
+	ours.issue("node", ours)
+	theirs.issue("node", theirs)
+	pool := snapshot.NewPool("pool", "service", snapshot.Slots(4), snapshot.Connections(10), snapshot.Upstreams(3))
+	f, err := Start(clock, []snapshot.Pool{pool}, Settings(
+		"-tls-cert", ours.path("node.pem"), "-tls-key", ours.path("node.key"), "-tls-ca", ours.path("ca.pem")))
+	defer f.Stop()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Until(ctx, "nodes become ready", f.Ready); err != nil {
+		t.Fatal(err)
+	}
+	objects := []snapshot.Object{
+		snapshot.NewOrganisation("gym", snapshot.Paying, hash("key")), snapshot.NewService("service"), pool,
+		snapshot.NewRoute("route", "/", "service", "pool", snapshot.Idempotent()),
+	}
+	if _, _, _, err := f.Confirm(ctx, objects); err != nil {
+		t.Fatal(err)
+	}
+	for _, i := range f.Instances() {
+		if got := get(t, "http://"+i.Node().Callers().String()+"/?size=5", "key"); got != http.StatusOK {
+			t.Errorf("call through %s: status %d", i.Name(), got)
+		}
+	}
+	f.settings = []string{
+		"-tls-cert", theirs.path("node.pem"), "-tls-key", theirs.path("node.key"), "-tls-ca", theirs.path("ca.pem"),
+		"-seeds", f.Instances()[0].Node().Peers().String(),
+	}
+	stranger := f.newInstance(snapshot.Pool{})
+	if err := f.startNode(stranger); err != nil {
+		t.Fatal(err)
+	}
+	// The stranger reads the version from the store that it was given, but
+	// learns of no member and reaches none.
+	if err := f.Until(ctx, "the stranger has read the store", func() bool {
+		return stranger.Node().Holder().Current().Version() == 1
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if n := stranger.Node().Targets(); n != 0 {
+		t.Errorf("the stranger knows %d targets", n)
+	}
+	for _, i := range f.Instances()[:3] {
+		if n := i.Node().Targets(); n != 3 {
+			t.Errorf("%s knows %d targets after the stranger came", i.Name(), n)
+		}
+	}
+}
+
+func get(t *testing.T, url, key string) int {
+	t.Helper()
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode
+}
--- a/internal/traffic/hop/pool.go
+++ b/internal/traffic/hop/pool.go
@@ -150,7 +150,7 @@
 	if c.tls == nil {
 		return newLink(to, conn), nil
 	}
-	t := tls.Client(conn, c.tls)
+	t := tls.Client(conn, c.secured(to))
 	_ = conn.SetDeadline(until)
 	if err := t.HandshakeContext(ctx); err != nil {
 		_ = conn.Close()
@@ -159,6 +159,17 @@
 	return newLink(to, t), nil
 }
 
+// secured returns the TLS configuration for a node, which proves the address
+// that it was dialled by unless one name is configured for all.
+func (c *Client) secured(to netip.AddrPort) *tls.Config {
+	if c.tls.ServerName != "" {
+		return c.tls
+	}
+	cfg := c.tls.Clone()
+	cfg.ServerName = to.Addr().String()
+	return cfg
+}
+
 // reap closes connections that were idle too long or that their peer closed.
 func (c *Client) reap(now time.Time) {
 	for i := range c.shards {
