Operators' tokens cross the network by TLS where nodes have certificates

Cause: the operators' address was plain also where -tls-cert was set, so a token could be read on the way. It now serves TLS with the node's certificate; operators show a token, no certificate.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -116,6 +116,10 @@
 	if err != nil {
 		return err
 	}
+	if secure != nil && n.listeners.operators != nil {
+		// A token must not cross the network in the clear.
+		n.listeners.operators = tls.NewListener(n.listeners.operators, secure.operators)
+	}
 	if n.cfg.store != "" {
 		client, err := platform.Dial(n.cfg.store, platform.WithMetrics(n.metrics))
 		if err != nil {
--- a/internal/process/node/settings.go
+++ b/internal/process/node/settings.go
@@ -63,7 +63,7 @@
 	text(&s.fleetKey, "fleet-key", "", "`SECRET` shared by all nodes, 16 bytes or more; better set in the environment")
 	text(&s.fleetKeyFile, "fleet-key-file", "", "`FILE` to read the fleet key from, in place of -fleet-key")
 	text(&s.operatorTokens, "operator-tokens", "", "operators as `NAME:HASH`, separated by commas; `banyanlug key -operator NAME` makes one")
-	text(&s.tlsCert, "tls-cert", "", "PEM `FILE` of the certificate for control and calls between nodes; with -tls-key and -tls-ca")
+	text(&s.tlsCert, "tls-cert", "", "PEM `FILE` of the certificate for control, calls between nodes and operators; with -tls-key and -tls-ca")
 	text(&s.tlsKey, "tls-key", "", "PEM `FILE` of the private key of -tls-cert")
 	text(&s.tlsCA, "tls-ca", "", "PEM `FILE` of the authority that signs the nodes' certificates")
 	fs.DurationVar(&s.drainTimeout, "drain-timeout", 30*time.Second,
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"crypto/sha256"
+	"crypto/tls"
 	"encoding/hex"
 	"flag"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -40,6 +42,7 @@
 
 	callers   int
 	settings  []string
+	secure    *tls.Config
 	store     *store.Store
 	storeAddr string
 	endStore  func()
@@ -56,6 +59,7 @@
 	endTarget    func()
 	node         *node.Node
 	endNode      func()
+	secure       *tls.Config
 }
 
 // Name returns the instance's name.
@@ -106,6 +110,9 @@
 // Settings adds settings of the nodes, as their command line has them.
 func Settings(args ...string) Option { return func(f *Fleet) { f.settings = args } }
 
+// OperatorTLS sets how operators trust the nodes, where these have certificates.
+func OperatorTLS(cfg *tls.Config) Option { return func(f *Fleet) { f.secure = cfg } }
+
 // Targets sets options of every target besides its slots.
 func Targets(opts ...target.Option) Option { return func(f *Fleet) { f.targets = opts } }
 
@@ -136,7 +143,7 @@
 
 func (f *Fleet) newInstance(p snapshot.Pool) *Instance {
 	k := len(f.instances)
-	i := &Instance{name: fmt.Sprintf("instance-%02d", k+1), domain: f.domains[k%len(f.domains)], pool: p, endTarget: func() {}}
+	i := &Instance{name: fmt.Sprintf("instance-%02d", k+1), domain: f.domains[k%len(f.domains)], pool: p, endTarget: func() {}, secure: f.secure}
 	f.instances = append(f.instances, i)
 	return i
 }
@@ -303,7 +310,11 @@
 // Operator returns a client of one node's operators' API.
 func (i *Instance) Operator() *operator.Client {
 	addr, _ := i.node.Operators()
-	return operator.NewClient([]string{"http://" + addr.String()}, OperatorToken)
+	if i.secure == nil {
+		return operator.NewClient([]string{"http://" + addr.String()}, OperatorToken)
+	}
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: i.secure, DisableKeepAlives: true}}
+	return operator.NewClient([]string{"https://" + addr.String()}, OperatorToken, operator.HTTPClient(client))
 }
 
 // Confirm plans objects at one node, confirms the plan at another, waits until
