--- a/internal/control/peer/read.go
+++ b/internal/control/peer/read.go
@@ -147,3 +147,11 @@
 	defer n.mu.Unlock()
 	n.storeOK = n.clock.Now()
 }
+
+// StoreAge returns how long ago the store last answered this node's watch; it
+// is false for a node that has not watched it.
+func (n *Node) StoreAge() (time.Duration, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.clock.Since(n.storeOK), !n.storeOK.IsZero()
+}
