--- a/internal/clock/timer/service.go
+++ b/internal/clock/timer/service.go
@@ -23,6 +23,19 @@
 	return &Service{now: time.Now, wake: make(chan struct{}, 1)}
 }
 
+// Start returns a running service on the machine's clock, and what stops it and
+// waits for its end.
+func Start() (s *Service, stop func()) {
+	s = New()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go s.Run(ctx, done)
+	return s, func() {
+		cancel()
+		<-done
+	}
+}
+
 // NewManual returns a service whose time moves only by Advance.
 func NewManual(start time.Time) *Service {
 	return &Service{manual: start}
--- a/internal/standin/fleet/secure_test.go
+++ b/internal/standin/fleet/secure_test.go
@@ -94,14 +94,9 @@
 // on the control and on the call address, though it holds the fleet key.
 func TestNodesSpeakOverTLSAndTurnAwayStrangers(t *testing.T) {
 	t.Parallel()
-	clock := timer.New()
-	ctx, cancel := context.WithCancel(context.Background())
-	ticked := make(chan error, 1)
-	go clock.Run(ctx, ticked)
-	defer func() {
-		cancel()
-		<-ticked
-	}()
+	clock, stop := timer.Start()
+	defer stop()
+	ctx := context.Background()
 	ours, theirs := newAuthority(t), newAuthority(t)
 	ours.issue("node", ours)
 	theirs.issue("node", theirs)
--- a/internal/standin/try/run.go
+++ b/internal/standin/try/run.go
@@ -78,14 +78,8 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
-	clock := timer.New()
-	cctx, stop := context.WithCancel(context.Background())
-	ticked := make(chan error, 1)
-	go clock.Run(cctx, ticked)
-	defer func() {
-		stop()
-		<-ticked
-	}()
+	clock, stop := timer.Start()
+	defer stop()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if o.forHow > 0 {
