--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -38,6 +38,8 @@
 	{"proxy", "run one side of the call path with a fixed configuration", runProxy},
 	{"measure converge", "how long a change takes and what it moves, against a baseline", measure.Converge},
 	{"measure idle", "what a fleet costs while nothing changes", measure.Idle},
+	{"measure churn", "what comings and goings cost and how soon they are known", measure.Churn},
+	{"measure storm", "what happens when all nodes restart at once", measure.Storm},
 	{"measure overhead", "what the nodes on the way add to a call", measure.Overhead},
 }
 
--- /dev/null
+++ b/internal/standin/measure/churn.go
@@ -0,0 +1,310 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/control/platform"
+	"banyanlug.example/banyanlug/internal/policy/membership"
+)
+
+const (
+	// restartsPerDay are the letter's, of 4,200 instances. Each is a change for
+	// every node, so that what a node pays follows the fleet's rate and not
+	// its own.
+	restartsPerDay = 810
+	// hurry is how many times the letter's rate restarts are played at; at the
+	// rate itself a few would take an hour.
+	hurry = 20
+	// rackShare of a domain's nodes is a rack: 24 of 191.
+	rackShare = 8
+	// drained is how long an instance goes on after it has told that it drains.
+	drained  = 300 * time.Millisecond
+	flushFor = 2 * time.Second
+)
+
+// Churn measures what comings and goings cost and how long they take to be
+// known.
+func Churn(ctx context.Context, args []string, out io.Writer) error {
+	fs := flag.NewFlagSet("measure churn", flag.ContinueOnError)
+	fs.SetOutput(out)
+	c := churn{}
+	fs.IntVar(&c.nodes, "nodes", 50, "nodes in all")
+	fs.IntVar(&c.domains, "domains", 0, "failure domains; 0 for one for each 191 nodes, two at least")
+	fs.IntVar(&c.restarts, "restarts", 6, "instances drained and restarted, at 20 times the letter's rate")
+	fs.IntVar(&c.crashes, "crashes", 4, "instances that end without a word")
+	fs.Uint64Var(&c.seed, "seed", 1, "seed of the choice of instances, the nodes' jitter and boots")
+	fs.Bool("json", false, "kept for uniformity: the last line always is JSON")
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("STANDIN_CHURN")); err != nil {
+		return fmt.Errorf("churn: %w", err)
+	}
+	if c.nodes < 4 || c.restarts < 1 || c.crashes < 1 {
+		return fmt.Errorf("churn: %w", &SettingError{Text: "-nodes is 4 or more, -restarts and -crashes above 0"})
+	}
+	f, err := c.run(ctx)
+	if err != nil {
+		return fmt.Errorf("churn: %w", err)
+	}
+	if err := json.NewEncoder(out).Encode(f); err != nil {
+		return fmt.Errorf("churn: %w", err)
+	}
+	return nil
+}
+
+type churn struct {
+	nodes, domains, restarts, crashes int
+	seed                              uint64
+	clk                               *timer.Service
+	fl                                *fleet
+	idleBytes                         float64 // bytes a second, all nodes
+}
+
+// churnFigures is what the measurement ends with. Bytes are those received by
+// nodes and to and from the store, less idle traffic. The time to leave is
+// until no node that runs would send new work there; calls are not made.
+type churnFigures struct {
+	Nodes    int    `json:"nodes"`
+	Domains  int    `json:"domains"`
+	Seed     uint64 `json:"seed"`
+	Restarts int    `json:"restarts"`
+	Crashes  int    `json:"crashes"`
+
+	IdleBytes    float64 `json:"idle_bytes_per_node_per_s"`
+	RestartBytes float64 `json:"bytes_per_node_per_restart"`
+	AtLetter     float64 `json:"bytes_per_node_per_s_at_letters_rate"`
+	AtHurry      float64 `json:"bytes_per_node_per_s_at_20_times_the_rate"`
+	Calls        float64 `json:"store_calls_per_restart"`
+
+	DrainP50 float64 `json:"drain_known_ms_p50"`
+	DrainMax float64 `json:"drain_known_ms_max"`
+	BackP50  float64 `json:"restart_known_ms_p50"`
+	BackMax  float64 `json:"restart_known_ms_max"`
+	CrashP50 float64 `json:"crash_known_ms_p50"`
+	CrashMax float64 `json:"crash_known_ms_max"`
+
+	RackNodes    int     `json:"rack_nodes"`
+	RackMS       float64 `json:"rack_lost_known_ms"`
+	RackBytes    float64 `json:"rack_lost_bytes_per_node"`
+	RackBackMS   float64 `json:"rack_back_known_ms"`
+	DomainNodes  int     `json:"domain_nodes"`
+	DomainMS     float64 `json:"domain_lost_known_ms"`
+	DomainBytes  float64 `json:"domain_lost_bytes_per_node"`
+	DomainBackMS float64 `json:"domain_back_known_ms"`
+	DomainBack   float64 `json:"domain_back_bytes_per_node"`
+	Wrong        int     `json:"wrong_views_at_end"`
+}
+
+func (c *churn) run(ctx context.Context) (*churnFigures, error) {
+	g := newGroup(ctx)
+	defer g.stop()
+	c.clk = timer.New()
+	g.start(c.clk.Run)
+	s, err := startStore(g, c.clk)
+	if err != nil {
+		return nil, err
+	}
+	c.fl = newFleet(c.clk, s, c.seed, c.nodes, c.domains, restServices)
+	defer func() { c.fl.stop(c.fl.members...) }()
+	if err := c.fl.ready(ctx, restServices); err != nil {
+		return nil, err
+	}
+	f := &churnFigures{Nodes: c.nodes, Domains: c.fl.domains, Seed: c.seed, Restarts: c.restarts, Crashes: c.crashes}
+	for _, step := range []func(context.Context, *churnFigures) error{c.rest, c.restart, c.crash, c.rack, c.domain} {
+		if err := step(ctx, f); err != nil {
+			return nil, err
+		}
+	}
+	f.Wrong = c.wrong()
+	return f, nil
+}
+
+// restServices is the configuration's size where only members change.
+const restServices = 28
+
+func (c *churn) bytes() float64 {
+	return float64(c.fl.moved() + c.fl.stored.wire.total.Load())
+}
+
+// spent returns the bytes that a step moved beyond idle ones, for each node.
+func (c *churn) spent(before float64, since time.Time) float64 {
+	return (c.bytes() - before - c.idleBytes*c.clk.Since(since).Seconds()) / float64(c.nodes)
+}
+
+// rest measures idle traffic.
+func (c *churn) rest(ctx context.Context, f *churnFigures) error {
+	if err := c.clk.Sleep(ctx, 10*time.Second); err != nil {
+		return err
+	}
+	began, before := c.clk.Now(), c.bytes()
+	if err := c.clk.Sleep(ctx, 12*time.Second); err != nil {
+		return err
+	}
+	c.idleBytes = (c.bytes() - before) / c.clk.Since(began).Seconds()
+	f.IdleBytes = round(c.idleBytes / float64(c.nodes))
+	return nil
+}
+
+// restart drains and restarts instances one after another.
+func (c *churn) restart(ctx context.Context, f *churnFigures) error {
+	every := 24 * time.Hour / (restartsPerDay * hurry)
+	var left, back []time.Duration
+	began, before, calls := c.clk.Now(), c.bytes(), c.fl.stored.store.Calls()
+	for i := range c.restarts {
+		next := began.Add(time.Duration(i+1) * every)
+		m := c.fl.members[c.fl.rng.IntN(c.nodes)]
+		from := c.clk.Now()
+		m.node.Announce(membership.Draining)
+		fctx, cancel := c.clk.WithTimeout(ctx, flushFor)
+		m.node.Flush(fctx)
+		if err := c.gone(ctx, m); err != nil {
+			cancel()
+			return err
+		}
+		left = append(left, c.clk.Since(from))
+		if err := c.clk.Sleep(ctx, drained); err != nil {
+			cancel()
+			return err
+		}
+		m.node.Announce(membership.Gone)
+		m.node.Flush(fctx)
+		cancel()
+		took, err := c.replace(ctx, m)
+		if err != nil {
+			return err
+		}
+		back = append(back, took)
+		if err := c.clk.Sleep(ctx, next.Sub(c.clk.Now())); err != nil {
+			return err
+		}
+	}
+	slices.Sort(left)
+	slices.Sort(back)
+	f.DrainP50, f.DrainMax, f.BackP50, f.BackMax = at(left, 50), at(left, 100), at(back, 50), at(back, 100)
+	each := c.spent(before, began) / float64(c.restarts)
+	f.RestartBytes = round(each)
+	f.AtLetter = round(each * restartsPerDay / 86400)
+	f.AtHurry = round(each * hurry * restartsPerDay / 86400)
+	f.Calls = round(float64(totalSince(c.fl.stored, calls)) / float64(c.restarts))
+	return nil
+}
+
+func totalSince(s *stored, before platform.Calls) uint64 {
+	return s.store.Calls().Since(before).Total()
+}
+
+// replace ends an instance's process, starts the next and waits until all know.
+func (c *churn) replace(ctx context.Context, members ...*member) (time.Duration, error) {
+	c.fl.stop(members...)
+	began := c.clk.Now()
+	for _, m := range members {
+		if err := c.fl.start(m); err != nil {
+			return 0, err
+		}
+	}
+	err := c.fl.until(ctx, "all know of the restart", c.fl.known)
+	return c.clk.Since(began), err
+}
+
+// gone waits until no node but themselves would send new work to members.
+func (c *churn) gone(ctx context.Context, members ...*member) error {
+	return c.fl.until(ctx, "no node sends there", func() bool {
+		for _, n := range c.fl.members {
+			if !n.running() || slices.Contains(members, n) {
+				continue
+			}
+			for _, m := range members {
+				if slices.ContainsFunc(n.node.View().Pool(m.pool), func(r membership.Record) bool { return r.Instance() == m.name }) {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+// crash ends instances without a word.
+func (c *churn) crash(ctx context.Context, f *churnFigures) error {
+	var took []time.Duration
+	for range c.crashes {
+		m := c.fl.members[c.fl.rng.IntN(c.nodes)]
+		began := c.clk.Now()
+		c.fl.stop(m)
+		if err := c.gone(ctx, m); err != nil {
+			return err
+		}
+		took = append(took, c.clk.Since(began))
+		if _, err := c.replace(ctx, m); err != nil {
+			return err
+		}
+	}
+	slices.Sort(took)
+	f.CrashP50, f.CrashMax = at(took, 50), at(took, 100)
+	return nil
+}
+
+// rack ends an eighth of a domain at once, and brings it back.
+func (c *churn) rack(ctx context.Context, f *churnFigures) error {
+	all := c.of(c.fl.members[0].domain)
+	lost := all[:max(1, len(all)/rackShare)]
+	var err error
+	f.RackNodes = len(lost)
+	f.RackMS, f.RackBytes, f.RackBackMS, _, err = c.lose(ctx, lost)
+	return err
+}
+
+// domain ends all of a domain at once, and brings it back.
+func (c *churn) domain(ctx context.Context, f *churnFigures) error {
+	lost := c.of(c.fl.members[1].domain)
+	var err error
+	f.DomainNodes = len(lost)
+	f.DomainMS, f.DomainBytes, f.DomainBackMS, f.DomainBack, err = c.lose(ctx, lost)
+	return err
+}
+
+func (c *churn) of(domain string) []*member {
+	var out []*member
+	for _, m := range c.fl.members {
+		if m.domain == domain {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (c *churn) lose(ctx context.Context, lost []*member) (goneMS, goneBytes, backMS, backBytes float64, err error) {
+	began, before := c.clk.Now(), c.bytes()
+	c.fl.stop(lost...)
+	if err = c.gone(ctx, lost...); err != nil {
+		return 0, 0, 0, 0, err
+	}
+	goneMS = round(float64(c.clk.Since(began).Microseconds()) / 1000)
+	goneBytes = round(c.spent(before, began))
+	began, before = c.clk.Now(), c.bytes()
+	took, err := c.replace(ctx, lost...)
+	return goneMS, goneBytes, round(float64(took.Microseconds()) / 1000), round(c.spent(before, began)), err
+}
+
+// wrong counts the nodes whose view is not what runs.
+func (c *churn) wrong() int {
+	count := 0
+	for _, n := range c.fl.members {
+		ready := 0
+		for _, r := range n.node.View().Records() {
+			if r.State() == membership.Ready {
+				ready++
+			}
+		}
+		if ready != c.nodes {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/standin/measure/storm.go
@@ -0,0 +1,201 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"banyanlug.example/banyanlug/internal/clock/timer"
+)
+
+const (
+	// sampleEvery and peakOver make peaks of a second out of short samples, so
+	// that one that falls between two whole seconds is not halved.
+	sampleEvery = 100 * time.Millisecond
+	peakOver    = 10
+)
+
+// Storm measures what happens when all nodes restart at once while the store
+// is slow.
+func Storm(ctx context.Context, args []string, out io.Writer) error {
+	fs := flag.NewFlagSet("measure storm", flag.ContinueOnError)
+	fs.SetOutput(out)
+	c := storm{}
+	fs.IntVar(&c.nodes, "nodes", 50, "nodes in all")
+	fs.IntVar(&c.domains, "domains", 0, "failure domains; 0 for one for each 191 nodes, two at least")
+	fs.IntVar(&c.services, "services", 280, "services of the configuration")
+	fs.DurationVar(&c.slow, "slow", 200*time.Millisecond, "what each call to the store takes longer")
+	fs.Uint64Var(&c.seed, "seed", 1, "seed of the nodes' jitter and boots")
+	fs.Bool("json", false, "kept for uniformity: the last line always is JSON")
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("STANDIN_STORM")); err != nil {
+		return fmt.Errorf("storm: %w", err)
+	}
+	if c.nodes < 1 || c.services < 1 {
+		return fmt.Errorf("storm: %w", &SettingError{Text: "-nodes and -services are above 0"})
+	}
+	f, err := c.run(ctx)
+	if err != nil {
+		return fmt.Errorf("storm: %w", err)
+	}
+	if err := json.NewEncoder(out).Encode(f); err != nil {
+		return fmt.Errorf("storm: %w", err)
+	}
+	return nil
+}
+
+type storm struct {
+	nodes, domains, services int
+	slow                     time.Duration
+	seed                     uint64
+	clk                      *timer.Service
+	fl                       *fleet
+}
+
+// stormFigures is what the measurement ends with. Peaks are of one second and
+// all nodes together; the whole configuration is the least that each takes.
+type stormFigures struct {
+	Nodes      int     `json:"nodes"`
+	Domains    int     `json:"domains"`
+	Services   int     `json:"services"`
+	Seed       uint64  `json:"seed"`
+	SlowMS     float64 `json:"store_slow_ms"`
+	PeakBytes  float64 `json:"peak_bytes_per_s"`
+	PeakStore  float64 `json:"peak_store_bytes_per_s"`
+	PeakCalls  float64 `json:"peak_store_calls_per_s"`
+	Calls      uint64  `json:"store_calls"`
+	Writes     uint64  `json:"store_writes"`
+	Bytes      float64 `json:"bytes_per_node"`
+	ReadyP50   float64 `json:"ready_ms_p50"`
+	ReadyMax   float64 `json:"ready_ms_max"`
+	InForceMS  float64 `json:"in_force_ms"`
+	KnownMS    float64 `json:"all_known_ms"`
+	BackAtSync int64   `json:"ready_with_an_older_version"`
+	WentBack   int64   `json:"went_back"`
+	WholeBytes int     `json:"whole_bytes"`
+}
+
+func (c *storm) run(ctx context.Context) (*stormFigures, error) {
+	g := newGroup(ctx)
+	defer g.stop()
+	c.clk = timer.New()
+	g.start(c.clk.Run)
+	s, err := startStore(g, c.clk)
+	if err != nil {
+		return nil, err
+	}
+	c.fl = newFleet(c.clk, s, c.seed, c.nodes, c.domains, c.services)
+	defer func() { c.fl.stop(c.fl.members...) }()
+	if err := c.fl.ready(ctx, c.services); err != nil {
+		return nil, err
+	}
+	d, next, err := s.next(change(0, c.services))
+	if err != nil {
+		return nil, err
+	}
+	if err := s.publish(ctx, d, next); err != nil {
+		return nil, err
+	}
+	if err := c.fl.until(ctx, "the change is in force", c.fl.inForce); err != nil {
+		return nil, err
+	}
+	c.fl.stop(c.fl.members...)
+	whole, err := s.held.EncodeFull()
+	if err != nil {
+		return nil, err
+	}
+	f := &stormFigures{
+		Nodes: c.nodes, Domains: c.fl.domains, Services: c.services, Seed: c.seed,
+		SlowMS: float64(c.slow.Milliseconds()), WholeBytes: len(whole),
+	}
+	return f, c.play(ctx, f)
+}
+
+// play starts all nodes at once and follows them until all is known again.
+func (c *storm) play(ctx context.Context, f *stormFigures) error {
+	s := c.fl.stored
+	s.store.SetSlow(c.slow)
+	defer s.store.SetSlow(0)
+	want := s.held.Version()
+	before, calls := c.fl.moved()+s.wire.total.Load(), s.store.Calls()
+	began := c.clk.Now()
+	if err := c.fl.startAll(); err != nil {
+		return err
+	}
+	sctx, cancel := c.clk.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	var older, back atomic.Int64
+	var mu sync.Mutex
+	var ready []time.Duration
+	for _, m := range c.fl.members {
+		wg.Go(func() {
+			if m.node.Sync(sctx) != nil {
+				return
+			}
+			if m.node.Holder().Current().Version() < want {
+				older.Add(1)
+			}
+			took := c.clk.Since(began)
+			mu.Lock()
+			defer mu.Unlock()
+			ready = append(ready, took)
+		})
+	}
+	sampled := make(chan struct{})
+	stop := make(chan struct{})
+	go c.sample(f, &back, stop, sampled)
+	err := c.fl.until(ctx, "all hold the version", c.fl.inForce)
+	f.InForceMS = round(float64(c.clk.Since(began).Microseconds()) / 1000)
+	if err == nil {
+		err = c.fl.until(ctx, "all know all", c.fl.known)
+	}
+	f.KnownMS = round(float64(c.clk.Since(began).Microseconds()) / 1000)
+	wg.Wait()
+	close(stop)
+	<-sampled
+	slices.Sort(ready)
+	f.ReadyP50, f.ReadyMax = at(ready, 50), at(ready, 100)
+	f.BackAtSync, f.WentBack = older.Load(), back.Load()
+	f.Bytes = round(float64(c.fl.moved()+s.wire.total.Load()-before) / float64(c.nodes))
+	n := s.store.Calls().Since(calls)
+	f.Calls, f.Writes = n.Total(), n.Writes()
+	return err
+}
+
+// sample keeps the peaks and looks for versions that go back.
+func (c *storm) sample(f *stormFigures, back *atomic.Int64, stop <-chan struct{}, done chan<- struct{}) {
+	defer close(done)
+	type point struct{ bytes, store, calls uint64 }
+	var points []point
+	seen := make([]uint64, len(c.fl.members))
+	tick := c.clk.Subscribe(sampleEvery)
+	defer tick.Stop()
+	for {
+		p := point{bytes: c.fl.moved(), store: c.fl.stored.wire.total.Load(), calls: c.fl.stored.store.Calls().Total()}
+		points = append(points, p)
+		first := points[max(0, len(points)-1-peakOver)]
+		f.PeakBytes = max(f.PeakBytes, float64(p.bytes-first.bytes))
+		f.PeakStore = max(f.PeakStore, float64(p.store-first.store))
+		f.PeakCalls = max(f.PeakCalls, float64(p.calls-first.calls))
+		for i, m := range c.fl.members {
+			v := m.node.Holder().Current().Version()
+			if v < seen[i] {
+				back.Add(1)
+			}
+			seen[i] = v
+		}
+		select {
+		case <-stop:
+			return
+		case <-tick.C():
+		}
+	}
+}
