--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -40,6 +40,8 @@
 	{"measure idle", "what a fleet costs while nothing changes", measure.Idle},
 	{"measure churn", "what comings and goings cost and how soon they are known", measure.Churn},
 	{"measure storm", "what happens when all nodes restart at once", measure.Storm},
+	{"measure plots", "draw the measurements kept in docs/measurements", measure.Plots},
+	{"measure page", "fill the measurements into docs/CAPACITY.md", measure.Page},
 	{"measure overhead", "what the nodes on the way add to a call", measure.Overhead},
 }
 
--- a/internal/control/peer/server.go
+++ b/internal/control/peer/server.go
@@ -150,7 +150,6 @@
 
 func (s server) answerVersion(req *peerpb.PullRequest, resp *peerpb.PullResponse) bool {
 	n := s.n
-	resp.Version = n.holder.Current().Version()
 	switch a := n.holder.Answer(req.GetVersion(), req.GetDigest()).(type) {
 	case version.Deltas:
 		for _, d := range a.Deltas {
