--- /dev/null
+++ b/internal/policy/once/ledger.go
@@ -0,0 +1,253 @@
+package once
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// Retention is how long a key is remembered after its call's deadline.
+	// Callers' own re-sends come within seconds; five minutes let a caller
+	// restart and ask again, at about 90 keys a second in the memory below.
+	Retention = 5 * time.Minute
+	// clockSkew is how far the clocks of callers and nodes may differ where
+	// a key's own time proves that it is new.
+	clockSkew = 10 * time.Second
+	// maxBytes is an eighth of the 128 MB that a node may take.
+	maxBytes = 16 << 20
+	// recordBytes is what a record takes besides its key and answer; measured
+	// with BenchmarkClaim.
+	recordBytes = 256
+	// MaxAnswerBytes bounds an answer that is kept for re-sends.
+	MaxAnswerBytes = 64 << 10
+)
+
+// Token names one send of a call: its owner's process and a number.
+type Token struct{ Boot, Number uint64 }
+
+// Record is what a holder knows of a key.
+type Record struct {
+	Key   string
+	Token Token
+	// Epoch is the one in which the claim was granted. The same send gets it
+	// again only in that epoch: later a minority's claim may have come through
+	// where a majority's was lost.
+	Epoch  uint64
+	Done   bool
+	Answer []byte
+	Until  time.Time
+}
+
+func (r *Record) bytes() int { return recordBytes + len(r.Key) + len(r.Answer) }
+
+// Ledger is one process's part in holding records. It is not safe for
+// concurrent use.
+type Ledger struct {
+	self  Member
+	rows  map[int]*held
+	bytes int
+	limit int
+}
+
+// held is a row that the process holds or has held.
+type held struct {
+	row Row
+	// carried: the records hold all that this process granted up to the epoch
+	// before; serving: they meet every majority of it.
+	carried, serving bool
+	// sealed stops grants at this epoch: the next one has begun elsewhere.
+	sealed bool
+	blank  time.Time
+	// accounted are the previous holders that are sealed or lost.
+	accounted map[string]bool
+	states    int
+	records   map[string]*Record
+}
+
+// NewLedger returns the empty ledger of a process.
+func NewLedger(self Member) *Ledger {
+	return &Ledger{self: self, rows: map[int]*held{}, limit: maxBytes}
+}
+
+// Bytes returns about how much memory the records take.
+func (l *Ledger) Bytes() int { return l.bytes }
+
+// Adopt takes a row of the table and reports whether it was news. An older
+// epoch is left out: tables arrive from peers in any order.
+func (l *Ledger) Adopt(now time.Time, row int, r Row) bool {
+	h := l.rows[row]
+	if h != nil && h.row.epoch >= r.epoch {
+		return false
+	}
+	holds := slices.ContainsFunc(r.holders, l.self.is)
+	if h == nil {
+		if !holds {
+			return false
+		}
+		h = &held{records: map[string]*Record{}}
+		l.rows[row] = h
+	}
+	carried := h.serving && h.row.epoch == r.epoch-1
+	if !carried {
+		l.drop(h)
+	}
+	h.row, h.carried, h.sealed = r, carried, false
+	h.accounted, h.states, h.serving = map[string]bool{}, 0, false
+	if !holds {
+		return true
+	}
+	if len(r.previous) == 0 {
+		// Nobody granted anything before the first epoch.
+		h.serving = true
+		return true
+	}
+	for _, p := range r.previous {
+		switch {
+		case p.is(l.self) && carried:
+			l.account(now, h, p, true)
+		case l.self.replaces(p):
+			l.account(now, h, p, false)
+		}
+	}
+	return true
+}
+
+func (l *Ledger) drop(h *held) {
+	for _, r := range h.records {
+		l.bytes -= r.bytes()
+	}
+	h.records, h.blank = map[string]*Record{}, time.Time{}
+}
+
+// account counts a previous holder as sealed with its records, or as lost.
+func (l *Ledger) account(now time.Time, h *held, m Member, state bool) {
+	if h.accounted[m.instance] || h.serving {
+		return
+	}
+	h.accounted[m.instance] = true
+	if state {
+		h.states++
+	}
+	need := majority(len(h.row.previous))
+	if len(h.accounted) < need {
+		return
+	}
+	h.serving = true
+	if h.states < need {
+		// Every grant of the epoch before came before now: no majority of it
+		// can be had any more.
+		h.blank = now
+	}
+}
+
+// Wanted is a row whose previous holders have to be sealed.
+type Wanted struct {
+	Row   int
+	Epoch uint64
+	From  []Member
+}
+
+// Wanted returns what this process needs to serve.
+func (l *Ledger) Wanted() []Wanted {
+	var out []Wanted
+	for n, h := range l.rows {
+		if h.serving || !slices.ContainsFunc(h.row.holders, l.self.is) {
+			continue
+		}
+		w := Wanted{Row: n, Epoch: h.row.epoch}
+		for _, p := range h.row.previous {
+			if !h.accounted[p.instance] && p.instance != l.self.instance {
+				w.From = append(w.From, p)
+			}
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// Sealed is what a process says that is asked to seal a row.
+type Sealed struct {
+	// Lost says that the process asked for has ended.
+	Lost bool
+	// Records hold all that it granted.
+	Records []Record
+	Blank   time.Time
+}
+
+// Seal stops grants of the epoch before epoch and hands out the records; asked
+// is the process that is meant. It returns false if it can't answer yet.
+func (l *Ledger) Seal(row int, epoch uint64, asked Member) (Sealed, bool) {
+	if !asked.is(l.self) {
+		return Sealed{Lost: true}, l.self.replaces(asked)
+	}
+	h := l.rows[row]
+	switch {
+	case h == nil:
+		return Sealed{}, false
+	case h.row.epoch == epoch-1 && h.serving:
+		h.sealed = true
+	case h.row.epoch == epoch && h.carried:
+	default:
+		return Sealed{}, false
+	}
+	s := Sealed{Blank: h.blank}
+	for _, r := range h.records {
+		s.Records = append(s.Records, *r)
+	}
+	return s, true
+}
+
+// Merge takes what a previous holder answered for an epoch.
+func (l *Ledger) Merge(now time.Time, row int, epoch uint64, from Member, s Sealed) {
+	h := l.rows[row]
+	if h == nil || h.row.epoch != epoch || h.serving || !slices.ContainsFunc(h.row.previous, from.is) {
+		return
+	}
+	for _, r := range s.Records {
+		old := h.records[r.Key]
+		if old != nil && old.Done {
+			continue
+		}
+		if old != nil && !r.Done && old.Token != r.Token {
+			// One of the two may have run, and which one is not known here: no
+			// send may give the claim back.
+			r.Token = Token{}
+		}
+		l.put(h, r)
+	}
+	if s.Blank.After(h.blank) {
+		h.blank = s.Blank
+	}
+	l.account(now, h, from, !s.Lost)
+}
+
+func (l *Ledger) put(h *held, r Record) {
+	if old := h.records[r.Key]; old != nil {
+		l.bytes -= old.bytes()
+	}
+	h.records[r.Key] = &r
+	l.bytes += r.bytes()
+}
+
+// Sweep forgets records whose time is over.
+func (l *Ledger) Sweep(now time.Time) {
+	for _, h := range l.rows {
+		for k, r := range h.records {
+			if now.After(r.Until) {
+				l.bytes -= r.bytes()
+				delete(h.records, k)
+			}
+		}
+	}
+}
+
+// Serves returns how many rows this process answers claims for.
+func (l *Ledger) Serves() int {
+	n := 0
+	for _, h := range l.rows {
+		if h.serving && !h.sealed && slices.ContainsFunc(h.row.holders, l.self.is) {
+			n++
+		}
+	}
+	return n
+}
