Claim calls that must not run twice from their holders

The traffic side's seam for such calls was empty: a re-send at another node ran again. Nodes now claim the key from three holders of its row, whose table is in the store and changes only with the holders; rows spread over members and failure domains a few at a time. The answer is kept for re-sends; what can't be proved is refused as unknown.

--- /dev/null
+++ b/internal/control/ledger/message.go
@@ -0,0 +1,104 @@
+package ledger
+
+import (
+	"net/netip"
+	"time"
+
+	"banyanlug.example/banyanlug/internal/control/ledger/ledgerpb"
+	"banyanlug.example/banyanlug/internal/policy/once"
+)
+
+func fromMember(m once.Member) *ledgerpb.Member {
+	// Marshalling an address cannot fail.
+	b, _ := m.Peer().MarshalBinary()
+	return &ledgerpb.Member{Instance: m.Instance(), Boot: m.Boot(), Peer: b}
+}
+
+func toMember(m *ledgerpb.Member) (once.Member, error) {
+	var a netip.AddrPort
+	if err := a.UnmarshalBinary(m.GetPeer()); err != nil {
+		return once.Member{}, &TableError{Err: err}
+	}
+	return once.NewMember(m.GetInstance(), m.GetBoot(), a), nil
+}
+
+func fromMembers(ms []once.Member) []*ledgerpb.Member {
+	out := make([]*ledgerpb.Member, len(ms))
+	for i, m := range ms {
+		out[i] = fromMember(m)
+	}
+	return out
+}
+
+func toMembers(ms []*ledgerpb.Member) ([]once.Member, error) {
+	out := make([]once.Member, len(ms))
+	for i, m := range ms {
+		var err error
+		if out[i], err = toMember(m); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+// entry is a row of the table and the table's version that brought it.
+type entry struct {
+	row     once.Row
+	changed uint64
+}
+
+func fromEntry(n int, e entry) *ledgerpb.Row {
+	return &ledgerpb.Row{
+		Row: uint32(n), Epoch: e.row.Epoch(), Changed: e.changed,
+		Holders: fromMembers(e.row.Holders()), Previous: fromMembers(e.row.Previous()),
+	}
+}
+
+func toEntry(m *ledgerpb.Row) (entry, error) {
+	holders, err := toMembers(m.GetHolders())
+	if err != nil {
+		return entry{}, err
+	}
+	previous, err := toMembers(m.GetPrevious())
+	if err != nil {
+		return entry{}, err
+	}
+	return entry{once.NewRow(m.GetEpoch(), holders, previous), m.GetChanged()}, nil
+}
+
+func fromToken(t once.Token) *ledgerpb.Token {
+	return &ledgerpb.Token{Boot: t.Boot, Number: t.Number}
+}
+
+func toToken(t *ledgerpb.Token) once.Token {
+	return once.Token{Boot: t.GetBoot(), Number: t.GetNumber()}
+}
+
+// Times cross the network as durations, since clocks differ.
+func fromSealed(now time.Time, s once.Sealed) *ledgerpb.SealResponse {
+	out := &ledgerpb.SealResponse{Ok: true, Lost: s.Lost}
+	if !s.Blank.IsZero() {
+		out.BlankAgeMs = uint32(max(1, now.Sub(s.Blank).Milliseconds()))
+	}
+	for _, r := range s.Records {
+		out.Records = append(out.Records, &ledgerpb.Record{
+			Key: r.Key, Token: fromToken(r.Token), Epoch: r.Epoch, Done: r.Done, Answer: r.Answer,
+			LeftMs: uint32(max(0, r.Until.Sub(now).Milliseconds())) + 1,
+		})
+	}
+	return out
+}
+
+func toSealed(now time.Time, m *ledgerpb.SealResponse) once.Sealed {
+	s := once.Sealed{Lost: m.GetLost()}
+	if age := m.GetBlankAgeMs(); age > 0 {
+		s.Blank = now.Add(-time.Duration(age-1) * time.Millisecond)
+	}
+	for _, r := range m.GetRecords() {
+		s.Records = append(s.Records, once.Record{
+			Key: r.GetKey(), Token: toToken(r.GetToken()), Epoch: r.GetEpoch(), Done: r.GetDone(), Answer: r.GetAnswer(),
+			Until: now.Add(time.Duration(r.GetLeftMs()) * time.Millisecond),
+		})
+	}
+	return s
+}
--- a/internal/control/peer/node.go
+++ b/internal/control/peer/node.go
@@ -229,6 +229,13 @@
 	return n.changed
 }
 
+// Add mounts a further control service, as WithService does, for one that needs
+// the node itself; it must come before Serve.
+func (n *Node) Add(s Service) { n.services = append(n.services, s) }
+
+// Reads reports whether the node reads the store for its failure domain.
+func (n *Node) Reads() bool { return n.store != nil && n.reads() }
+
 // Serve answers peers on ln until ctx ends and then reports on done.
 func (n *Node) Serve(ctx context.Context, ln net.Listener, done chan<- error) {
 	mux := http.NewServeMux()
--- a/internal/policy/once/claim.go
+++ b/internal/policy/once/claim.go
@@ -48,7 +48,7 @@
 	if h.row.epoch > c.Epoch {
 		return Stale, nil
 	}
-	if !h.serving || h.sealed || !slices.ContainsFunc(h.row.holders, l.self.is) {
+	if !h.serving || h.sealed || !slices.ContainsFunc(h.row.holders, l.is) {
 		return Unready, nil
 	}
 	if r := h.records[c.Key]; r != nil {
--- a/internal/policy/once/ledger.go
+++ b/internal/policy/once/ledger.go
@@ -43,15 +43,20 @@
 // Ledger is one process's part in holding records. It is not safe for
 // concurrent use.
 type Ledger struct {
-	self  Member
-	rows  map[int]*held
-	bytes int
-	limit int
+	// selves are this process under all boot ids it has announced; the last
+	// one is current.
+	selves  []Member
+	rows    map[int]*held
+	bytes   int
+	limit   int
+	stopped bool
 }
 
 // held is a row that the process holds or has held.
 type held struct {
 	row Row
+	// next is a later epoch that waits until this one is served.
+	next Row
 	// carried: the records hold all that this process granted up to the epoch
 	// before; serving: they meet every majority of it.
 	carried, serving bool
@@ -66,9 +71,28 @@
 
 // NewLedger returns the empty ledger of a process.
 func NewLedger(self Member) *Ledger {
-	return &Ledger{self: self, rows: map[int]*held{}, limit: maxBytes}
+	return &Ledger{selves: []Member{self}, rows: map[int]*held{}, limit: maxBytes}
 }
 
+// Renumber tells that this process announces itself by another boot id, as it
+// does when its peers gave it up. It is no other process, so nothing is lost.
+func (l *Ledger) Renumber(self Member) {
+	if !l.is(self) {
+		l.selves = append(l.selves, self)
+	}
+}
+
+func (l *Ledger) self() Member { return l.selves[len(l.selves)-1] }
+
+func (l *Ledger) is(m Member) bool { return slices.ContainsFunc(l.selves, m.is) }
+
+// replaces reports whether this process proves that m has ended.
+func (l *Ledger) replaces(m Member) bool { return !l.is(m) && l.self().replaces(m) }
+
+// Stop ends all grants for good: a process must not answer once a later one may
+// listen at its address.
+func (l *Ledger) Stop() { l.rows, l.bytes, l.stopped = map[int]*held{}, 0, true }
+
 // Bytes returns about how much memory the records take.
 func (l *Ledger) Bytes() int { return l.bytes }
 
@@ -76,10 +100,17 @@
 // epoch is left out: tables arrive from peers in any order.
 func (l *Ledger) Adopt(now time.Time, row int, r Row) bool {
 	h := l.rows[row]
-	if h != nil && h.row.epoch >= r.epoch {
+	if l.stopped || h != nil && h.row.epoch >= r.epoch {
 		return false
 	}
-	holds := slices.ContainsFunc(r.holders, l.self.is)
+	holds := slices.ContainsFunc(r.holders, l.is)
+	if h != nil && !h.serving && slices.ContainsFunc(h.row.holders, l.is) {
+		// Holders of the next epoch need this one's: it is finished first.
+		if r.epoch > h.next.epoch {
+			h.next = r
+		}
+		return true
+	}
 	if h == nil {
 		if !holds {
 			return false
@@ -91,7 +122,7 @@
 	if !carried {
 		l.drop(h)
 	}
-	h.row, h.carried, h.sealed = r, carried, false
+	h.row, h.next, h.carried, h.sealed = r, Row{}, carried, false
 	h.accounted, h.states, h.serving = map[string]bool{}, 0, false
 	if !holds {
 		return true
@@ -103,9 +134,9 @@
 	}
 	for _, p := range r.previous {
 		switch {
-		case p.is(l.self) && carried:
+		case l.is(p) && carried:
 			l.account(now, h, p, true)
-		case l.self.replaces(p):
+		case l.replaces(p):
 			l.account(now, h, p, false)
 		}
 	}
@@ -151,12 +182,12 @@
 func (l *Ledger) Wanted() []Wanted {
 	var out []Wanted
 	for n, h := range l.rows {
-		if h.serving || !slices.ContainsFunc(h.row.holders, l.self.is) {
+		if h.serving || !slices.ContainsFunc(h.row.holders, l.is) {
 			continue
 		}
 		w := Wanted{Row: n, Epoch: h.row.epoch}
 		for _, p := range h.row.previous {
-			if !h.accounted[p.instance] && p.instance != l.self.instance {
+			if !h.accounted[p.instance] && !l.is(p) {
 				w.From = append(w.From, p)
 			}
 		}
@@ -177,8 +208,8 @@
 // Seal stops grants of the epoch before epoch and hands out the records; asked
 // is the process that is meant. It returns false if it can't answer yet.
 func (l *Ledger) Seal(row int, epoch uint64, asked Member) (Sealed, bool) {
-	if !asked.is(l.self) {
-		return Sealed{Lost: true}, l.self.replaces(asked)
+	if !l.is(asked) {
+		return Sealed{Lost: true}, l.replaces(asked)
 	}
 	h := l.rows[row]
 	switch {
@@ -197,11 +228,12 @@
 	return s, true
 }
 
-// Merge takes what a previous holder answered for an epoch.
-func (l *Ledger) Merge(now time.Time, row int, epoch uint64, from Member, s Sealed) {
+// Merge takes what a previous holder answered for an epoch and reports whether
+// the row is now served without records that have been lost.
+func (l *Ledger) Merge(now time.Time, row int, epoch uint64, from Member, s Sealed) (blank bool) {
 	h := l.rows[row]
 	if h == nil || h.row.epoch != epoch || h.serving || !slices.ContainsFunc(h.row.previous, from.is) {
-		return
+		return false
 	}
 	for _, r := range s.Records {
 		old := h.records[r.Key]
@@ -219,6 +251,11 @@
 		h.blank = s.Blank
 	}
 	l.account(now, h, from, !s.Lost)
+	blank = h.serving && h.blank.Equal(now)
+	if h.serving && h.next.epoch > 0 {
+		l.Adopt(now, row, h.next)
+	}
+	return blank
 }
 
 func (l *Ledger) put(h *held, r Record) {
@@ -245,7 +282,7 @@
 func (l *Ledger) Serves() int {
 	n := 0
 	for _, h := range l.rows {
-		if h.serving && !h.sealed && slices.ContainsFunc(h.row.holders, l.self.is) {
+		if h.serving && !h.sealed && slices.ContainsFunc(h.row.holders, l.is) {
 			n++
 		}
 	}
--- a/internal/policy/once/table.go
+++ b/internal/policy/once/table.go
@@ -74,7 +74,7 @@
 // Place returns the row with its dead holders replaced and missing ones added
 // from the living, and whether that changes it. The living come in the order
 // of preference. Holders that live stay: each change costs a hand-over.
-func Place(row int, r Row, living []Member) (Row, bool) {
+func Place(r Row, living []Member) (Row, bool) {
 	var keep []Member
 	for _, h := range r.holders {
 		if slices.ContainsFunc(living, h.is) {
@@ -89,3 +89,32 @@
 	}
 	return Row{epoch: r.epoch + 1, holders: keep, previous: r.holders}, true
 }
+
+// Move returns the row with one holder changed for a more preferred one, and
+// whether there is one to change. One at a time, a majority that has the
+// records stays.
+func Move(r Row, preferred []Member) (Row, bool) {
+	best := preferred[:min(len(preferred), holdersPerRow)]
+	in := slices.IndexFunc(best, func(m Member) bool { return !slices.ContainsFunc(r.holders, m.is) })
+	out := slices.IndexFunc(r.holders, func(m Member) bool { return !slices.ContainsFunc(best, m.is) })
+	if in < 0 || out < 0 {
+		return r, false
+	}
+	holders := slices.Clone(r.holders)
+	holders[out] = best[in]
+	return Row{epoch: r.epoch + 1, holders: holders, previous: r.holders}, true
+}
+
+// Answerable reports whether a majority of the row's holders can be asked for
+// their records, or proved to have ended by the process that took their place.
+// Without it an epoch that follows could not be served, and a row whose holders
+// are only cut off would be lost to them as well.
+func Answerable(r Row, living []Member) bool {
+	n := 0
+	for _, h := range r.holders {
+		if slices.ContainsFunc(living, func(m Member) bool { return m.is(h) || m.replaces(h) }) {
+			n++
+		}
+	}
+	return r.epoch == 0 || n >= majority(len(r.holders))
+}
--- a/internal/process/node/metrics.go
+++ b/internal/process/node/metrics.go
@@ -20,6 +20,8 @@
 	gauge("banyanlug_control_received_bytes_total", func() float64 { return float64(n.peer.Bytes().In()) })
 	gauge("banyanlug_control_sent_bytes_total", func() float64 { return float64(n.peer.Bytes().Out()) })
 	gauge("banyanlug_members", func() float64 { return float64(len(n.view.Records())) })
+	gauge("banyanlug_claim_rows", func() float64 { return float64(n.ledger.Serves()) })
+	gauge("banyanlug_claim_bytes", func() float64 { return float64(n.ledger.Bytes()) })
 	gauge("banyanlug_ready", func() float64 {
 		if n.life.ready() {
 			return 1
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/control/ledger"
 	"banyanlug.example/banyanlug/internal/control/peer"
 	"banyanlug.example/banyanlug/internal/control/platform"
 	"banyanlug.example/banyanlug/internal/control/publish"
@@ -40,6 +41,7 @@
 	view      *membership.View
 	peer      *peer.Node
 	burn      *burn.Recorder
+	ledger    *ledger.Node
 	hop       *hop.Client
 	callers   *caller.Server
 	slots     *target.Slots
@@ -151,6 +153,16 @@
 		opts = append(opts, peer.WithTLS(secure.serving, secure.dialing))
 	}
 	n.peer = peer.New(n.clock, n.log, n.view, self, key, opts...)
+	n.wireLedger()
+}
+
+func (n *Node) wireLedger() {
+	var opts []ledger.Option
+	if n.store != nil {
+		opts = append(opts, ledger.WithStore(n.store))
+	}
+	n.ledger = ledger.New(n.clock, n.log, mesh{n.peer}, opts...)
+	n.peer.Add(n.ledger.Service())
 }
 
 func (n *Node) wireTraffic(key string, secure *tlsPair) {
@@ -160,7 +172,8 @@
 	}
 	credential, sealer := hop.NewCredential(key), hop.NewSealer(key)
 	n.hop = hop.NewClient(n.clock, hop.WithCredential(credential), hop.WithTLS(dialing), hop.AskFirst())
-	calls := caller.New(n.peer.Holder(), directory{n.view}, n.hop, sealer, n.clock, caller.WithMetrics(n.metrics), caller.WithObserver(n.observe))
+	calls := caller.New(n.peer.Holder(), directory{n.view}, n.hop, sealer, n.clock,
+		caller.WithMetrics(n.metrics), caller.WithClaims(claims{n.ledger}), caller.WithObserver(n.observe))
 	n.callers = caller.NewServer(calls, n.clock, n.log)
 	if n.cfg.pool == "" {
 		return
@@ -220,6 +233,7 @@
 	parts := n.start(serving)
 	err := n.untilStop(ctx, parts)
 	n.drain(serving)
+	n.ledger.Stop()
 	end()
 	parts.wait()
 	n.life.stopped(err)
