--- a/internal/control/ledger/node.go
+++ b/internal/control/ledger/node.go
@@ -118,11 +118,16 @@
 	}
 	wanted, none := n.held.Wanted(), n.version == 0
 	n.mu.Unlock()
+	var sealing sync.WaitGroup
 	for _, w := range wanted {
-		for _, m := range w.From {
-			n.seal(ctx, w, m)
-		}
+		// One dead holder must not keep the rows of others waiting.
+		sealing.Go(func() {
+			for _, m := range w.From {
+				n.seal(ctx, w, m)
+			}
+		})
 	}
+	sealing.Wait()
 	if none || tick%refreshTicks == 0 {
 		n.refresh(ctx)
 	}
