--- /dev/null
+++ b/internal/policy/once/ledger_test.go
@@ -0,0 +1,218 @@
+package once
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var start = time.UnixMilli(1_700_000_000_000)
+
+func member(name string, boot uint64) Member {
+	return NewMember(name, boot, netip.AddrPortFrom(netip.IPv4Unspecified(), 1000+uint16(name[0])))
+}
+
+// trio returns the holders a, b and c of epoch 1, and epoch 2, in which d takes
+// the place of c.
+func trio() (a, b, c, d *Ledger, next Row) {
+	ms := []Member{member("a", 1), member("b", 1), member("c", 1), member("d", 1)}
+	ls := make([]*Ledger, 4)
+	first := NewRow(1, ms[:3], nil)
+	for i, m := range ms {
+		ls[i] = NewLedger(m)
+		ls[i].Adopt(start, 0, first)
+	}
+	return ls[0], ls[1], ls[2], ls[3], NewRow(2, []Member{ms[0], ms[1], ms[3]}, ms[:3])
+}
+
+func ask(l *Ledger, key string, boot, epoch uint64) Verdict {
+	v, _ := l.Claim(start, 0, Claim{Key: key, Token: Token{Boot: boot}, Epoch: epoch, Left: time.Second})
+	return v
+}
+
+func handOver(t *testing.T, to *Ledger, from ...*Ledger) {
+	t.Helper()
+	for _, f := range from {
+		for _, p := range to.rows[0].row.previous {
+			if s, ok := f.Seal(0, to.rows[0].row.epoch, p); ok {
+				to.Merge(start, 0, to.rows[0].row.epoch, p, s)
+			}
+		}
+	}
+}
+
+// A holder hands its records to the next epoch while a sender still has the old
+// table. Were it to go on granting, that sender and one with the new table
+// would both get a majority.
+func TestASealedHolderGrantsNothing(t *testing.T) {
+	t.Parallel()
+	a, _, _, d, next := trio()
+	d.Adopt(start, 0, next)
+	handOver(t, d, a)
+	if got := ask(a, "k", 1, 1); got != Unready {
+		t.Errorf("verdict %d, want %d", got, Unready)
+	}
+}
+
+// Send 2 ran with a and b, of which b restarted; c, which had granted send 1,
+// and b bring their records to d. Send 1's claim has come through where send
+// 2's was lost, so it must not be granted anew.
+func TestAClaimIsNotGrantedAgainInALaterEpoch(t *testing.T) {
+	t.Parallel()
+	a, b, c, d, next := trio()
+	ask(c, "k", 1, 1)
+	ask(a, "k", 2, 1)
+	ask(b, "k", 2, 1)
+	b2 := NewLedger(member("b", 2))
+	d.Adopt(start, 0, next)
+	handOver(t, d, c, b2)
+	if got := ask(d, "k", 1, 2); got != Taken {
+		t.Errorf("verdict %d, want %d", got, Taken)
+	}
+	// What else b had granted with a or c is lost.
+	if got := ask(d, "l", 1, 2); got != Old {
+		t.Errorf("verdict %d, want %d", got, Old)
+	}
+}
+
+// d takes over the claims of two sends on one key, one of which ran. The other
+// gives its claim back; were that to clear the key, a re-send would run.
+func TestOfTwoClaimsTakenOverNoneIsGivenBack(t *testing.T) {
+	t.Parallel()
+	a, b, _, d, next := trio()
+	ask(a, "k", 1, 1)
+	ask(b, "k", 2, 1)
+	d.Adopt(start, 0, next)
+	handOver(t, d, a, b)
+	d.Abandon(0, "k", Token{Boot: 1})
+	d.Abandon(0, "k", Token{Boot: 2})
+	if got := ask(d, "k", 3, 2); got != Taken {
+		t.Errorf("verdict %d, want %d", got, Taken)
+	}
+}
+
+func TestOneHolderIsNotEnoughToServeTheNextEpoch(t *testing.T) {
+	t.Parallel()
+	a, b, _, d, next := trio()
+	d.Adopt(start, 0, next)
+	handOver(t, d, a)
+	if got := ask(d, "k", 1, 2); got != Unready {
+		t.Errorf("with one: verdict %d, want %d", got, Unready)
+	}
+	handOver(t, d, b)
+	if got := ask(d, "k", 1, 2); got != Granted {
+		t.Errorf("with two: verdict %d, want %d", got, Granted)
+	}
+}
+
+func TestOnlyALaterProcessAtTheSameAddressProvesAnEnd(t *testing.T) {
+	t.Parallel()
+	asked := member("a", 5)
+	renumbered := NewLedger(asked)
+	renumbered.Renumber(member("a", 6))
+	tests := map[string]struct {
+		ledger *Ledger
+		want   bool
+	}{
+		"later":                       {NewLedger(member("a", 6)), true},
+		"earlier":                     {NewLedger(member("a", 4)), false},
+		"another instance":            {NewLedger(member("b", 6)), false},
+		"at another address":          {NewLedger(NewMember("a", 6, netip.MustParseAddrPort("127.0.0.1:1"))), false},
+		"the same, by a later number": {renumbered, false},
+	}
+	for name, tc := range tests {
+		if _, got := tc.ledger.Seal(0, 2, asked); got != tc.want {
+			t.Errorf("%s: %v, want %v", name, got, tc.want)
+		}
+	}
+}
+
+func uuid(at time.Time) string {
+	ms := at.UnixMilli()
+	return fmt.Sprintf("%08x-%04x-7000-8000-000000000000", ms>>16, ms&0xffff)
+}
+
+func TestKeysThatMayBeOldAreRefused(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		key   string
+		blank time.Duration // after the start; 0 is none
+		now   time.Duration
+		want  Verdict
+	}{
+		"opaque":                              {"k", 0, time.Hour, Granted},
+		"opaque, records lost":                {"k", time.Minute, 2 * time.Minute, Old},
+		"opaque, records lost long ago":       {"k", time.Minute, 10 * time.Minute, Granted},
+		"with its time":                       {uuid(start), 0, time.Second, Granted},
+		"with its time, beyond the retention": {uuid(start), 0, time.Hour, Old},
+		"with a time to come":                 {uuid(start.Add(time.Hour)), 0, time.Second, Old},
+		"with its time, before the loss":      {uuid(start.Add(50 * time.Second)), time.Minute, 2 * time.Minute, Old},
+		"with its time, just after the loss":  {uuid(start.Add(70 * time.Second)), time.Minute, 2 * time.Minute, Old},
+		"with its time, after the loss":       {uuid(start.Add(90 * time.Second)), time.Minute, 2 * time.Minute, Granted},
+	}
+	for name, tc := range tests {
+		a, _, _, _, _ := trio()
+		if tc.blank > 0 {
+			a.rows[0].blank = start.Add(tc.blank)
+		}
+		v, _ := a.Claim(start.Add(tc.now), 0, Claim{Key: tc.key, Epoch: 1})
+		if v != tc.want {
+			t.Errorf("%s: verdict %d, want %d", name, v, tc.want)
+		}
+	}
+}
+
+func TestMemoryIsBoundedAndGivenBack(t *testing.T) {
+	t.Parallel()
+	a, _, _, _, _ := trio()
+	a.limit = 2 * (recordBytes + 2)
+	got := []Verdict{ask(a, "k1", 1, 1), ask(a, "k2", 1, 1), ask(a, "k3", 1, 1)}
+	if diff := cmp.Diff([]Verdict{Granted, Granted, Full}, got); diff != "" {
+		t.Error(diff)
+	}
+	a.Sweep(start.Add(2 * Retention))
+	if a.Bytes() != 0 || ask(a, "k3", 1, 1) != Granted {
+		t.Errorf("%d bytes are left", a.Bytes())
+	}
+}
+
+func TestDecisions(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		verdicts []Verdict
+		want     Decision
+	}{
+		"all granted":       {[]Verdict{Granted, Granted, Granted}, Run},
+		"two granted":       {[]Verdict{Granted, Silent, Granted}, Run},
+		"one granted":       {[]Verdict{Granted, Silent, Silent}, Unknown},
+		"one has an answer": {[]Verdict{Granted, Granted, Done}, Replay},
+		"another send runs": {[]Verdict{Taken, Taken, Granted}, Again},
+		"the table changed": {[]Verdict{Stale, Silent, Granted}, Again},
+		"none answers":      {[]Verdict{Silent, Silent, Silent}, Unknown},
+		"two are full":      {[]Verdict{Full, Silent, Full}, NotRun},
+		"one is full":       {[]Verdict{Full, Silent, Granted}, Unknown},
+		"two can't tell":    {[]Verdict{Old, Old, Granted}, Unknown},
+	}
+	for name, tc := range tests {
+		if got := Decide(3, tc.verdicts); got != tc.want {
+			t.Errorf("%s: %d, want %d", name, got, tc.want)
+		}
+	}
+}
+
+func BenchmarkClaim(b *testing.B) {
+	l, _, _, _, _ := trio()
+	b.ReportAllocs()
+	keys := make([]string, 1<<14)
+	for i := range keys {
+		keys[i] = fmt.Sprintf("organisation\x00route\x00%036d", i)
+	}
+	for i := range b.N {
+		k := keys[i%len(keys)]
+		ask(l, k, 1, 1)
+		l.Abandon(0, k, Token{Boot: 1})
+	}
+}
