--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/control/ledger"
 	"banyanlug.example/banyanlug/internal/control/peer"
 	"banyanlug.example/banyanlug/internal/control/platform"
 	"banyanlug.example/banyanlug/internal/control/publish"
@@ -44,6 +45,7 @@
 	view      *membership.View
 	peer      *peer.Node
 	burn      *burn.Recorder
+	ledger    *ledger.Node
 	hop       *hop.Client
 	callers   *caller.Server
 	slots     *target.Slots
@@ -159,6 +161,16 @@
 		opts = append(opts, peer.WithTLS(secure.serving, secure.dialing))
 	}
 	n.peer = peer.New(n.clock, n.log, n.view, self, key, opts...)
+	n.wireLedger()
+}
+
+func (n *Node) wireLedger() {
+	var opts []ledger.Option
+	if n.store != nil {
+		opts = append(opts, ledger.WithStore(n.store))
+	}
+	n.ledger = ledger.New(n.clock, n.log, mesh{n.peer}, opts...)
+	n.peer.Add(n.ledger.Service())
 }
 
 func (n *Node) wireTraffic(key string, secure *tlsPair) {
@@ -171,8 +183,8 @@
 	choice := balance.New(n.clock.Now(), rand.New(rand.NewPCG(n.seed, 3)),
 		balance.Domain(n.cfg.domain), balance.Tiers(regionTier(n.cfg.domain)))
 	calls := caller.New(n.peer.Holder(), directory{n.view}, n.hop, sealer, n.clock,
-		caller.WithMetrics(n.metrics), caller.WithObserver(n.observe), caller.WithBalancer(choice),
-		caller.WithBudgets(retry.NewBudgets(rand.New(rand.NewPCG(n.seed, 4)))))
+		caller.WithMetrics(n.metrics), caller.WithObserver(n.observe), caller.WithClaims(claims{n.ledger}),
+		caller.WithBalancer(choice), caller.WithBudgets(retry.NewBudgets(rand.New(rand.NewPCG(n.seed, 4)))))
 	n.callers = caller.NewServer(calls, n.clock, n.log)
 	if n.cfg.pool == "" {
 		return
@@ -260,6 +272,7 @@
 	parts := n.start(serving)
 	err := n.untilStop(ctx, parts)
 	n.drain(serving)
+	n.ledger.Stop()
 	end()
 	parts.wait()
 	n.life.stopped(err)
