Share the limits of organisations between nodes

Limits were declared and planned, but no node was held to them: the holder was not wired, and nothing moved shares. Each node now holds one and sends its reports to the root of its failure domain, whose relays ask the fleet's ledger for the domain's share. The ledger sits where a leased key in the store says.

A ledger took a lost grant for a held one and repeated it only when half of the lease was over, in the fleet's ledger 7.5 minutes; it now compares with what the child says it holds.

--- a/internal/policy/limit/holder.go
+++ b/internal/policy/limit/holder.go
@@ -270,6 +270,19 @@
 	}
 }
 
+// Drop gives up all shares, for a node that moves to another relay while the
+// one before may go on counting on them: both would hand out the same part.
+func (h *Holder) Drop() {
+	for i := range h.shards {
+		s := &h.shards[i]
+		s.mu.Lock()
+		for _, a := range s.orgs {
+			a.share, a.toldSeq = share{}, 0
+		}
+		s.mu.Unlock()
+	}
+}
+
 // inForce returns what the node may let in now.
 func (h *Holder) inForce(now time.Time, a *account) Amounts {
 	if a.share.seq == 0 {
--- a/internal/policy/limit/ledger.go
+++ b/internal/policy/limit/ledger.go
@@ -139,6 +139,20 @@
 	}
 }
 
+// Declare changes the limit to another declared one.
+func (l *Ledger) Declare(now time.Time, limit Amounts) {
+	l.SetLimit(now, limit, limit.times(floorShare))
+}
+
+// Idle reports whether no child wants or may be using anything, and none is
+// waited for.
+func (l *Ledger) Idle(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refresh(now)
+	return len(l.children) == 0 && (len(l.expected) == 0 || !now.Before(l.quietUntil))
+}
+
 // Report takes in a child's demand and returns its share, if that is another
 // than the one it holds or the lease is half over. There is none yet for a child
 // that holds nothing while the ledger does not know what others hold.
@@ -169,7 +183,8 @@
 	amount = amount.whole()
 	floor := l.floorFor(c, r.heldSeq, amount, unknown)
 	amount = amount.most(floor)
-	if c.holds(now, amount, l.lease, l.short) {
+	// A grant that was lost, or that went to a relay before this one, is not held.
+	if r.heldSeq == c.seq && c.holds(now, amount, l.lease, l.short) {
 		return Grant{}, false
 	}
 	l.seq = max(l.seq, c.seq) + 1
--- a/internal/policy/limit/limit_test.go
+++ b/internal/policy/limit/limit_test.go
@@ -217,3 +217,42 @@
 		}
 	}
 }
+
+// A node moves to another relay while the one before lives: that one may give
+// its part to others, so the node falls back to what it takes before a grant,
+// and tells the next relay that it holds nothing.
+func TestDroppedSharesAreNeitherUsedNorTold(t *testing.T) {
+	t.Parallel()
+	h := holding(1000, 5)
+	h.Drop()
+	now := play.Start.Add(time.Second)
+	h.Allow(now, byAtOnce)
+	for _, r := range h.Reports(now.Add(time.Second), true) {
+		if r.HeldSeq() != 0 || r.Held().Rate() != 0 || r.Floor() != (Amounts{}) {
+			t.Errorf("tells %+v after its shares were dropped", r)
+		}
+	}
+	if _, ok := h.Allow(now, byAtOnce).(Refused); !ok {
+		t.Error("a second call at once let in on a dropped share")
+	}
+}
+
+// The answer with a grant is lost. The child reports again that it holds none,
+// and gets one at once and not when half of the lease is over.
+func TestLostGrantIsRepeated(t *testing.T) {
+	t.Parallel()
+	l := NewLedger(play.Start, Limited(NewAmounts(1000, 10)), Expect("node"))
+	want := NewReport("acme", NewAmounts(500, 5), 0, Amounts{}, Amounts{})
+	lost, ok := l.Report(play.Start, "node", want)
+	if !ok {
+		t.Fatal("no grant")
+	}
+	again, ok := l.Report(play.Start.Add(time.Second), "node", want)
+	if !ok || again.Seq() <= lost.Seq() || again.Amount() != lost.Amount() {
+		t.Errorf("%+v, %v after a lost grant of %+v", again, ok, lost)
+	}
+	held := NewReport("acme", NewAmounts(500, 5), again.Seq(), again.Amount(), again.Floor())
+	if g, ok := l.Report(play.Start.Add(2*time.Second), "node", held); ok {
+		t.Errorf("%+v though the child holds its share", g)
+	}
+}
--- a/internal/process/node/metrics.go
+++ b/internal/process/node/metrics.go
@@ -20,6 +20,9 @@
 	gauge("banyanlug_control_received_bytes_total", func() float64 { return float64(n.peer.Bytes().In()) })
 	gauge("banyanlug_control_sent_bytes_total", func() float64 { return float64(n.peer.Bytes().Out()) })
 	gauge("banyanlug_members", func() float64 { return float64(len(n.view.Records())) })
+	gauge("banyanlug_limit_heartbeats_total", func() float64 { return float64(n.quota.Messages()) })
+	gauge("banyanlug_limit_reports_total", func() float64 { return float64(n.quota.Reports()) })
+	gauge("banyanlug_limit_bytes_total", func() float64 { return float64(n.quota.Bytes()) })
 	gauge("banyanlug_ready", func() float64 {
 		if n.life.ready() {
 			return 1
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -12,11 +12,14 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/config/snapshot"
 	"banyanlug.example/banyanlug/internal/control/peer"
 	"banyanlug.example/banyanlug/internal/control/platform"
 	"banyanlug.example/banyanlug/internal/control/publish"
+	"banyanlug.example/banyanlug/internal/control/quota"
 	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/policy/balance"
+	"banyanlug.example/banyanlug/internal/policy/limit"
 	"banyanlug.example/banyanlug/internal/policy/membership"
 	"banyanlug.example/banyanlug/internal/policy/retry"
 	"banyanlug.example/banyanlug/internal/policy/tree"
@@ -44,6 +47,8 @@
 	view      *membership.View
 	peer      *peer.Node
 	burn      *burn.Recorder
+	limits    *limit.Holder
+	quota     *quota.Part
 	hop       *hop.Client
 	callers   *caller.Server
 	slots     *target.Slots
@@ -146,7 +151,7 @@
 	seeds, _ := n.cfg.seedAddrs()
 	opts := []peer.Option{
 		peer.WithSeeds(seeds...), peer.WithSeed(n.seed),
-		peer.WithService(burnpb.NewBurnServer(counts{n})),
+		peer.WithService(burnpb.NewBurnServer(counts{n})), peer.WithService(n.wireLimits()),
 	}
 	if n.store != nil {
 		opts = append(opts, peer.WithStore(n.store, n.versions))
@@ -155,6 +160,22 @@
 		opts = append(opts, peer.WithTLS(secure.serving, secure.dialing))
 	}
 	n.peer = peer.New(n.clock, n.log, n.view, self, key, opts...)
+	n.quota.Join(n.peer)
+}
+
+// wireLimits makes what holds organisations to their limits and returns the
+// service by which nodes share them.
+func (n *Node) wireLimits() peer.Service {
+	n.limits = limit.NewHolder()
+	var opts []quota.Option
+	if n.store != nil {
+		opts = append(opts, quota.WithStore(n.store))
+	}
+	declared := func(organisation string) (snapshot.Limit, bool) {
+		return n.peer.Holder().Current().Limit(organisation)
+	}
+	n.quota = quota.New(n.clock, n.log, n.limits, declared, opts...)
+	return n.quota.Service()
 }
 
 func (n *Node) wireTraffic(key string, secure *tlsPair) {
@@ -168,6 +189,7 @@
 		balance.Domain(n.cfg.domain), balance.Tiers(regionTier(n.cfg.domain)))
 	calls := caller.New(n.peer.Holder(), directory{n.view}, n.hop, sealer, n.clock,
 		caller.WithMetrics(n.metrics), caller.WithObserver(n.observe), caller.WithBalancer(choice),
+		caller.WithLimits(n.limits),
 		caller.WithBudgets(retry.NewBudgets(rand.New(rand.NewPCG(n.seed, 4)))))
 	n.callers = caller.NewServer(calls, n.clock, n.log)
 	if n.cfg.pool == "" {
@@ -239,6 +261,9 @@
 // Holder returns the versions that the node holds.
 func (n *Node) Holder() *peer.Holder { return n.peer.Holder() }
 
+// Quota returns the node's part in moving the shares of limits.
+func (n *Node) Quota() *quota.Part { return n.quota }
+
 // Ready reports whether the node takes calls.
 func (n *Node) Ready() bool { return n.life.ready() }
 
--- a/internal/process/node/parts.go
+++ b/internal/process/node/parts.go
@@ -24,6 +24,7 @@
 	p := &parts{failed: make(chan error, 1), done: make(chan error)}
 	p.run(ctx, n.peerServe)
 	p.run(ctx, n.peer.Run)
+	p.run(ctx, n.quota.Run)
 	p.run(ctx, func(ctx context.Context, done chan<- error) { n.callers.Serve(ctx, n.listeners.callers, done) })
 	p.run(ctx, func(ctx context.Context, done chan<- error) { serveHTTP(ctx, n.listeners.admin, n.admin(), done) })
 	if n.targets != nil {
