--- a/internal/control/quota/part_test.go
+++ b/internal/control/quota/part_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -53,6 +54,8 @@
 	holder *limit.Holder
 	part   *Part
 	down   bool
+	// mute keeps a node from sending anything, and its calls going.
+	mute bool
 	// rival believes itself the root.
 	rival bool
 	// cut is a domain that does not reach the others.
@@ -143,7 +146,7 @@
 		}
 		for _, duty := range []func(*Part, context.Context){(*Part).beat, (*Part).lead, (*Part).keep} {
 			for _, n := range r.nodes {
-				if !n.down {
+				if !n.down && !n.mute {
 					duty(n.part, ctx)
 				}
 			}
@@ -195,6 +198,25 @@
 	return nil
 }
 
+// heir returns the node that is the root next.
+func (r *rig) heir(domain int) *testNode {
+	records := slices.DeleteFunc(r.root(domain).View().Records(), func(m membership.Record) bool {
+		return m.Instance() == r.root(domain).record.Instance()
+	})
+	heir, _ := tree.Root(fmt.Sprintf("region/%d", domain), records)
+	return r.named(heir.Instance())
+}
+
+// third returns the node that is neither the root nor next.
+func (r *rig) third(domain int) *testNode {
+	for _, n := range r.nodes[3*domain : 3*domain+3] {
+		if n != r.root(domain) && n != r.heir(domain) {
+			return n
+		}
+	}
+	return nil
+}
+
 func (r *rig) seat() *testNode {
 	for _, n := range r.nodes {
 		if n.part.seat.desk != nil && !n.down {
@@ -258,6 +280,65 @@
 	r.served(10)
 }
 
+// The root dies while another node of its domain uses most of the limit,
+// and then demand begins at the next root. What the other holds has to be known
+// before it is handed out again: though the other is mute for a while, and though
+// it has no reason to report because its demand is within its share.
+func TestNextRootLearnsWhatNodesHold(t *testing.T) {
+	t.Parallel()
+	for k := range 10 {
+		// A node reports each five seconds at least, so the root dies at each
+		// time since the last report.
+		mute, more := k%2 == 0, k/2
+		t.Run(fmt.Sprintf("mute %v, %d s later", mute, more), func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t)
+			// The seat is in the other domain, so that it outlives the root.
+			r.run(10, 100, r.other(1))
+			next := r.heir(0)
+			holding := r.third(0)
+			r.run(25+more, 600, holding)
+			r.crash(r.root(0))
+			holding.mute = mute
+			r.run(12, 600, holding, next, next)
+			holding.mute = false
+			r.run(30, 600, holding, next, next)
+			r.served(10)
+		})
+	}
+}
+
+// The busy domain is cut off, and then the seat dies. The next one does not know
+// what that domain holds, and until it is told or the domain's lease is over,
+// hands nothing new out.
+func TestNextSeatLearnsWhatDomainsHold(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	// The seat is in domain 0, where calls come first.
+	r.run(10, 100, r.other(0))
+	busy := r.other(1)
+	r.run(25, 1500, busy)
+	for _, n := range r.nodes[3:] {
+		n.cut = true
+	}
+	r.crash(r.seat())
+	r.run(10, 1500, busy)
+	r.served(10)
+	r.run(60, 1500, busy, r.other(0))
+}
+
+// A seat that is heard of late does not hide a later one.
+func TestLaterSeatStands(t *testing.T) {
+	t.Parallel()
+	var s seek
+	for _, c := range []struct{ heard, want uint64 }{{5, 5}, {9, 9}, {5, 9}, {9, 9}, {12, 12}} {
+		s.hear(seatAt{place{instance: "seat"}, c.heard})
+		if got := s.known().term; got != c.want {
+			t.Errorf("after term %d: %d, want %d", c.heard, got, c.want)
+		}
+	}
+}
+
 // A node believes that it is the root while another one is, and both have calls.
 // Once its wait for the others is over it asks the seat for the domain's share;
 // granted to both, it would be used twice.
