--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -40,6 +40,7 @@
 	{"measure faults", "what callers get while targets, nodes and the store fail", measure.Faults},
 	{"measure converge", "how long a change takes and what it moves, against a baseline", measure.Converge},
 	{"measure idle", "what a fleet costs while nothing changes", measure.Idle},
+	{"measure limits", "how near to its limit an organisation is served, and what that costs", measure.Limits},
 	{"measure overhead", "what the nodes on the way add to a call", measure.Overhead},
 }
 
