--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -44,6 +44,7 @@
 	{"measure storm", "what happens when all nodes restart at once", measure.Storm},
 	{"measure plots", "draw the measurements kept in docs/measurements", measure.Plots},
 	{"measure page", "fill the measurements into docs/CAPACITY.md", measure.Page},
+	{"measure limits", "how near to its limit an organisation is served, and what that costs", measure.Limits},
 	{"measure overhead", "what the nodes on the way add to a call", measure.Overhead},
 }
 
