--- a/internal/standin/measure/fleet.go
+++ b/internal/standin/measure/fleet.go
@@ -153,6 +153,53 @@
 	return nil
 }
 
+// viewed reports whether all nodes that run hold all that run, and no other,
+// for ready; flap damping may still keep some of them from new work.
+func (f *fleet) viewed() bool {
+	want := 0
+	for _, m := range f.members {
+		if m.running() {
+			want++
+		}
+	}
+	for _, m := range f.members {
+		if !m.running() {
+			continue
+		}
+		ready := 0
+		for _, r := range m.node.View().Records() {
+			if r.State() == membership.Ready {
+				ready++
+			}
+		}
+		if ready != want {
+			return false
+		}
+	}
+	return true
+}
+
+// heldBack counts, over all nodes, the instances that a node knows and sends no
+// new work for the time being.
+func (f *fleet) heldBack() int {
+	pools := map[string]int{}
+	for _, m := range f.members {
+		if m.running() {
+			pools[m.pool]++
+		}
+	}
+	count := 0
+	for _, m := range f.members {
+		if !m.running() {
+			continue
+		}
+		for p, n := range pools {
+			count += max(0, n-len(m.node.View().Pool(p)))
+		}
+	}
+	return count
+}
+
 // known reports whether all nodes that run know of all that run, and of no
 // other, as targets that get work.
 func (f *fleet) known() bool {
