--- a/internal/control/quota/part_test.go
+++ b/internal/control/quota/part_test.go
@@ -82,7 +82,10 @@
 }
 
 func newRig(t *testing.T) *rig {
-	clock := timer.NewManual(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
+	return newRigOn(t, timer.NewManual(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)))
+}
+
+func newRigOn(t *testing.T, clock *timer.Service) *rig {
 	r := &rig{t: t, clock: clock, store: store.New(clock), views: map[string]*membership.View{}, client: &http.Client{Transport: &http.Transport{}}}
 	for d := range 2 {
 		domain := fmt.Sprintf("region/%d", d)
@@ -456,3 +459,53 @@
 		}
 	}
 }
+
+// All nodes run by the clock itself, and demand at one brings its domain's root
+// to the seat. When they stop as planned, the seat is given up at once and the
+// store does not keep it for a lease.
+func TestPlannedStopGivesUpTheSeat(t *testing.T) {
+	t.Parallel()
+	clock := timer.New()
+	ctx, cancel := context.WithCancel(context.Background())
+	ticking := make(chan error, 1)
+	go clock.Run(ctx, ticking)
+	r := newRigOn(t, clock)
+	running, stop := context.WithCancel(ctx)
+	done := make(chan error, len(r.nodes))
+	for _, n := range r.nodes {
+		go n.part.Run(running, done)
+	}
+	busy := r.other(0)
+	granted := func() bool {
+		_, ok := busy.holder.Allow(clock.Now(), acme).(limit.Allowed)
+		if ok {
+			busy.holder.Release(clock.Now(), "acme")
+		}
+		for _, report := range busy.holder.Reports(clock.Now(), true) {
+			if report.HeldSeq() > 0 {
+				return true
+			}
+		}
+		return false
+	}
+	waiting, giveUp := clock.WithTimeout(ctx, time.Minute)
+	for !granted() {
+		if clock.Sleep(waiting, 5*time.Millisecond) != nil {
+			t.Error("no share within a minute")
+			break
+		}
+	}
+	giveUp()
+	if _, err := r.store.Get(ctx, seatKey); err != nil {
+		t.Errorf("nobody has the seat: %v", err)
+	}
+	stop()
+	for range r.nodes {
+		<-done
+	}
+	if v, err := r.store.Get(ctx, seatKey); err == nil {
+		t.Errorf("the seat is still %q", v.Data())
+	}
+	cancel()
+	<-ticking
+}
