--- a/internal/control/peer/node.go
+++ b/internal/control/peer/node.go
@@ -229,13 +229,21 @@
 	return n.changed
 }
 
+// Add mounts a further control service, as WithService does, for one that needs
+// the node itself; it must come before Serve.
+func (n *Node) Add(s Service) { n.services = append(n.services, s) }
+
+// Reads reports whether the node reads the store for its failure domain.
+func (n *Node) Reads() bool { return n.store != nil && n.reads() }
+
 // Serve answers peers on ln until ctx ends and then reports on done.
 func (n *Node) Serve(ctx context.Context, ln net.Listener, done chan<- error) {
 	mux := http.NewServeMux()
 	for _, s := range append(n.services, peerpb.NewPeerServer(server{n}, pathOption)) {
 		mux.Handle(s.PathPrefix(), s)
 	}
-	srv := newServer(Authenticated(n.key, mux), n.serving)
+	srv := newServer(Authenticated(n.key, readStanding(mux)), n.serving)
+	srv.ErrorLog = event.Standard(n.log, event.ServerFault)
 	ln = countedListener{ln, &n.bytes}
 	ended := make(chan error, 1)
 	go serve(srv, ln, n.serving != nil, ended)
--- a/internal/control/peer/server.go
+++ b/internal/control/peer/server.go
@@ -45,6 +45,7 @@
 // Pull implements peerpb.Peer.
 func (s server) Pull(ctx context.Context, req *peerpb.PullRequest) (*peerpb.PullResponse, error) {
 	n := s.n
+	mergeStanding(ctx, req)
 	if req.GetInstance() == "" {
 		return nil, twirp.RequiredArgumentError("instance")
 	}
@@ -149,7 +150,6 @@
 
 func (s server) answerVersion(req *peerpb.PullRequest, resp *peerpb.PullResponse) bool {
 	n := s.n
-	resp.Version = n.holder.Current().Version()
 	switch a := n.holder.Answer(req.GetVersion(), req.GetDigest()).(type) {
 	case version.Deltas:
 		for _, d := range a.Deltas {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -13,6 +13,7 @@
 
 	"banyanlug.example/banyanlug/internal/clock/timer"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/control/ledger"
 	"banyanlug.example/banyanlug/internal/control/peer"
 	"banyanlug.example/banyanlug/internal/control/platform"
 	"banyanlug.example/banyanlug/internal/control/publish"
@@ -47,6 +48,7 @@
 	view      *membership.View
 	peer      *peer.Node
 	burn      *burn.Recorder
+	ledger    *ledger.Node
 	limits    *limit.Holder
 	quota     *quota.Part
 	hop       *hop.Client
@@ -121,6 +123,10 @@
 	if err != nil {
 		return err
 	}
+	if secure != nil && n.listeners.operators != nil {
+		// A token must not cross the network in the clear.
+		n.listeners.operators = tls.NewListener(n.listeners.operators, secure.operators)
+	}
 	if n.cfg.store != "" {
 		client, err := platform.Dial(n.cfg.store, platform.WithMetrics(n.metrics))
 		if err != nil {
@@ -161,6 +167,16 @@
 	}
 	n.peer = peer.New(n.clock, n.log, n.view, self, key, opts...)
 	n.quota.Join(n.peer)
+	n.wireLedger()
+}
+
+func (n *Node) wireLedger() {
+	var opts []ledger.Option
+	if n.store != nil {
+		opts = append(opts, ledger.WithStore(n.store))
+	}
+	n.ledger = ledger.New(n.clock, n.log, mesh{n.peer}, opts...)
+	n.peer.Add(n.ledger.Service())
 }
 
 // wireLimits makes what holds organisations to their limits and returns the
@@ -188,8 +204,8 @@
 	choice := balance.New(n.clock.Now(), rand.New(rand.NewPCG(n.seed, 3)),
 		balance.Domain(n.cfg.domain), balance.Tiers(regionTier(n.cfg.domain)))
 	calls := caller.New(n.peer.Holder(), directory{n.view}, n.hop, sealer, n.clock,
-		caller.WithMetrics(n.metrics), caller.WithObserver(n.observe), caller.WithBalancer(choice),
-		caller.WithLimits(n.limits),
+		caller.WithMetrics(n.metrics), caller.WithObserver(n.observe), caller.WithClaims(claims{n.ledger}),
+		caller.WithBalancer(choice), caller.WithLimits(n.limits),
 		caller.WithBudgets(retry.NewBudgets(rand.New(rand.NewPCG(n.seed, 4)))))
 	n.callers = caller.NewServer(calls, n.clock, n.log)
 	if n.cfg.pool == "" {
@@ -281,6 +297,7 @@
 	parts := n.start(serving)
 	err := n.untilStop(ctx, parts)
 	n.drain(serving)
+	n.ledger.Stop()
 	end()
 	parts.wait()
 	n.life.stopped(err)
