--- a/internal/standin/measure/churn.go
+++ b/internal/standin/measure/churn.go
@@ -116,6 +116,9 @@
 	if err := c.fl.ready(ctx, restServices); err != nil {
 		return nil, err
 	}
+	if err := c.fl.until(ctx, "nobody is held back", c.fl.known); err != nil {
+		return nil, err
+	}
 	f := &churnFigures{Nodes: c.nodes, Domains: c.fl.domains, Seed: c.seed, Restarts: c.restarts, Crashes: c.crashes}
 	for _, step := range []func(context.Context, *churnFigures) error{c.rest, c.restart, c.crash, c.rack, c.domain} {
 		if err := step(ctx, f); err != nil {
--- a/internal/standin/measure/fleet.go
+++ b/internal/standin/measure/fleet.go
@@ -83,6 +83,11 @@
 		listen = m.address.String()
 	}
 	ln, err := net.Listen("tcp", listen)
+	if err != nil {
+		// Some connection of the machine took the port meanwhile: then it is an
+		// instance that was replaced.
+		ln, err = net.Listen("tcp", "127.0.0.1:0")
+	}
 	if err != nil {
 		return &PartError{Part: m.name, Err: err}
 	}
@@ -246,5 +251,5 @@
 	if err := f.startAll(); err != nil {
 		return err
 	}
-	return f.until(ctx, "all nodes know all", func() bool { return f.inForce() && f.known() })
+	return f.until(ctx, "all nodes know all", func() bool { return f.inForce() && f.viewed() })
 }
