--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -36,6 +36,8 @@
 	{"store", "run a stand-in of the platform's store", store.Command},
 	{"node", "run a node that ends with standard input", runNode},
 	{"proxy", "run one side of the call path with a fixed configuration", runProxy},
+	{"measure isolation", "what a flood of trial calls does to the paying", measure.Isolation},
+	{"measure faults", "what callers get while targets, nodes and the store fail", measure.Faults},
 	{"measure converge", "how long a change takes and what it moves, against a baseline", measure.Converge},
 	{"measure idle", "what a fleet costs while nothing changes", measure.Idle},
 	{"measure churn", "what comings and goings cost and how soon they are known", measure.Churn},
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -16,7 +16,10 @@
 	"banyanlug.example/banyanlug/internal/control/platform"
 	"banyanlug.example/banyanlug/internal/control/publish"
 	"banyanlug.example/banyanlug/internal/log/event"
+	"banyanlug.example/banyanlug/internal/policy/balance"
 	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/policy/retry"
+	"banyanlug.example/banyanlug/internal/policy/tree"
 	"banyanlug.example/banyanlug/internal/report/burn"
 	"banyanlug.example/banyanlug/internal/report/burnpb"
 	"banyanlug.example/banyanlug/internal/traffic/caller"
@@ -33,6 +36,7 @@
 	log     *event.Logger
 	metrics *metrics.Set
 	life    *life
+	seed    uint64
 
 	listeners listeners
 	store     platform.Store
@@ -112,6 +116,10 @@
 	if err != nil {
 		return err
 	}
+	if secure != nil && n.listeners.operators != nil {
+		// A token must not cross the network in the clear.
+		n.listeners.operators = tls.NewListener(n.listeners.operators, secure.operators)
+	}
 	if n.cfg.store != "" {
 		client, err := platform.Dial(n.cfg.store, platform.WithMetrics(n.metrics))
 		if err != nil {
@@ -129,19 +137,19 @@
 
 func (n *Node) wireControl(key []byte, secure *tlsPair) {
 	now := n.clock.Now()
-	seed := n.cfg.seed
-	if seed == 0 {
-		seed = uint64(now.UnixNano())
+	if n.seed = n.cfg.seed; n.seed == 0 {
+		n.seed = uint64(now.UnixNano())
 	}
-	self := membership.NewSelf(now, rand.New(rand.NewPCG(seed, 2)), n.cfg.instance,
+	self := membership.NewSelf(now, rand.New(rand.NewPCG(n.seed, 2)), n.cfg.instance,
 		membership.Domain(n.cfg.domain), membership.Pool(n.cfg.pool), membership.InState(membership.Starting),
-		membership.Address(addrOf(n.listeners.mesh)), membership.Peer(addrOf(n.listeners.peers)))
+		membership.Address(told(n.cfg.advertiseMesh, n.listeners.mesh)),
+		membership.Peer(told(n.cfg.advertisePeers, n.listeners.peers)))
 	n.burn = burn.NewRecorder(n.objective)
-	n.view = membership.New(n.cfg.domain, seed|1)
+	n.view = membership.New(n.cfg.domain, n.seed|1)
 	// The settings have been checked, so the seeds can be read.
 	seeds, _ := n.cfg.seedAddrs()
 	opts := []peer.Option{
-		peer.WithSeeds(seeds...), peer.WithSeed(seed),
+		peer.WithSeeds(seeds...), peer.WithSeed(n.seed),
 		peer.WithService(burnpb.NewBurnServer(counts{n})),
 	}
 	if n.store != nil {
@@ -160,7 +168,11 @@
 	}
 	credential, sealer := hop.NewCredential(key), hop.NewSealer(key)
 	n.hop = hop.NewClient(n.clock, hop.WithCredential(credential), hop.WithTLS(dialing), hop.AskFirst())
-	calls := caller.New(n.peer.Holder(), directory{n.view}, n.hop, sealer, n.clock, caller.WithMetrics(n.metrics), caller.WithObserver(n.observe))
+	choice := balance.New(n.clock.Now(), rand.New(rand.NewPCG(n.seed, 3)),
+		balance.Domain(n.cfg.domain), balance.Tiers(regionTier(n.cfg.domain)))
+	calls := caller.New(n.peer.Holder(), directory{n.view}, n.hop, sealer, n.clock,
+		caller.WithMetrics(n.metrics), caller.WithObserver(n.observe), caller.WithBalancer(choice),
+		caller.WithBudgets(retry.NewBudgets(rand.New(rand.NewPCG(n.seed, 4)))))
 	n.callers = caller.NewServer(calls, n.clock, n.log)
 	if n.cfg.pool == "" {
 		return
@@ -176,12 +188,41 @@
 // addrOf returns where others reach a listener.
 func addrOf(ln net.Listener) netip.AddrPort { return ln.Addr().(*net.TCPAddr).AddrPort() }
 
+// told returns the address that others are told for a listener. The settings
+// have been checked, so an advertised one can be read.
+func told(advertised string, ln net.Listener) netip.AddrPort {
+	if a, err := netip.ParseAddrPort(advertised); err == nil {
+		return a
+	}
+	return addrOf(ln)
+}
+
 // directory tells the traffic side which targets get new work.
 type directory struct{ view *membership.View }
 
+var _ caller.Fallback = directory{}
+
 // Targets implements caller.Directory.
 func (d directory) Targets(pool string) []membership.Record { return d.view.Pool(pool) }
 
+// Fallback implements caller.Fallback.
+func (d directory) Fallback(pool string) []membership.Record { return d.view.Fallback(pool) }
+
+// regionTier tells how far a failure domain is: the own one, the own region,
+// the rest.
+func regionTier(home string) func(domain string) int {
+	return func(domain string) int {
+		switch {
+		case domain == home:
+			return 0
+		case tree.Region(domain) == tree.Region(home):
+			return 1
+		default:
+			return 2
+		}
+	}
+}
+
 // Callers returns the address on which callers reach the node.
 func (n *Node) Callers() netip.AddrPort { return addrOf(n.listeners.callers) }
 
@@ -212,8 +253,7 @@
 
 // Run serves until ctx ends, then drains, tells the mesh and returns.
 func (n *Node) Run(ctx context.Context) error {
-	n.log.Emit(event.NodeStarted, event.F("callers", n.Callers()), event.F("peers", n.Peers()),
-		event.F("mesh", addrOf(n.listeners.mesh)), event.F("admin", n.Admin()), event.F("failure_domain", n.cfg.domain))
+	n.started()
 	// What serves outlives ctx, which only asks for the stop.
 	serving, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
@@ -226,6 +266,18 @@
 	return err
 }
 
+// started logs where the node serves.
+func (n *Node) started() {
+	fields := []event.Field{
+		event.F("callers", n.Callers()), event.F("peers", n.Peers()), event.F("mesh", addrOf(n.listeners.mesh)),
+		event.F("admin", n.Admin()), event.F("failure_domain", n.cfg.domain),
+	}
+	if a, ok := n.Operators(); ok {
+		fields = append(fields, event.F("operators", a))
+	}
+	n.log.Emit(event.NodeStarted, fields...)
+}
+
 // untilStop watches the target and the parts until the node has to stop.
 func (n *Node) untilStop(ctx context.Context, parts *parts) error {
 	watched := make(chan error, 1)
