Follow a row that is handed over with the call's answer

A row handed over between a call's claim and its end kept the claim without the answer, so every re-send got unknown. The end is now told again to the holders of the epoch that they name.

--- a/internal/control/ledger/claim.go
+++ b/internal/control/ledger/claim.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"banyanlug.example/banyanlug/internal/control/ledger/ledgerpb"
@@ -17,6 +19,8 @@
 	// minTries and maxTries bound the asking. They differ from send to send, so
 	// that of two that each hold a part of a row one gives up first.
 	minTries, maxTries = 6, 18
+	// endTimeout bounds how long a call's answer follows its row's holders.
+	endTimeout = 5 * time.Second
 	// holderTimeout bounds one holder's answer.
 	holderTimeout = 500 * time.Millisecond
 )
@@ -166,12 +170,38 @@
 // taken: a re-send is then told that the outcome is unknown.
 func (c *Claim) end(req *ledgerpb.EndRequest) {
 	req.Row, req.Key, req.Token = uint32(c.row), c.key, fromToken(c.token)
-	for _, m := range c.n.row(c.row).Holders() {
-		c.n.working.Go(func() {
-			ctx, cancel := c.n.clock.WithTimeout(context.Background(), askTimeout)
+	c.n.working.Go(func() {
+		ctx, cancel := c.n.clock.WithTimeout(context.Background(), endTimeout)
+		defer cancel()
+		for {
+			row := c.n.row(c.row)
+			if c.tell(ctx, row.Holders(), req) <= row.Epoch() || !req.GetDone() {
+				return
+			}
+			// The row has been handed over meanwhile, without the answer.
+			c.n.refresh(ctx)
+			if c.n.clock.Sleep(ctx, claimPause) != nil {
+				return
+			}
+		}
+	})
+}
+
+// tell brings the end to some holders and returns the latest epoch that they
+// know of.
+func (c *Claim) tell(ctx context.Context, holders []once.Member, req *ledgerpb.EndRequest) uint64 {
+	epochs := make([]uint64, len(holders))
+	var told sync.WaitGroup
+	for i, m := range holders {
+		told.Go(func() {
+			hctx, cancel := c.n.clock.WithTimeout(ctx, holderTimeout)
 			defer cancel()
 			// An error is a lost message.
-			_, _ = c.n.at(m.Peer()).End(ctx, req)
+			if resp, err := c.n.at(m.Peer()).End(hctx, req); err == nil {
+				epochs[i] = resp.GetEpoch()
+			}
 		})
 	}
+	told.Wait()
+	return slices.Max(append(epochs, 0))
 }
--- a/internal/policy/once/ledger.go
+++ b/internal/policy/once/ledger.go
@@ -266,6 +266,19 @@
 	l.bytes += r.bytes()
 }
 
+// Begun returns the latest epoch of a row that this process knows to have begun.
+func (l *Ledger) Begun(row int) uint64 {
+	h := l.rows[row]
+	switch {
+	case h == nil:
+		return 0
+	case h.sealed:
+		return max(h.row.epoch+1, h.next.epoch)
+	default:
+		return max(h.row.epoch, h.next.epoch)
+	}
+}
+
 // Sweep forgets records whose time is over.
 func (l *Ledger) Sweep(now time.Time) {
 	for _, h := range l.rows {
--- a/internal/standin/try/fleet.go
+++ b/internal/standin/try/fleet.go
@@ -36,8 +36,10 @@
 	events io.Writer
 	store  string
 	nodes  []*node.Node
-	wg     sync.WaitGroup
-	end    []func()
+	// targets are the instances' targets, in the order of the nodes.
+	targets []*target.Server
+	wg      sync.WaitGroup
+	end     []func()
 }
 
 func startFleet(ctx context.Context, clock *timer.Service, events io.Writer, pools []snapshot.Pool) (*fleet, error) {
@@ -81,6 +83,7 @@
 		return err
 	}
 	t := target.New(f.clock, target.Slots(p.Slots()))
+	f.targets = append(f.targets, t)
 	served := make(chan error, 1)
 	go t.Serve(ln, served)
 	f.end = append(f.end, func() {
