Don't tell a caller that its key is unknown before a version is held

A node that starts takes connections before it knows a version, and so no key: callers with a good key were told 401 "unauthenticated", which a client takes for final, and a node that had read an older store served by it until it had heard its peers. Calls are refused with 503 "no-configuration", not run, until the node knows that it holds what was in force.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -45,6 +45,7 @@
 	peer      *peer.Node
 	burn      *burn.Recorder
 	hop       *hop.Client
+	gate      *gate
 	callers   *caller.Server
 	slots     *target.Slots
 	targets   *target.Server
@@ -170,7 +171,8 @@
 	n.hop = hop.NewClient(n.clock, hop.WithCredential(credential), hop.WithTLS(dialing), hop.AskFirst())
 	choice := balance.New(n.clock.Now(), rand.New(rand.NewPCG(n.seed, 3)),
 		balance.Domain(n.cfg.domain), balance.Tiers(regionTier(n.cfg.domain)))
-	calls := caller.New(n.peer.Holder(), directory{n.view}, n.hop, sealer, n.clock,
+	n.gate = newGate(n.peer.Holder())
+	calls := caller.New(n.gate, directory{n.view}, n.hop, sealer, n.clock,
 		caller.WithMetrics(n.metrics), caller.WithObserver(n.observe), caller.WithBalancer(choice),
 		caller.WithBudgets(retry.NewBudgets(rand.New(rand.NewPCG(n.seed, 4)))))
 	n.callers = caller.NewServer(calls, n.clock, n.log)
--- a/internal/process/node/watch.go
+++ b/internal/process/node/watch.go
@@ -30,6 +30,7 @@
 		done <- err
 		return
 	}
+	n.gate.open.Store(true)
 	n.life.synced()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	defer client.CloseIdleConnections()
--- a/internal/traffic/caller/answer.go
+++ b/internal/traffic/caller/answer.go
@@ -96,6 +96,7 @@
 func kindOf(err error) (int, string) {
 	var (
 		unauthenticated *UnauthenticatedError
+		starting        *NoConfigurationError
 		seal            *hop.SealError
 		path            *PathError
 		noRoute         *NoRouteError
@@ -118,6 +119,8 @@
 		return http.StatusBadRequest, "bad-header"
 	case errors.As(err, &noTarget):
 		return http.StatusServiceUnavailable, "no-target"
+	case errors.As(err, &starting):
+		return http.StatusServiceUnavailable, "no-configuration"
 	default:
 		return http.StatusInternalServerError, "internal"
 	}
--- a/internal/traffic/caller/errors.go
+++ b/internal/traffic/caller/errors.go
@@ -20,6 +20,11 @@
 	return "no API key in Authorization: Bearer or X-Api-Key"
 }
 
+// NoConfigurationError tells of a node that has no version in force yet.
+type NoConfigurationError struct{}
+
+func (e *NoConfigurationError) Error() string { return "this node has no configuration yet" }
+
 // PathError tells of a path that can be read in two ways.
 type PathError struct{ Path string }
 
--- a/internal/traffic/caller/identify.go
+++ b/internal/traffic/caller/identify.go
@@ -18,6 +18,11 @@
 // to that call's organisation, whatever key it shows besides: otherwise trial
 // work would take promised capacity one call further down.
 func (c *call) identify() error {
+	if c.snap.Version() == 0 {
+		// A node that has just started knows no key. "Unknown key" would be
+		// final to the caller, though another node would serve it.
+		return &NoConfigurationError{}
+	}
 	if sealed := c.r.Header.Get(hop.CallHeader); sealed != "" {
 		return c.inherit(sealed)
 	}
