The seat of limits is taken before the first calls; callers without a share come back soon

Cause: the fleet-wide ledger was sought when the first call came, and a call refused for want of a share was told to come back by the 1 % that the node had meanwhile, up to 5 s. Each demo caller calls from two instances of its own, as callers do, in place of all fourteen.

--- a/internal/control/quota/part.go
+++ b/internal/control/quota/part.go
@@ -51,12 +51,15 @@
 	mesh     Mesh
 	holder   *limit.Holder
 	declared Declared
+	limited  func() bool
 	store    platform.Store
 	count    counters
 
 	// need and short ask for a heartbeat before its time: calls came for which
 	// the node has no share, or the domain has none to hand out.
 	need, short chan struct{}
+	// seated asks the seat for its first look.
+	seated chan struct{}
 
 	up    upward
 	relay relay
@@ -71,11 +74,16 @@
 // finds it only by what others tell.
 func WithStore(s platform.Store) Option { return func(p *Part) { p.store = s } }
 
+// Limited sets what tells whether any limit is declared. Then the seat is taken
+// before the first calls come, which would else be refused while it is sought
+// and the domains are asked what they hold.
+func Limited(f func() bool) Option { return func(p *Part) { p.limited = f } }
+
 // New returns a part that moves the shares of holder.
 func New(clock *timer.Service, log *event.Logger, holder *limit.Holder, declared Declared, opts ...Option) *Part {
 	p := &Part{
-		clock: clock, log: log, holder: holder, declared: declared,
-		need: make(chan struct{}, 1), short: make(chan struct{}, 1),
+		clock: clock, log: log, holder: holder, declared: declared, limited: func() bool { return false },
+		need: make(chan struct{}, 1), short: make(chan struct{}, 1), seated: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -103,7 +111,7 @@
 	duties := []struct {
 		do    func(context.Context)
 		hurry <-chan struct{}
-	}{{p.beat, p.need}, {p.lead, p.short}, {p.keep, nil}}
+	}{{p.beat, p.need}, {p.lead, p.short}, {p.keep, p.seated}}
 	ended := make(chan struct{}, len(duties))
 	for _, duty := range duties {
 		go func() {
--- a/internal/control/quota/relay.go
+++ b/internal/control/quota/relay.go
@@ -127,7 +127,7 @@
 	p.giveUpGone(p.clock.Now())
 	idle, quiet := len(p.relay.orgs) == 0, p.relay.quiet(p.clock.Now(), p.relay.link.all)
 	p.relay.mu.Unlock()
-	at, ok := p.findSeat(ctx, !idle)
+	at, ok := p.findSeat(ctx, !idle || p.limited())
 	if !ok || quiet || l.to != at.place {
 		// Before all nodes have told what they hold, the seat would count for
 		// nothing what is only not known yet.
--- a/internal/control/quota/seat.go
+++ b/internal/control/quota/seat.go
@@ -143,6 +143,7 @@
 	t.desk, t.lease, t.renewed, t.used = &d, lease, asked, now
 	t.until = asked.Add(seatLease - seatMargin)
 	t.ledgers, t.relays = map[string]*limit.Ledger{}, map[string]speaker{}
+	hurry(p.seated)
 	p.log.Emit(event.QuotaSeated, event.F("term", term), event.F("failure_domains", len(d.waiting)))
 }
 
@@ -157,7 +158,7 @@
 		return
 	}
 	t.prune(now, p.domains())
-	unused := len(t.ledgers) == 0 && now.Sub(t.used) >= seatIdle
+	unused := len(t.ledgers) == 0 && now.Sub(t.used) >= seatIdle && !p.limited()
 	lease, due, term := t.lease, now.Sub(t.renewed) >= renewEvery, t.desk.term
 	var waiting []string
 	if t.held(now) {
--- a/internal/policy/limit/holder.go
+++ b/internal/policy/limit/holder.go
@@ -25,6 +25,9 @@
 	// grant, a heartbeat after an organisation's first call there: enough for
 	// the first calls of most, and ten nodes at once add a tenth.
 	defaultShare = 0.01
+	// shareWait is when a call comes back that met a node without a share: a few
+	// round trips, after which the share has come unless a ledger is missing.
+	shareWait = 200 * time.Millisecond
 	// surelyGone is how many calls must have been expected where none came, so
 	// that this is no chance and the share can go elsewhere at once.
 	surelyGone = 10
@@ -185,6 +188,11 @@
 		return Refused{Concurrency, a.spread(slotWait)}, shared
 	}
 	a.fill(now, allowed.rate)
+	if a.tokens < 1 && !shared {
+		// The share that is asked for now tells more than the little that the
+		// node has without one.
+		return Refused{Rate, a.spread(shareWait)}, shared
+	}
 	if a.tokens < 1 {
 		return Refused{Rate, a.rateBack(now, allowed.rate)}, shared
 	}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -184,7 +184,7 @@
 // service by which nodes share them.
 func (n *Node) wireLimits() peer.Service {
 	n.limits = limit.NewHolder(limit.OnNeed(func() { n.quota.Need() }))
-	var opts []quota.Option
+	opts := []quota.Option{quota.Limited(func() bool { return n.peer.Holder().Current().Limited() })}
 	if n.store != nil {
 		opts = append(opts, quota.WithStore(n.store))
 	}
--- a/internal/standin/try/run.go
+++ b/internal/standin/try/run.go
@@ -169,8 +169,7 @@
 	return nil
 }
 
-// call makes the demo calls, one after another through all nodes, and waits
-// for their answers.
+// call makes the demo calls and waits for their answers.
 func (t *try) call(ctx context.Context, res *Result) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
 	defer client.CloseIdleConnections()
@@ -181,7 +180,9 @@
 			// Callers come one after another; all at once would be over the
 			// limits that the example declares.
 			_ = t.clock.Sleep(ctx, time.Duration(n)*demoPause)
-			results <- t.callOne(ctx, client, all[n%len(all)].Node().Callers(), n)
+			// Each caller has two instances of its own to call from.
+			at := 2*(n%len(demoCalls)) + n/len(demoCalls)%2
+			results <- t.callOne(ctx, client, all[at%len(all)].Node().Callers(), n)
 		}()
 	}
 	for range demoRounds * len(demoCalls) {
