Let claims wait while their row changes hands

A planned stop of a holder failed calls: claims gave up after a third of a second while the row was handed over, in steps of 200 ms. A hand-over now begins with the news of it, and a claim asks on for four seconds.

--- a/internal/control/ledger/claim.go
+++ b/internal/control/ledger/claim.go
@@ -19,6 +19,9 @@
 	// minTries and maxTries bound the asking. They differ from send to send, so
 	// that of two that each hold a part of a row one gives up first.
 	minTries, maxTries = 6, 18
+	// handOverTime is how long a claim waits for a row that changes hands: a
+	// new holder gives up the records of a dead one after three seconds.
+	handOverTime = 4 * time.Second
 	// endTimeout bounds how long a call's answer follows its row's holders.
 	endTimeout = 5 * time.Second
 	// holderTimeout bounds one holder's answer.
@@ -43,8 +46,9 @@
 	if err := n.awaitTable(actx, c.row); err != nil {
 		return nil, nil, c.unknown(nil)
 	}
+	began := n.clock.Now()
 	var verdicts []once.Verdict
-	for range minTries + rand.IntN(maxTries-minTries) {
+	for tries := minTries + rand.IntN(maxTries-minTries); tries > 0; {
 		d, answer, words := c.round(actx, until)
 		verdicts = words
 		switch d {
@@ -67,9 +71,16 @@
 		if n.clock.Sleep(actx, claimPause/2+rand.N(claimPause)) != nil {
 			break
 		}
-		if old(words) {
-			n.refresh(actx)
+		if !old(words) {
+			tries--
+			continue
 		}
+		// The row is being handed over, which ends soon; a planned stop of a
+		// holder must fail no call.
+		if n.clock.Since(began) > handOverTime {
+			break
+		}
+		c.renew(actx, words)
 	}
 	c.Abandon()
 	return nil, nil, c.unknown(verdicts)
@@ -101,13 +112,24 @@
 // old reports whether the verdicts tell of a table that has changed since.
 func old(verdicts []once.Verdict) bool {
 	for _, v := range verdicts {
-		if v == once.Stale || v == once.Unready || v == once.Silent {
+		if v == once.Stale || v == once.Unready {
 			return true
 		}
 	}
 	return false
 }
 
+// renew asks the holders that know of a later table, or else some nodes.
+func (c *Claim) renew(ctx context.Context, verdicts []once.Verdict) {
+	holders := c.n.row(c.row).Holders()
+	for i, v := range verdicts {
+		if (v == once.Stale || v == once.Unready) && i < len(holders) && c.n.ask(ctx, holders[i].Peer()) {
+			return
+		}
+	}
+	c.n.refresh(ctx)
+}
+
 // word is one holder's answer.
 type word struct {
 	from    int
--- a/internal/control/ledger/manage.go
+++ b/internal/control/ledger/manage.go
@@ -132,10 +132,14 @@
 // whole returns the table as the node knows it. A store that was restored from
 // an older image has older rows, and an epoch must never be given twice.
 func (n *Node) whole() *ledgerpb.Table {
-	if t := n.since(0); t != nil {
-		return t
+	t := n.since(0)
+	for _, r := range t.GetRows() {
+		t.Version = max(t.Version, r.GetChanged())
+	}
+	if t == nil {
+		return &ledgerpb.Table{}
 	}
-	return &ledgerpb.Table{}
+	return t
 }
 
 // change returns the rows that need other holders, at the next version.
--- a/internal/control/ledger/node.go
+++ b/internal/control/ledger/node.go
@@ -98,11 +98,17 @@
 	go n.manager.run(ctx, managed)
 	tick := n.clock.Subscribe(upkeepEvery)
 	defer tick.Stop()
-	for i := 1; ctx.Err() == nil; i++ {
+	for i := 1; ctx.Err() == nil; {
+		n.mu.Lock()
+		news := n.news
+		n.mu.Unlock()
 		n.upkeep(ctx, i)
 		select {
 		case <-ctx.Done():
+		case <-news:
+			// A row that is handed over takes no claims: no time is lost.
 		case <-tick.C():
+			i++
 		}
 	}
 	<-managed
