A measurement that is told to stop still has its clock to stop by

Cause: the clock ended with the context, and a node's stop that waits for a connection by that clock never ended; seen at 200 nodes, in a dump of the goroutines.

--- a/internal/standin/measure/churn.go
+++ b/internal/standin/measure/churn.go
@@ -103,7 +103,7 @@
 }
 
 func (c *churn) run(ctx context.Context) (*churnFigures, error) {
-	g := newGroup(ctx)
+	g := newGroup(context.WithoutCancel(ctx))
 	defer g.stop()
 	c.clk = timer.New()
 	g.start(c.clk.Run)
--- a/internal/standin/measure/converge.go
+++ b/internal/standin/measure/converge.go
@@ -84,7 +84,7 @@
 }
 
 func (c *converge) run(ctx context.Context) (*convergeFigures, error) {
-	g := newGroup(ctx)
+	g := newGroup(context.WithoutCancel(ctx))
 	defer g.stop()
 	clk := timer.New()
 	g.start(clk.Run)
--- a/internal/standin/measure/idle.go
+++ b/internal/standin/measure/idle.go
@@ -87,7 +87,7 @@
 }
 
 func (c *idle) run(ctx context.Context) (*idleFigures, error) {
-	g := newGroup(ctx)
+	g := newGroup(context.WithoutCancel(ctx))
 	defer g.stop()
 	clk := timer.New()
 	g.start(clk.Run)
--- a/internal/standin/measure/storm.go
+++ b/internal/standin/measure/storm.go
@@ -86,7 +86,7 @@
 }
 
 func (c *storm) run(ctx context.Context) (*stormFigures, error) {
-	g := newGroup(ctx)
+	g := newGroup(context.WithoutCancel(ctx))
 	defer g.stop()
 	c.clk = timer.New()
 	g.start(c.clk.Run)
