--- a/internal/process/node/fleet_test.go
+++ b/internal/process/node/fleet_test.go
@@ -139,6 +139,20 @@
 	}
 }
 
+// storeCalls returns how many calls of a kind reached the store.
+func (f *fleet) storeCalls(kind string) int {
+	resp, err := http.Get("http://" + f.at + "/calls")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	calls := map[string]int{}
+	if json.NewDecoder(resp.Body).Decode(&calls) != nil {
+		return 0
+	}
+	return calls[kind]
+}
+
 // startTarget starts a stand-in target and returns it with its address.
 func (f *fleet) startTarget(name string) (*process, string) {
 	f.t.Helper()
--- a/internal/process/node/lostanswer_test.go
+++ b/internal/process/node/lostanswer_test.go
@@ -91,3 +91,34 @@
 	}
 	f.holds(2, nodes...)
 }
+
+// The node that an operator asked to confirm dies in the middle, with some of
+// its writes done. The command asks the next node, which finds out what became
+// of the plan or finishes it: the operator is told the one version it made, or
+// that the outcome is unknown, and the plan makes one version.
+func TestTheNodeThatConfirmsDiesAndThePlanMakesOneVersion(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	nodes := f.instances("songino", "songino", "khan-uul")
+	f.declare(nodes...)
+	plan := f.planEdit(nodes[0])
+	f.fault(`{"slow_ms":100}`)
+	before := f.storeCalls("compare_and_swap")
+	env := operator(anaToken, nodes...)
+	done := make(chan result)
+	go func() { done <- command(t, env, "confirm", "-json", "-timeout", "40s", plan) }()
+	until(t, "the confirm writes", func() bool { return f.storeCalls("compare_and_swap") > before })
+	nodes[0].kill()
+	first := <-done
+	if first.code != 0 && first.code != 4 {
+		t.Errorf("the confirm ended with %d: %s", first.code, first.out)
+	}
+	f.fault(`{"slow_ms":0}`)
+	if got := decoded[confirmed](t, command(t, env, "confirm", "-json", plan).want(t, 0)); got.Version != 2 {
+		t.Errorf("confirmed as version %d, want 2", got.Version)
+	}
+	f.holds(2, nodes[1:]...)
+	if v := f.change(nodes[1]); v != 3 {
+		t.Errorf("the next plan made version %d, want 3", v)
+	}
+}
