A ledger keeps a part for children that are yet to come

Cause: the first domain or node to ask got all that was not wanted elsewhere, and the next one nothing until that had been taken back.

--- a/internal/policy/limit/ledger.go
+++ b/internal/policy/limit/ledger.go
@@ -351,7 +351,14 @@
 		wanted = wanted.plus(d)
 	}
 	l.short = !wanted.within(left)
-	for i, share := range Allocate(left, demands) {
+	// Children that are yet to come have a part of the rest kept for them. The
+	// first to ask would else get all of it, and each further one nothing until
+	// that has been taken back, child by child: seconds in which calls are
+	// refused while the limit lies unused.
+	for len(demands) < l.planned {
+		demands = append(demands, Amounts{})
+	}
+	for i, share := range Allocate(left, demands)[:len(sharing)] {
 		sharing[i].target = share
 	}
 }
