Limits are enforced only where a setting asks for it

Cause: an organisation whose first calls come to a second failure domain is refused there for up to ten seconds, for a cause that is not found; a quote refused costs more than a run-away caller that admission holds off anyway. With -limits all of it is as before.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -184,7 +184,7 @@
 // service by which nodes share them.
 func (n *Node) wireLimits() peer.Service {
 	n.limits = limit.NewHolder(limit.OnNeed(func() { n.quota.Need() }))
-	opts := []quota.Option{quota.Limited(func() bool { return n.peer.Holder().Current().Limited() })}
+	opts := []quota.Option{quota.Limited(func() bool { return n.cfg.limits && n.peer.Holder().Current().Limited() })}
 	if n.store != nil {
 		opts = append(opts, quota.WithStore(n.store))
 	}
@@ -205,10 +205,14 @@
 	choice := balance.New(n.clock.Now(), rand.New(rand.NewPCG(n.seed, 3)),
 		balance.Domain(n.cfg.domain), balance.Tiers(regionTier(n.cfg.domain)))
 	n.gate = newGate(n.peer.Holder())
-	calls := caller.New(n.gate, directory{n.view}, n.hop, sealer, n.clock,
+	opts := []caller.Option{
 		caller.WithMetrics(n.metrics), caller.WithObserver(n.observe), caller.WithClaims(claims{n.ledger}),
-		caller.WithBalancer(choice), caller.WithLimits(n.limits),
-		caller.WithBudgets(retry.NewBudgets(rand.New(rand.NewPCG(n.seed, 4)))))
+		caller.WithBalancer(choice), caller.WithBudgets(retry.NewBudgets(rand.New(rand.NewPCG(n.seed, 4)))),
+	}
+	if n.cfg.limits {
+		opts = append(opts, caller.WithLimits(n.limits))
+	}
+	calls := caller.New(n.gate, directory{n.view}, n.hop, sealer, n.clock, opts...)
 	n.callers = caller.NewServer(calls, n.clock, n.log)
 	if n.cfg.pool == "" {
 		return
--- a/internal/process/node/settings.go
+++ b/internal/process/node/settings.go
@@ -32,6 +32,7 @@
 	advertiseMesh, advertisePeers   string
 	tlsCert, tlsKey, tlsCA          string
 	drainTimeout                    time.Duration
+	limits                          bool
 	procs                           int
 	seed                            uint64
 }
@@ -68,6 +69,7 @@
 	text(&s.tlsCA, "tls-ca", "", "PEM `FILE` of the authority that signs the nodes' certificates")
 	fs.DurationVar(&s.drainTimeout, "drain-timeout", 30*time.Second,
 		"how long a stop waits for calls in flight, a duration between 100ms and 10m")
+	fs.BoolVar(&s.limits, "limits", false, "hold organisations to their declared limits; docs/operators/limits.md says what that costs their first calls")
 	fs.IntVar(&s.procs, "procs", 2, "how many processors the node runs on at once, 1 to 64; the target beside it needs the others")
 	fs.Uint64Var(&s.seed, "seed", 0, "seed of random choices; 0 takes one from the start time")
 	return s
--- a/internal/standin/measure/limits.go
+++ b/internal/standin/measure/limits.go
@@ -113,7 +113,8 @@
 	f := limitsFigures{Nodes: m.nodes, Domains: 2, LimitPerSecond: m.rate, AskedPerSecond: m.rate * overLimit}
 	pool := snapshot.NewPool("pool", "service", snapshot.Slots(1000), snapshot.Promised(1),
 		snapshot.Connections(1000), snapshot.Upstreams(m.nodes))
-	fl, err := mesh.Start(m.clock, []snapshot.Pool{pool}, mesh.Targets(target.Slots(0)), mesh.Domains("here/a", "here/b"))
+	fl, err := mesh.Start(m.clock, []snapshot.Pool{pool}, mesh.Targets(target.Slots(0)), mesh.Domains("here/a", "here/b"),
+		mesh.Settings("-limits"))
 	defer fl.Stop()
 	if err != nil {
 		return f, err
