--- a/internal/control/peer/node.go
+++ b/internal/control/peer/node.go
@@ -72,10 +72,6 @@
 	return func(n *Node) { n.serving, n.dialing = serving, dialing }
 }
 
-// WithService mounts a further control service, which then shares the address,
-// the authentication and the byte count of the peers' own.
-func WithService(s Service) Option { return func(n *Node) { n.services = append(n.services, s) } }
-
 // Service is a control service between nodes, such as twirp generates.
 type Service interface {
 	http.Handler
@@ -229,8 +225,8 @@
 	return n.changed
 }
 
-// Add mounts a further control service, as WithService does, for one that needs
-// the node itself; it must come before Serve.
+// Add mounts a further control service, which then shares the address, the
+// authentication and the byte count of the peers' own. It comes before Serve.
 func (n *Node) Add(s Service) { n.services = append(n.services, s) }
 
 // Reads reports whether the node reads the store for its failure domain.
--- /dev/null
+++ b/internal/process/node/wire.go
@@ -0,0 +1,136 @@
+package node
+
+import (
+	"crypto/tls"
+	"math/rand/v2"
+	"net/netip"
+
+	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/control/ledger"
+	"banyanlug.example/banyanlug/internal/control/peer"
+	"banyanlug.example/banyanlug/internal/control/platform"
+	"banyanlug.example/banyanlug/internal/control/publish"
+	"banyanlug.example/banyanlug/internal/control/quota"
+	"banyanlug.example/banyanlug/internal/policy/balance"
+	"banyanlug.example/banyanlug/internal/policy/limit"
+	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/policy/retry"
+	"banyanlug.example/banyanlug/internal/report/burn"
+	"banyanlug.example/banyanlug/internal/report/burnpb"
+	"banyanlug.example/banyanlug/internal/traffic/caller"
+	"banyanlug.example/banyanlug/internal/traffic/hop"
+	"banyanlug.example/banyanlug/internal/traffic/http1"
+	"banyanlug.example/banyanlug/internal/traffic/target"
+)
+
+// wire builds the parts in the order in which they depend on each other.
+func (n *Node) wire() error {
+	key, err := n.cfg.key()
+	if err != nil {
+		return err
+	}
+	secure, err := n.cfg.tls()
+	if err != nil {
+		return err
+	}
+	if secure != nil && n.listeners.operators != nil {
+		// A token must not cross the network in the clear.
+		n.listeners.operators = tls.NewListener(n.listeners.operators, secure.operators)
+	}
+	if n.cfg.store != "" {
+		client, err := platform.Dial(n.cfg.store, platform.WithMetrics(n.metrics))
+		if err != nil {
+			return &SettingError{"store", err.Error()}
+		}
+		n.store = client
+		n.versions = publish.New(n.store, n.clock)
+	}
+	n.wireControl(key, secure)
+	n.wireTraffic(string(key), secure)
+	n.life = newLife(n.log)
+	n.registerMetrics()
+	return nil
+}
+
+func (n *Node) wireControl(key []byte, secure *tlsPair) {
+	now := n.clock.Now()
+	if n.seed = n.cfg.seed; n.seed == 0 {
+		n.seed = uint64(now.UnixNano())
+	}
+	self := membership.NewSelf(now, rand.New(rand.NewPCG(n.seed, 2)), n.cfg.instance,
+		membership.Domain(n.cfg.domain), membership.Pool(n.cfg.pool), membership.InState(membership.Starting),
+		membership.Address(told(n.cfg.advertiseMesh, n.listeners.mesh)),
+		membership.Peer(told(n.cfg.advertisePeers, n.listeners.peers)))
+	n.burn = burn.NewRecorder(n.objective)
+	n.view = membership.New(n.cfg.domain, n.seed|1)
+	// The settings have been checked, so the seeds can be read.
+	seeds, _ := n.cfg.seedAddrs()
+	opts := []peer.Option{peer.WithSeeds(seeds...), peer.WithSeed(n.seed)}
+	if n.store != nil {
+		opts = append(opts, peer.WithStore(n.store, n.versions))
+	}
+	if secure != nil {
+		opts = append(opts, peer.WithTLS(secure.serving, secure.dialing))
+	}
+	n.peer = peer.New(n.clock, n.log, n.view, self, key, opts...)
+	n.peer.Add(burnpb.NewBurnServer(counts{n}))
+	n.wireLimits()
+	n.wireLedger()
+}
+
+// wireLedger makes what keeps calls that must not run twice from doing so, and
+// mounts the service by which nodes ask its holders.
+func (n *Node) wireLedger() {
+	var opts []ledger.Option
+	if n.store != nil {
+		opts = append(opts, ledger.WithStore(n.store))
+	}
+	n.ledger = ledger.New(n.clock, n.log, mesh{n.peer}, opts...)
+	n.peer.Add(n.ledger.Service())
+}
+
+// wireLimits makes what holds organisations to their limits, and mounts the
+// service by which nodes share them.
+func (n *Node) wireLimits() {
+	n.limits = limit.NewHolder(limit.OnNeed(func() { n.quota.Need() }))
+	opts := []quota.Option{quota.Limited(func() bool { return n.cfg.limits && n.peer.Holder().Current().Limited() })}
+	if n.store != nil {
+		opts = append(opts, quota.WithStore(n.store))
+	}
+	declared := func(organisation string) (snapshot.Limit, bool) {
+		return n.peer.Holder().Current().Limit(organisation)
+	}
+	n.quota = quota.New(n.clock, n.log, n.limits, declared, opts...)
+	n.quota.Join(n.peer)
+	n.peer.Add(n.quota.Service())
+}
+
+func (n *Node) wireTraffic(key string, secure *tlsPair) {
+	var serving, dialing *tls.Config
+	if secure != nil {
+		serving, dialing = secure.serving, secure.dialing
+	}
+	credential, sealer := hop.NewCredential(key), hop.NewSealer(key)
+	n.hop = hop.NewClient(n.clock, hop.WithCredential(credential), hop.WithTLS(dialing), hop.AskFirst())
+	choice := balance.New(n.clock.Now(), rand.New(rand.NewPCG(n.seed, 3)),
+		balance.Domain(n.cfg.domain), balance.Tiers(regionTier(n.cfg.domain)))
+	n.gate = newGate(n.peer.Holder())
+	opts := []caller.Option{
+		caller.WithMetrics(n.metrics), caller.WithObserver(n.observe), caller.WithClaims(claims{n.ledger}),
+		caller.WithBalancer(choice), caller.WithBudgets(retry.NewBudgets(rand.New(rand.NewPCG(n.seed, 4)))),
+	}
+	if n.cfg.limits {
+		opts = append(opts, caller.WithLimits(n.limits))
+	}
+	calls := caller.New(n.gate, directory{n.view}, n.hop, sealer, n.clock, opts...)
+	n.callers = caller.NewServer(calls, n.clock, n.log)
+	if n.cfg.pool == "" {
+		return
+	}
+	// The settings have been checked, so the address can be read.
+	n.local, _ = netip.ParseAddrPort(n.cfg.target)
+	n.slots = target.NewSlots(n.peer.Holder(), n.cfg.pool, n.clock)
+	h := target.New(n.slots, n.local, hop.NewClient(n.clock), credential, sealer, n.clock,
+		target.WithLog(n.log), target.WithMetrics(n.metrics))
+	n.targets = target.NewServer(h, n.clock, http1.WithTLS(serving))
+}
