--- a/internal/control/ledger/claim.go
+++ b/internal/control/ledger/claim.go
@@ -20,12 +20,16 @@
 	// that of two that each hold a part of a row one gives up first.
 	minTries, maxTries = 6, 18
 	// handOverTime is how long a claim waits for a row that changes hands: a
-	// new holder gives up the records of a dead one after three seconds.
-	handOverTime = 4 * time.Second
+	// new holder gives up the records of a dead one after three seconds, and on
+	// a busy machine needs some more for its own. The call's deadline ends the
+	// wait before, if it is sooner.
+	handOverTime = 8 * time.Second
 	// endTimeout bounds how long a call's answer follows its row's holders.
 	endTimeout = 5 * time.Second
-	// holderTimeout bounds one holder's answer.
-	holderTimeout = 500 * time.Millisecond
+	// holderTimeout bounds one holder's answer. Two of three suffice, so it is
+	// waited for only where two are slow at once; a machine that is busy for a
+	// second must not make calls' outcomes unknown.
+	holderTimeout = 2 * time.Second
 )
 
 // Claim is the right to run a call once.
