--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -90,6 +90,20 @@
 // Quota returns the node's part in moving the shares of limits.
 func (n *Node) Quota() *quota.Part { return n.quota }
 
+// State returns where the node is in its life.
+func (n *Node) State() string { return n.life.state() }
+
+// Unready returns the members that the node knows and that are not ready.
+func (n *Node) Unready() []string {
+	var out []string
+	for _, r := range n.view.Records() {
+		if r.State() != membership.Ready {
+			out = append(out, r.Instance()+" "+r.State().String())
+		}
+	}
+	return out
+}
+
 // Ready reports whether the node takes calls.
 func (n *Node) Ready() bool { return n.life.ready() }
 
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -280,7 +281,7 @@
 	defer cancel()
 	for !ok() {
 		if err := f.clock.Sleep(ctx, 2*time.Millisecond); err != nil {
-			return &StartError{What: what, Err: context.Cause(ctx)}
+			return &StartError{What: what + f.lagging(), Err: context.Cause(ctx)}
 		}
 	}
 	return nil
@@ -296,6 +297,17 @@
 	return true
 }
 
+// lagging tells of the nodes that are not ready or do not know all targets.
+func (f *Fleet) lagging() string {
+	var b strings.Builder
+	for _, i := range f.instances {
+		if state, known := i.node.State(), i.node.Targets(); state != "ready" || known != len(f.instances)-f.callers {
+			fmt.Fprintf(&b, "; %s is %s and knows %d targets, not %s", i.name, state, known, i.node.Unready())
+		}
+	}
+	return b.String()
+}
+
 // InForce returns how many nodes hold a version.
 func (f *Fleet) InForce(version uint64) int {
 	count := 0
