--- a/internal/process/node/network_test.go
+++ b/internal/process/node/network_test.go
@@ -178,7 +178,13 @@
 		return ""
 	}
 	defer f.Close()
+	// The table is long on a machine that has run tests for a while, and most
+	// lines are of other ports.
+	mark := fmt.Sprintf(":%04X ", port)
 	for s := bufio.NewScanner(f); s.Scan(); {
+		if !strings.Contains(s.Text(), mark) {
+			continue
+		}
 		fields := strings.Fields(s.Text())
 		if len(fields) > 9 && portOf(fields[1]) == port && portOf(fields[2]) == remote {
 			return fields[9]
