--- a/internal/control/peer/node.go
+++ b/internal/control/peer/node.go
@@ -48,6 +48,9 @@
 	tried    bool
 	storeOK  time.Time
 
+	// toldSecond is what announce alone has told the second in rank.
+	toldSecond membership.Record
+
 	children   children
 	superseded chan struct{}
 	superOnce  sync.Once
