--- a/cmd/banyanlug/main.go
+++ b/cmd/banyanlug/main.go
@@ -10,6 +10,7 @@
 
 	"banyanlug.example/banyanlug/internal/cli/command"
 	"banyanlug.example/banyanlug/internal/process/node"
+	"banyanlug.example/banyanlug/platform"
 )
 
 func main() {
@@ -20,4 +21,6 @@
 }
 
 // app returns the command with every subcommand.
-func app() *command.App { return command.New(command.Subcommand(node.Command)) }
+func app() *command.App {
+	return command.New(command.Subcommand(node.Command), command.Subcommand(platform.Command))
+}
--- a/internal/config/declaration/object.go
+++ b/internal/config/declaration/object.go
@@ -87,6 +87,11 @@
 		snapshot.Host(m.text("host", false)),
 		snapshot.Methods(m.texts("methods")...),
 		snapshot.Retries(m.whole("retries", false)),
+		snapshot.Priority(m.whole("priority", false)),
+		snapshot.Split(m.split()...),
+	}
+	if d, ok := m.duration("target_latency", false); ok {
+		opts = append(opts, snapshot.TargetLatency(d))
 	}
 	// Required, since either guess is wrong for someone: a binding run twice,
 	// or a read that fails where it could have been sent again.
@@ -99,6 +104,21 @@
 	return snapshot.NewRoute(m.text("name", true), m.text("path", true), m.text("service", true), m.text("pool", true), opts...)
 }
 
+// split reads the shares of a route's calls.
+func (m *mapping) split() []snapshot.Share {
+	var out []snapshot.Share
+	for _, n := range m.list("split") {
+		item, ok := m.d.mapping(n, "a share")
+		if !ok {
+			m.faulty["split"] = true
+			continue
+		}
+		out = append(out, snapshot.NewShare(item.text("service", true), item.text("pool", true), item.whole("weight", true)))
+		item.end()
+	}
+	return out
+}
+
 func limit(m *mapping) snapshot.Object {
 	return snapshot.NewLimit(m.text("organisation", true), m.number("rate", false), m.whole("concurrency", false))
 }
--- a/internal/config/snapshot/check.go
+++ b/internal/config/snapshot/check.go
@@ -20,6 +20,9 @@
 	maxConnections = 100_000
 	maxUpstreams   = 100_000
 	maxRetries     = 5
+	maxPriority    = 15
+	maxShares      = 16
+	maxWeight      = 1_000_000
 	minDeadline    = time.Millisecond
 	maxDeadline    = 5 * time.Minute
 	maxKeyHashes   = 16
@@ -123,6 +126,11 @@
 	}
 	c.between(k, "deadline", o.deadline, minDeadline, maxDeadline, deadlineStep)
 	c.within(k, "retries", o.retries, 0, maxRetries)
+	c.within(k, "priority", o.priority, 0, maxPriority)
+	if o.aim != 0 {
+		c.between(k, "target latency", o.aim, minDeadline, maxDeadline, deadlineStep)
+	}
+	c.split(k, o)
 	for _, m := range o.methods {
 		// "*" is refused too: calls are matched by equal methods, so a route
 		// for it would look right and take no call at all.
@@ -136,6 +144,26 @@
 	}
 }
 
+func (c *checker) split(k Key, o Route) {
+	if len(o.split) == 0 {
+		return
+	}
+	c.within(k, "split", len(o.split), 1, maxShares)
+	for _, sh := range o.split {
+		c.refers(k, Key{KindService, sh.service})
+		pool := Key{KindPool, sh.pool}
+		if c.refers(k, pool) {
+			if p, ok := c.objects[pool].object.(Pool); ok && p.service != sh.service {
+				c.value(k, "split", "%s serves %s, not %s", sh.pool, p.service, sh.service)
+			}
+		}
+		c.within(k, "weight", sh.weight, 0, maxWeight)
+	}
+	if o.weights == 0 {
+		c.value(k, "split", "no share has a weight")
+	}
+}
+
 func (c *checker) match(k Key, o Route, method string) {
 	c.claim(c.matches, k, o.host+" "+o.path+" "+method, strings.TrimSpace(o.host+" "+method+" "+o.path))
 }
--- a/internal/config/snapshot/encode.go
+++ b/internal/config/snapshot/encode.go
@@ -61,6 +61,7 @@
 		m.Kind = &configpb.Object_Route{Route: &configpb.Route{
 			Name: o.name, Host: o.host, Path: o.path, Methods: o.methods, Service: o.service, Pool: o.pool,
 			Repeatable: o.idempotent, DeadlineMs: o.deadline.Milliseconds(), Retries: uint32(o.retries),
+			Priority: uint32(o.priority), TargetLatencyMs: o.aim.Milliseconds(), Split: encodeSplit(o.split),
 		}}
 	case Limit:
 		m.Kind = &configpb.Object_Limit{Limit: &configpb.Limit{
@@ -89,7 +90,10 @@
 	case Pool:
 		counts = []int{o.slots, o.promised, o.connections, o.upstreams}
 	case Route:
-		counts = []int{o.retries}
+		counts = []int{o.retries, o.priority}
+		for _, sh := range o.split {
+			counts = append(counts, sh.weight)
+		}
 	case Limit:
 		counts = []int{o.concurrency}
 	}
@@ -130,7 +134,13 @@
 		opts := []RouteOption{
 			Host(r.GetHost()), Methods(r.GetMethods()...), Retries(int(r.GetRetries())),
 			Deadline(time.Duration(r.GetDeadlineMs()) * time.Millisecond),
+			Priority(int(r.GetPriority())), TargetLatency(time.Duration(r.GetTargetLatencyMs()) * time.Millisecond),
+		}
+		shares, err := decodeSplit(r.GetSplit())
+		if err != nil {
+			return nil, err
 		}
+		opts = append(opts, Split(shares...))
 		if r.GetRepeatable() {
 			opts = append(opts, Idempotent())
 		}
@@ -147,6 +157,25 @@
 	}
 }
 
+func encodeSplit(shares []Share) []*configpb.Share {
+	var out []*configpb.Share
+	for _, sh := range shares {
+		out = append(out, &configpb.Share{Service: sh.service, Pool: sh.pool, Weight: uint32(sh.weight)})
+	}
+	return out
+}
+
+func decodeSplit(shares []*configpb.Share) ([]Share, error) {
+	var out []Share
+	for _, sh := range shares {
+		if err := known(sh); err != nil {
+			return nil, err
+		}
+		out = append(out, NewShare(sh.GetService(), sh.GetPool(), int(sh.GetWeight())))
+	}
+	return out, nil
+}
+
 func known(m proto.Message) error {
 	if len(m.ProtoReflect().GetUnknown()) > 0 {
 		return &DecodeError{What: "object"}
--- a/internal/config/snapshot/object.go
+++ b/internal/config/snapshot/object.go
@@ -62,7 +62,11 @@
 	case Pool:
 		return []Key{{KindService, o.service}}
 	case Route:
-		return []Key{{KindService, o.service}, {KindPool, o.pool}}
+		keys := []Key{{KindService, o.service}, {KindPool, o.pool}}
+		for _, sh := range o.split {
+			keys = append(keys, Key{KindService, sh.service}, Key{KindPool, sh.pool})
+		}
+		return keys
 	case Limit:
 		return []Key{{KindOrganisation, o.organisation}}
 	case Objective:
@@ -195,6 +199,10 @@
 	idempotent bool
 	deadline   time.Duration
 	retries    int
+	priority   int
+	aim        time.Duration
+	split      []Share
+	weights    int
 }
 
 // RouteOption sets one property of a route.
@@ -215,6 +223,46 @@
 // Retries sets how many further attempts a call may get.
 func Retries(n int) RouteOption { return func(r *Route) { r.retries = n } }
 
+// Priority sets the rank of the route's calls at a busy target; 0 is the
+// highest.
+func Priority(n int) RouteOption { return func(r *Route) { r.priority = n } }
+
+// TargetLatency sets the time within which an answer has its full worth to the
+// caller.
+func TargetLatency(d time.Duration) RouteOption { return func(r *Route) { r.aim = d } }
+
+// Split spreads the route's calls over several pools by weight, in place of
+// the one pool; with no shares it changes nothing.
+func Split(shares ...Share) RouteOption {
+	return func(r *Route) {
+		r.split, r.weights = shares, 0
+		for _, sh := range shares {
+			r.weights += max(0, sh.weight)
+		}
+	}
+}
+
+// Share is the part of a route's calls that one pool gets.
+type Share struct {
+	service string
+	pool    string
+	weight  int
+}
+
+// NewShare returns the share of a pool of service.
+func NewShare(service, pool string, weight int) Share {
+	return Share{service: service, pool: pool, weight: weight}
+}
+
+// Service returns the name of the service.
+func (s Share) Service() string { return s.service }
+
+// Pool returns the name of the pool.
+func (s Share) Pool() string { return s.pool }
+
+// Weight returns the weight beside those of the other shares.
+func (s Share) Weight() int { return s.weight }
+
 // NewRoute returns a route from a path prefix to a pool of service.
 func NewRoute(name, path, service, pool string, opts ...RouteOption) Route {
 	r := Route{name: name, path: path, service: service, pool: pool, deadline: DefaultDeadline}
@@ -255,6 +303,35 @@
 // Retries returns how many further attempts a call may get.
 func (r Route) Retries() int { return r.retries }
 
+// Priority returns the rank of the route's calls; 0 is the highest.
+func (r Route) Priority() int { return r.priority }
+
+// TargetLatency returns the time within which an answer has its full worth, or
+// 0 if none is declared.
+func (r Route) TargetLatency() time.Duration { return r.aim }
+
+// Split returns the shares of the route's calls, or none.
+func (r Route) Split() []Share { return slices.Clone(r.split) }
+
+// Shared reports whether the route's calls are spread over several pools.
+func (r Route) Shared() bool { return len(r.split) > 0 }
+
+// Toward returns the route as it leads one call: to the share in which draw
+// falls, a number from 0 to below 1.
+func (r Route) Toward(draw float64) Route {
+	left := draw * float64(r.weights)
+	for _, sh := range r.split {
+		if sh.weight <= 0 {
+			continue
+		}
+		r.service, r.pool = sh.service, sh.pool
+		if left -= float64(sh.weight); left < 0 {
+			break
+		}
+	}
+	return r
+}
+
 // Key implements Object.
 func (r Route) Key() Key  { return Key{KindRoute, r.name} }
 func (r Route) isObject() {}
--- a/internal/config/snapshot/snapshot.go
+++ b/internal/config/snapshot/snapshot.go
@@ -31,6 +31,20 @@
 	return check(entries)
 }
 
+// Assemble returns a version that a configuration source holds as a whole under
+// a number of its own, after the checks that every proxy makes; its objects are
+// not passed on, so it has no digest.
+func Assemble(version uint64, objects []Object) (*Snapshot, error) {
+	entries := make(map[Key]entry, len(objects))
+	for _, o := range objects {
+		if _, ok := entries[o.Key()]; ok {
+			return nil, &OverlapError{First: o.Key(), Second: o.Key(), Claim: "one name"}
+		}
+		entries[o.Key()] = entry{object: o}
+	}
+	return build(version, Digest{}, "", entries)
+}
+
 func build(version uint64, digest Digest, planID string, objects map[Key]entry) (*Snapshot, error) {
 	if err := check(objects); err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/control/fleet/ask.go
@@ -0,0 +1,136 @@
+package fleet
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"banyanlug.example/banyanlug/internal/control/fleet/fleetpb"
+	"banyanlug.example/banyanlug/internal/log/event"
+	"banyanlug.example/banyanlug/internal/policy/membership"
+)
+
+const (
+	// askPeriod is how often a node whose store is out asks another one, and how
+	// often entries that the store dropped are looked at.
+	askPeriod = 500 * time.Millisecond
+	// askTimeout bounds one question; across failure domains an answer takes a
+	// few milliseconds.
+	askTimeout = 500 * time.Millisecond
+	// storeSilence is how long the store has to be silent before others are
+	// asked in its place: one lost answer is no outage.
+	storeSilence = time.Second
+	// hintPause gives the store's own watch the time to bring what a hint tells
+	// of: it mostly does, and is then the cheaper way.
+	hintPause = 300 * time.Millisecond
+	// missingGrace is how long an entry may be missing before its node is asked,
+	// and missingAgain how often it is asked while it stays missing. A node that
+	// lives writes its entry again within a second of the store's return.
+	missingGrace = 700 * time.Millisecond
+	missingAgain = 2 * time.Second
+)
+
+// ask learns from other nodes what the store does not tell.
+func (f *Fleet) ask(ctx context.Context, done chan<- error) {
+	tick := f.clk.Subscribe(askPeriod)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case peer := <-f.hints:
+			f.askHinted(ctx, peer)
+		case now := <-tick.C():
+			f.vouch(ctx, now)
+			if f.StoreAge() > storeSilence && !f.storeOK.Load() {
+				f.askAny(ctx)
+			}
+		}
+	}
+	done <- ctx.Err()
+}
+
+func (f *Fleet) askHinted(ctx context.Context, peer netip.AddrPort) {
+	before := f.Current().Version()
+	if f.clk.Sleep(ctx, hintPause) != nil || f.Current().Version() > before {
+		return
+	}
+	f.askPeer(ctx, peer)
+}
+
+// askAny asks one other node, another one each time.
+func (f *Fleet) askAny(ctx context.Context) {
+	self, _ := f.own()
+	var others []netip.AddrPort
+	for _, r := range f.view.records() {
+		if r.Instance() != self.Instance() {
+			others = append(others, r.Peer())
+		}
+	}
+	if len(others) == 0 {
+		return
+	}
+	f.mu.Lock()
+	peer := others[f.rng.IntN(len(others))]
+	f.mu.Unlock()
+	f.askPeer(ctx, peer)
+}
+
+// askPeer takes over what a node holds that is newer.
+func (f *Fleet) askPeer(ctx context.Context, peer netip.AddrPort) {
+	resp, err := f.viewOf(ctx, peer, f.Current().Version())
+	if err != nil {
+		f.log.Emit(event.PeerLost, event.F("peer", peer), event.F("error", err))
+		return
+	}
+	if len(resp.GetConfiguration()) > 0 {
+		f.take(resp.GetConfiguration(), peer.String())
+	}
+	for _, b := range append(resp.GetMembers(), resp.GetEntry()) {
+		f.second(b, peer)
+	}
+}
+
+// second takes over an entry that another node knows.
+func (f *Fleet) second(b []byte, peer netip.AddrPort) {
+	r, err := decodeAny(b)
+	if err != nil {
+		f.log.Emit(event.RecordRefused, event.F("error", err), event.F("from", peer))
+		return
+	}
+	self, _ := f.own()
+	if r.Instance() != self.Instance() && r.State() != membership.Gone {
+		f.view.put(r, 0)
+	}
+}
+
+// vouch asks the nodes whose entries the store has dropped whether they live.
+//
+// A store that was out, or that turns some nodes away, drops the entries of
+// nodes that serve as before. Taking them for gone would leave the others with
+// a part of the targets; keeping all would send calls to those that have gone.
+func (f *Fleet) vouch(ctx context.Context, now time.Time) {
+	self, _ := f.own()
+	for _, r := range f.view.unvouched(now, missingGrace, missingAgain) {
+		if r.Instance() == self.Instance() {
+			continue
+		}
+		resp, err := f.viewOf(ctx, r.Peer(), f.Current().Version())
+		if err == nil {
+			if answer, derr := decodeAny(resp.GetEntry()); derr == nil && answer.Boot() >= r.Boot() && answer.Instance() == r.Instance() {
+				f.view.put(answer, 0)
+				f.log.Emit(event.MemberKept, event.F("instance", r.Instance()), event.F("missing_for", now.Sub(f.view.missingSince(r.Instance()))))
+				continue
+			}
+		}
+		if f.view.forget(r) {
+			f.log.Emit(event.InstanceLost, event.F("instance", r.Instance()), event.F("target", r.Target()), event.F("error", err))
+		}
+	}
+}
+
+func (f *Fleet) viewOf(ctx context.Context, peer netip.AddrPort, version uint64) (*fleetpb.ViewResponse, error) {
+	ctx, cancel := f.clk.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	client := fleetpb.NewFleetProtobufClient("http://"+peer.String(), f.http)
+	return client.View(ctx, &fleetpb.ViewRequest{Version: version})
+}
--- /dev/null
+++ b/internal/control/fleet/fleet.go
@@ -0,0 +1,184 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/control/fleet/fleetpb"
+	"banyanlug.example/banyanlug/internal/control/platform"
+	"banyanlug.example/banyanlug/internal/log/event"
+	"banyanlug.example/banyanlug/internal/policy/membership"
+)
+
+// Decoder reads a configuration as the store holds it.
+type Decoder func(b []byte) (*snapshot.Snapshot, error)
+
+// Fleet is one node's part in what the nodes share.
+type Fleet struct {
+	store     platform.Prefixes
+	clk       *timer.Service
+	log       *event.Logger
+	configKey string
+	decode    Decoder
+	rng       *rand.Rand
+	http      *http.Client
+
+	view    *view
+	none    *snapshot.Snapshot
+	config  atomic.Pointer[held]
+	synced  atomic.Bool
+	storeOK atomic.Bool
+	heard   atomic.Int64 // when the store last answered, in Unix nanoseconds
+	hints   chan netip.AddrPort
+
+	mu     sync.Mutex
+	self   membership.Record
+	told   bool // self has been announced
+	change chan struct{}
+}
+
+// held is the configuration in force with the bytes that it came as.
+type held struct {
+	snap  *snapshot.Snapshot
+	bytes []byte
+}
+
+// Option sets one property of a fleet.
+type Option func(*Fleet)
+
+// WithLog sets where events go.
+func WithLog(l *event.Logger) Option { return func(f *Fleet) { f.log = l } }
+
+// WithSeed sets the source of random choices.
+func WithSeed(seed uint64) Option {
+	return func(f *Fleet) { f.rng = rand.New(rand.NewPCG(seed, 1)) }
+}
+
+// New returns the part of the instance that self names; configKey is where the
+// store holds the configuration.
+func New(store platform.Prefixes, clk *timer.Service, self membership.Record, configKey string, decode Decoder, opts ...Option) *Fleet {
+	f := &Fleet{
+		store: store, clk: clk, log: event.Discard(), configKey: configKey, decode: decode,
+		rng: rand.New(rand.NewPCG(1, 1)), view: newView(), none: snapshot.Empty(), self: self,
+		hints: make(chan netip.AddrPort, 1), change: make(chan struct{}, 1),
+		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	for _, opt := range opts {
+		opt(f)
+	}
+	f.config.Store(&held{snap: f.none})
+	return f
+}
+
+// Current returns the configuration in force, version 0 before there is one.
+func (f *Fleet) Current() *snapshot.Snapshot { return f.config.Load().snap }
+
+// Targets returns the ready targets of a pool, the same slice until they
+// change.
+func (f *Fleet) Targets(pool string) []membership.Record { return f.view.targets(pool) }
+
+// Members returns what is known of all nodes.
+func (f *Fleet) Members() []membership.Record { return f.view.records() }
+
+// Ready reports whether the node knows a configuration and the members.
+func (f *Fleet) Ready() bool { return f.synced.Load() && f.Current().Version() > 0 }
+
+// StoreAge returns how long ago the store last answered.
+func (f *Fleet) StoreAge() time.Duration {
+	return f.clk.Since(time.Unix(0, f.heard.Load()))
+}
+
+// Announce changes what the node tells of itself; the entry is written by Run.
+func (f *Fleet) Announce(state membership.State, target string, slots int) {
+	f.mu.Lock()
+	r := f.self
+	f.self = membership.NewRecord(r.Instance(),
+		membership.Domain(r.Domain()), membership.Pool(r.Pool()), membership.Address(r.Address()), membership.Peer(r.Peer()),
+		membership.Boot(r.Boot()), membership.Seq(r.Seq()+1), membership.InState(state),
+		membership.Target(target), membership.Slots(slots))
+	f.told = true
+	self := f.self
+	f.mu.Unlock()
+	f.view.put(self, 0)
+	select {
+	case f.change <- struct{}{}:
+	default:
+	}
+}
+
+// Hint tells that the node at a peer's address holds a newer configuration; it
+// must not block, as calls tell it.
+func (f *Fleet) Hint(peer netip.AddrPort) {
+	select {
+	case f.hints <- peer:
+	default:
+	}
+}
+
+// Run follows the store and keeps the node's own entry there until ctx ends,
+// then removes the entry and reports on done.
+func (f *Fleet) Run(ctx context.Context, done chan<- error) {
+	parts := []func(context.Context, chan<- error){f.follow, f.keep, f.ask}
+	ended := make(chan error, len(parts))
+	for _, part := range parts {
+		go part(ctx, ended)
+	}
+	for range parts {
+		<-ended
+	}
+	f.http.CloseIdleConnections()
+	done <- ctx.Err()
+}
+
+// own returns the node's own entry and whether there is one to write.
+func (f *Fleet) own() (membership.Record, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.self, f.told
+}
+
+// take puts a configuration in force if it is newer than the one held.
+//
+// Versions only grow here, whichever way one came: a store or a node that lags
+// changes nothing, so no caller sees an older version after a newer one.
+func (f *Fleet) take(b []byte, from string) {
+	snap, err := f.decode(b)
+	if err != nil {
+		f.log.Emit(event.VersionRefused, event.F("error", err), event.F("from", from))
+		return
+	}
+	for {
+		now := f.config.Load()
+		if snap.Version() <= now.snap.Version() {
+			return
+		}
+		if f.config.CompareAndSwap(now, &held{snap: snap, bytes: b}) {
+			f.log.Emit(event.VersionApplied, event.F("version", snap.Version()),
+				event.F("before", now.snap.Version()), event.F("from", from))
+			return
+		}
+	}
+}
+
+// View implements fleetpb.Fleet.
+func (f *Fleet) View(_ context.Context, r *fleetpb.ViewRequest) (*fleetpb.ViewResponse, error) {
+	self, _ := f.own()
+	out := &fleetpb.ViewResponse{Entry: encode(self)}
+	for _, r := range f.view.records() {
+		out.Members = append(out.Members, encode(r))
+	}
+	if c := f.config.Load(); c.snap.Version() > r.GetVersion() {
+		out.Version, out.Configuration = c.snap.Version(), c.bytes
+	}
+	return out, nil
+}
+
+// Handler returns the service by which other nodes ask.
+func (f *Fleet) Handler() http.Handler { return fleetpb.NewFleetServer(f) }
--- /dev/null
+++ b/internal/control/fleet/follow.go
@@ -0,0 +1,164 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"banyanlug.example/banyanlug/internal/control/platform"
+	"banyanlug.example/banyanlug/internal/log/event"
+)
+
+const (
+	// watchWait is how long one watch waits for news. It bounds how long a
+	// connection that has gone silent hides changes, and each end costs a call:
+	// 8 s is 5 calls in 40 s a node.
+	watchWait = 8 * time.Second
+	// watchPause follows each answer with changes, so that a row of changes
+	// costs each node four calls a second at most; a fifth of the shortest time
+	// in which a version has to be in force.
+	watchPause = 250 * time.Millisecond
+	// retryFirst and retryMost bound the pause before a call to the store is
+	// made again: a store that is back is noticed within half a second, and one
+	// that is out is asked twice a second a node.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 500 * time.Millisecond
+)
+
+// follow keeps the view and the configuration at what the store holds.
+func (f *Fleet) follow(ctx context.Context, done chan<- error) {
+	pause := retryFirst
+	after, whole := uint64(0), false
+	for ctx.Err() == nil {
+		var err error
+		if !whole {
+			after, err = f.read(ctx)
+			whole = err == nil
+		} else {
+			after, err = f.watch(ctx, after)
+			var gone *platform.CompactedError
+			if errors.As(err, &gone) {
+				whole, err = false, nil
+			}
+		}
+		if err == nil {
+			pause = retryFirst
+			f.heardStore()
+			continue
+		}
+		f.lostStore(ctx, err)
+		_ = f.clk.Sleep(ctx, f.jitter(pause))
+		pause = min(2*pause, retryMost)
+	}
+	done <- ctx.Err()
+}
+
+// read takes in all that the store holds.
+func (f *Fleet) read(ctx context.Context) (uint64, error) {
+	values, at, err := f.store.Range(ctx, "")
+	if err != nil {
+		return 0, err
+	}
+	present := map[string]bool{}
+	for _, v := range values {
+		f.value(v)
+		if name, ok := strings.CutPrefix(v.Key(), MembersPrefix); ok {
+			present[name] = true
+		}
+	}
+	f.view.keepOnly(present, f.clk.Now())
+	f.nudge()
+	if !f.synced.Swap(true) {
+		f.log.Emit(event.FleetRead, event.F("members", len(present)), event.F("revision", at), event.F("version", f.Current().Version()))
+	}
+	return at, nil
+}
+
+// watch takes in the changes after a revision.
+func (f *Fleet) watch(ctx context.Context, after uint64) (uint64, error) {
+	events, at, err := f.store.WatchPrefix(ctx, "", after, watchWait)
+	if err != nil {
+		return after, err
+	}
+	f.changes(events)
+	if len(events) > 0 {
+		_ = f.clk.Sleep(ctx, watchPause)
+	}
+	return max(at, after), nil
+}
+
+// changes takes in changes; of several of the configuration only the last one
+// is read, as each holds all of it.
+func (f *Fleet) changes(events []platform.Event) {
+	last := -1
+	for i, e := range events {
+		key := e.Value().Key()
+		switch {
+		case key == f.configKey && !e.Deleted():
+			last = i
+		case e.Deleted():
+			if name, ok := strings.CutPrefix(key, MembersPrefix); ok {
+				f.view.drop(name, f.clk.Now())
+				f.nudge()
+			}
+		case key != f.configKey:
+			f.value(e.Value())
+		}
+	}
+	if last >= 0 {
+		f.value(events[last].Value())
+	}
+}
+
+// value takes in one value of the store.
+func (f *Fleet) value(v platform.Value) {
+	if v.Key() == f.configKey {
+		f.take(v.Data(), "store")
+		return
+	}
+	if !strings.HasPrefix(v.Key(), MembersPrefix) {
+		return
+	}
+	r, err := decode(v.Key(), v.Data())
+	if err != nil {
+		f.log.Emit(event.RecordRefused, event.F("error", err))
+		return
+	}
+	if f.view.put(r, v.Revision()) {
+		f.log.Emit(event.MemberChanged, event.F("instance", r.Instance()), event.F("state", r.State()),
+			event.F("target", r.Target()), event.F("pool", r.Pool()), event.F("revision", v.Revision()))
+	}
+	self, told := f.own()
+	if told && r.Instance() == self.Instance() && r.Newer(self) {
+		f.nudge()
+	}
+}
+
+func (f *Fleet) nudge() {
+	select {
+	case f.change <- struct{}{}:
+	default:
+	}
+}
+
+func (f *Fleet) heardStore() {
+	f.heard.Store(f.clk.Now().UnixNano())
+	if !f.storeOK.Swap(true) {
+		f.log.Emit(event.StoreBack)
+	}
+}
+
+func (f *Fleet) lostStore(ctx context.Context, err error) {
+	if ctx.Err() == nil && f.storeOK.Swap(false) {
+		f.log.Emit(event.StoreUnavailable, event.F("error", err))
+	}
+}
+
+// jitter spreads a pause between itself and half as much again, so that nodes
+// that lost the store in one moment do not return to it in one.
+func (f *Fleet) jitter(d time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return d + time.Duration(f.rng.Float64()*float64(d)/2)
+}
--- a/internal/log/event/calls.go
+++ b/internal/log/event/calls.go
@@ -5,10 +5,12 @@
 	StopCutOff      Code = 1401
 	AnswerFault     Code = 1402
 	StrangerRefused Code = 1403
+	TargetChanged   Code = 1404
 )
 
 var callsEvents = map[Code]Entry{
 	StopCutOff:      {Warn, "stop ran out of time and cut off calls", "give the stop more time than the longest deadline of the routes"},
 	AnswerFault:     {Error, "handler broke its answer; the connection was ended so that it does not look whole", "report it with the error: it is a fault of this program"},
+	TargetChanged:   {Info, "what the node believes of the target beside it has changed", "nothing; down says that its address refuses connections"},
 	StrangerRefused: {Warn, "connection without the fleet's proof refused; one line a second at most", "look at the address: a node with another fleet key, or someone who is no node"},
 }
--- a/internal/log/event/distribution.go
+++ b/internal/log/event/distribution.go
@@ -9,6 +9,11 @@
 	QuotaRelay     Code = 1205
 	QuotaSeated    Code = 1206
 	QuotaSeatLost  Code = 1207
+	FleetRead      Code = 1208
+	EntryWritten   Code = 1209
+	LeaseLost      Code = 1210
+	MemberChanged  Code = 1211
+	MemberKept     Code = 1212
 )
 
 var distributionEvents = map[Code]Entry{
@@ -18,5 +23,10 @@
 	AnnounceFailed: {Warn, "parent did not take an announcement; it is sent again", "nothing, unless it goes on"},
 	QuotaRelay:     {Info, "node hands out its failure domain's share of limits", "nothing"},
 	QuotaSeated:    {Info, "node keeps the whole fleet's ledger of limits", "nothing"},
+	FleetRead:      {Info, "node has read the configuration and the members from the store", "nothing"},
+	EntryWritten:   {Info, "node wrote its own entry to the store", "nothing"},
+	LeaseLost:      {Warn, "the lease of the node's entry had ended; it is written again", "look at the store if it repeats"},
+	MemberChanged:  {Info, "another node told of its target", "nothing"},
+	MemberKept:     {Warn, "a member whose entry the store has dropped answers and is kept", "look at the store, or at the member's way to it, if it goes on"},
 	QuotaSeatLost:  {Warn, "node gave up the whole fleet's ledger of limits; another relay takes it", "look at the store if it goes on; failure domains keep their last shares for 15 min"},
 }
--- a/internal/policy/admission/gate.go
+++ b/internal/policy/admission/gate.go
@@ -79,6 +79,10 @@
 // Connections sets how many connections the target takes; a call needs one.
 func Connections(n int) Option { return func(g *Gate) { g.connections = n } }
 
+// Leaving sets whether the target is leaving; one that is started again takes
+// calls again.
+func Leaving(yes bool) Option { return func(g *Gate) { g.draining = yes } }
+
 // NewGate returns the gate of a target with one slot, none promised, unless
 // options say otherwise.
 func NewGate(now time.Time, opts ...Option) *Gate {
--- a/internal/policy/balance/balancer.go
+++ b/internal/policy/balance/balancer.go
@@ -83,6 +83,9 @@
 		}
 		t.record.Store(&r)
 		t.slots = float64(max(1, slots))
+		if own := r.Slots(); own > 0 {
+			t.slots = float64(own)
+		}
 		p.all = append(p.all, t)
 		tier := max(0, b.tier(r.Domain()))
 		for len(p.tiers) <= tier {
--- a/internal/policy/membership/record.go
+++ b/internal/policy/membership/record.go
@@ -49,6 +49,8 @@
 	boot     uint64
 	seq      uint64
 	state    State
+	target   string
+	slots    int
 }
 
 // RecordOption sets one property of a record.
@@ -76,6 +78,13 @@
 // InState sets the announced state.
 func InState(s State) RecordOption { return func(r *Record) { r.state = s } }
 
+// Target sets the name of the target's process, which is another one after each
+// start, where the platform gives one.
+func Target(id string) RecordOption { return func(r *Record) { r.target = id } }
+
+// Slots sets how many calls the target runs at once, where it says so itself.
+func Slots(n int) RecordOption { return func(r *Record) { r.slots = n } }
+
 // NewRecord returns an announcement by an instance.
 func NewRecord(instance string, opts ...RecordOption) Record {
 	r := Record{instance: instance, state: Starting}
@@ -109,6 +118,13 @@
 // State returns the announced state.
 func (r Record) State() State { return r.state }
 
+// Target returns the name of the target's process, or "".
+func (r Record) Target() string { return r.target }
+
+// Slots returns how many calls the target runs at once, or 0 if only its pool's
+// declaration says so.
+func (r Record) Slots() int { return r.slots }
+
 // Newer reports whether r supersedes other, which is about the same instance.
 //
 // A later boot wins. Within a boot Gone is final, so that a delayed "ready"
--- a/internal/process/node/layout_test.go
+++ b/internal/process/node/layout_test.go
@@ -29,7 +29,7 @@
 	t.Helper()
 	var out []source
 	fset := token.NewFileSet()
-	for _, top := range []string{"internal", "cmd", "examples"} {
+	for _, top := range []string{"internal", "cmd", "examples", "platform"} {
 		err := filepath.WalkDir(filepath.Join(root, top), func(path string, d fs.DirEntry, err error) error {
 			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") ||
 				strings.HasSuffix(path, ".pb.go") || strings.HasSuffix(path, ".twirp.go") {
@@ -82,8 +82,13 @@
 			[]string{module + "internal/standin", module + "examples"},
 			nil,
 		},
+		{"only the command knows the users' platform", []string{"internal", "examples", "cmd/standin"}, []string{module + "platform"}, nil},
+		{"the adapter translates and holds no policy of load", []string{"platform"}, []string{
+			module + "internal/policy/admission", module + "internal/policy/balance", module + "internal/policy/retry",
+			module + "internal/standin",
+		}, nil},
 		{"nothing imports a command", []string{"internal", "cmd", "examples"}, []string{module + "cmd"}, nil},
-		{"no process starts another", []string{"internal/config", "internal/control", "internal/traffic", "internal/policy", "internal/process", "internal/cli", "cmd/banyanlug"}, []string{"os/exec"}, nil},
+		{"no process starts another", []string{"internal/config", "internal/control", "internal/traffic", "internal/policy", "internal/process", "internal/cli", "cmd/banyanlug", "platform"}, []string{"os/exec"}, nil},
 	}
 	for _, s := range sources(t) {
 		for _, r := range rules {
@@ -134,7 +139,7 @@
 func TestEveryPackageHasItsDocFile(t *testing.T) {
 	seen := map[string]bool{}
 	for _, s := range sources(t) {
-		if !under(s.dir, "internal") || seen[s.dir] {
+		if !under(s.dir, "internal", "platform") || seen[s.dir] {
 			continue
 		}
 		seen[s.dir] = true
--- /dev/null
+++ b/internal/process/resident/node.go
@@ -0,0 +1,206 @@
+package resident
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/alexedwards/flow"
+
+	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/control/fleet"
+	"banyanlug.example/banyanlug/internal/control/platform"
+	"banyanlug.example/banyanlug/internal/log/event"
+	"banyanlug.example/banyanlug/internal/policy/balance"
+	"banyanlug.example/banyanlug/internal/policy/lifecycle"
+	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/policy/retry"
+	"banyanlug.example/banyanlug/internal/traffic/caller"
+	"banyanlug.example/banyanlug/internal/traffic/hop"
+	"banyanlug.example/banyanlug/internal/traffic/http1"
+	"banyanlug.example/banyanlug/internal/traffic/target"
+)
+
+// openTo stands for whoever the platform lets in: its calls bear no API key,
+// and all of them are for customers who pay.
+var openTo = snapshot.NewOrganisation("platform", snapshot.Paying)
+
+// Node is one resident node.
+type Node struct {
+	cfg     *Settings
+	clk     *timer.Service
+	log     *event.Logger
+	metrics *metrics.Set
+	dialect hop.Dialect
+	listen  listeners
+
+	fleet   *fleet.Fleet
+	hop     *hop.Client
+	local   *hop.Client
+	callers *caller.Server
+	slots   *target.Slots
+	targets *target.Server
+
+	stopping atomic.Bool
+	mu       sync.Mutex
+	tracker  *lifecycle.Tracker
+}
+
+type listeners struct{ callers, mesh, peers, admin net.Listener }
+
+// Option sets one property of a node.
+type Option func(*Node)
+
+// WithDialect sets the headers in which callers and the target speak.
+func WithDialect(d hop.Dialect) Option { return func(n *Node) { n.dialect = d } }
+
+// New opens the node's addresses and wires its parts; Run starts them.
+func New(cfg *Settings, clk *timer.Service, out io.Writer, store platform.Prefixes, configKey string, decode fleet.Decoder, opts ...Option) (*Node, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	n := &Node{
+		cfg: cfg, clk: clk, log: event.New(out, cfg.Instance), metrics: metrics.NewSet(),
+		dialect: hop.NewDialect(), tracker: lifecycle.NewTracker(),
+	}
+	for _, opt := range opts {
+		opt(n)
+	}
+	if err := n.open(); err != nil {
+		n.close()
+		return nil, err
+	}
+	n.wire(store, configKey, decode)
+	return n, nil
+}
+
+func (n *Node) open() error {
+	for _, l := range []struct {
+		to   *net.Listener
+		addr string
+	}{
+		{&n.listen.callers, n.cfg.Callers},
+		{&n.listen.mesh, n.cfg.Mesh},
+		{&n.listen.peers, n.cfg.Peers},
+		{&n.listen.admin, n.cfg.Admin},
+	} {
+		if l.addr == "" {
+			continue
+		}
+		ln, err := http1.Listen(context.Background(), l.addr)
+		if err != nil {
+			return err
+		}
+		*l.to = ln
+	}
+	return nil
+}
+
+func (n *Node) close() {
+	for _, ln := range []net.Listener{n.listen.callers, n.listen.mesh, n.listen.peers, n.listen.admin} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+}
+
+// targetIdle is how long a connection to the target is kept: targets close
+// theirs after ten seconds or more, and a call sent as they do is lost.
+const targetIdle = 4 * time.Second
+
+func (n *Node) wire(store platform.Prefixes, configKey string, decode fleet.Decoder) {
+	seed := uint64(n.clk.Now().UnixNano())
+	// The settings have been checked, so the addresses can be read.
+	mesh, _ := netip.ParseAddrPort(n.cfg.Mesh)
+	peers, _ := netip.ParseAddrPort(n.cfg.Peers)
+	local, _ := netip.ParseAddrPort(n.cfg.Target)
+	self := membership.NewRecord(n.cfg.Instance, membership.Domain(n.cfg.Domain), membership.Pool(n.cfg.Pool),
+		membership.Address(mesh), membership.Peer(peers), membership.Boot(uint64(n.clk.Now().UnixMilli())))
+	n.fleet = fleet.New(store, n.clk, self, configKey, decode, fleet.WithLog(n.log), fleet.WithSeed(seed))
+	n.hop = hop.NewClient(n.clk, hop.AskFirst())
+	n.local = hop.NewClient(n.clk, hop.UntilClosed(), hop.WithIdle(targetIdle))
+	n.callers = caller.NewServer(caller.New(n.fleet, n.fleet, n.hop, nil, n.clk,
+		caller.WithDialect(n.dialect), caller.WithOrigin(n.cfg.Pool), caller.OpenTo(openTo),
+		caller.WithMetrics(n.metrics), caller.OnNewer(n.fleet.Hint),
+		caller.WithBalancer(balance.New(n.clk.Now(), rand.New(rand.NewPCG(seed, 3)), balance.Domain(n.cfg.Domain))),
+		caller.WithBudgets(retry.NewBudgets(rand.New(rand.NewPCG(seed, 4)))),
+	), n.clk, n.log)
+	n.slots = target.NewSlots(n.fleet, n.cfg.Pool, n.clk)
+	n.slots.Beside(n.tracker.Target())
+	n.targets = target.NewServer(target.New(n.slots, local, n.local, nil, nil, n.clk,
+		target.WithLog(n.log), target.WithMetrics(n.metrics), target.WithDialect(n.dialect),
+		target.OnRefused(n.refused), target.WithVersion(n.version)), n.clk)
+}
+
+func (n *Node) version() uint64 { return n.fleet.Current().Version() }
+
+// Ready reports whether the node takes callers' calls: it knows a configuration
+// and the members, and does not stop.
+func (n *Node) Ready() bool { return n.fleet.Ready() && !n.stopping.Load() }
+
+// Hear takes in a heartbeat of the target. Once it returns, no call is passed
+// on to a target that has said that it drains.
+func (n *Node) Hear(h lifecycle.Heartbeat) {
+	n.follow(func() bool { return n.tracker.Hear(n.clk.Now(), h) })
+}
+
+// Goodbye takes in that a target's process leaves.
+func (n *Node) Goodbye(id string) { n.follow(func() bool { return n.tracker.Leave(id) }) }
+
+func (n *Node) refused(id string) { n.follow(func() bool { return n.tracker.Refused(id) }) }
+
+// follow lets the slots and the members know what a word has changed.
+func (n *Node) follow(word func() bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !word() {
+		return
+	}
+	t := n.tracker.Target()
+	n.log.Emit(event.TargetChanged, event.F("target", t.ID()), event.F("phase", t.Phase()),
+		event.F("born_ms", t.Born()), event.F("slots", t.Slots()))
+	if n.stopping.Load() {
+		return
+	}
+	n.slots.Beside(t)
+	n.announce(t)
+}
+
+func (n *Node) announce(t lifecycle.Target) {
+	state := membership.Starting
+	switch t.Phase() {
+	case lifecycle.Serving:
+		state = membership.Ready
+	case lifecycle.Leaving:
+		state = membership.Draining
+	}
+	n.fleet.Announce(state, t.ID(), t.Slots())
+}
+
+// stop lets the other nodes know that this one takes no further call for its
+// target, and those that wait here go elsewhere.
+func (n *Node) stop() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stopping.Store(true)
+	t := n.tracker.Target()
+	n.fleet.Announce(membership.Draining, t.ID(), t.Slots())
+	n.log.Emit(event.NodeDrains)
+}
+
+func (n *Node) adminHandler() http.Handler {
+	mux := flow.New()
+	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		n.metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	}, http.MethodGet)
+	return mux
+}
--- a/internal/traffic/caller/errors.go
+++ b/internal/traffic/caller/errors.go
@@ -121,7 +121,7 @@
 // not there any more.
 func (e *RefusedError) load() bool {
 	switch e.Refusal.Type {
-	case "draining", "wrong-pool", "connection-closed", "unreachable", "not-of-the-fleet":
+	case "draining", "wrong-pool", "wrong-instance", "connection-closed", "unreachable", "not-of-the-fleet":
 		return false
 	default:
 		return true
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -53,6 +55,14 @@
 	claims   Claims
 	maxDepth int
 	meters   *meters
+
+	dialect hop.Dialect
+	origin  string
+	open    *snapshot.Organisation
+	newer   func(peer netip.AddrPort)
+
+	mu  sync.Mutex
+	rng *rand.Rand
 }
 
 // Option sets one property of a handler.
@@ -76,6 +86,21 @@
 	return func(h *Handler) { h.maxDepth = min(n, hop.MaxDepth) }
 }
 
+// WithDialect sets the headers in which callers speak.
+func WithDialect(d hop.Dialect) Option { return func(h *Handler) { h.dialect = d } }
+
+// WithOrigin sets the service of this node's own target, which the targets of
+// its callers' calls are told.
+func WithOrigin(service string) Option { return func(h *Handler) { h.origin = service } }
+
+// OpenTo takes calls without an API key, all for one organisation; for a mesh
+// whose platform has let the callers in already.
+func OpenTo(o snapshot.Organisation) Option { return func(h *Handler) { h.open = &o } }
+
+// OnNewer sets what is told of a node that holds a newer configuration than
+// this one; f must not block.
+func OnNewer(f func(peer netip.AddrPort)) Option { return func(h *Handler) { h.newer = f } }
+
 // WithMetrics registers the handler's metrics in set.
 func WithMetrics(set *metrics.Set) Option { return func(h *Handler) { h.meters.set = set } }
 
@@ -87,6 +112,9 @@
 	h := &Handler{
 		config: config, directory: directory, hop: client, sealer: sealer, clk: clk,
 		claims:   unclaimed{},
+		newer:    func(netip.AddrPort) {},
+		dialect:  hop.NewDialect(),
+		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		maxDepth: DefaultMaxDepth, meters: newMeters(),
 	}
 	for _, opt := range opts {
@@ -101,11 +129,23 @@
 	return h
 }
 
+// split leads a call to one share of a route that has several.
+func (h *Handler) split(rt snapshot.Route) snapshot.Route {
+	if !rt.Shared() {
+		return rt
+	}
+	h.mu.Lock()
+	draw := h.rng.Float64()
+	h.mu.Unlock()
+	return rt.Toward(draw)
+}
+
 // call is one caller's call on its way through the stages.
 type call struct {
 	h     *Handler
 	w     http.ResponseWriter
 	r     *http.Request
+	id    string
 	snap  *snapshot.Snapshot
 	began time.Time
 
--- a/internal/traffic/caller/identify.go
+++ b/internal/traffic/caller/identify.go
@@ -26,6 +26,10 @@
 	if sealed := c.r.Header.Get(hop.CallHeader); sealed != "" {
 		return c.inherit(sealed)
 	}
+	if c.h.open != nil {
+		c.org = *c.h.open
+		return nil
+	}
 	key := c.r.Header.Get(keyHeader)
 	header := keyHeader
 	if key == "" {
--- a/internal/traffic/caller/pick.go
+++ b/internal/traffic/caller/pick.go
@@ -127,12 +127,14 @@
 // refusalReport tells whom a refusal by the target's node is meant for.
 func refusalReport(e *RefusedError) balance.Report {
 	switch e.Refusal.Type {
-	case "draining", "wrong-pool":
+	case "draining", "wrong-pool", "wrong-instance":
 		return balance.Leaving()
 	case "displaced":
 		return balance.Shed(balance.ForOrganisation, e.Refusal.RetryAfter)
 	case "queue-full", "too-late", "no-trial-slots":
 		return balance.Shed(balance.ForClass, e.Refusal.RetryAfter)
+	case "target-full":
+		return balance.Shed(balance.ForAll, e.Refusal.RetryAfter)
 	case "connection-closed":
 		return balance.Cancelled()
 	case "unreachable", "not-of-the-fleet":
--- a/internal/traffic/caller/route.go
+++ b/internal/traffic/caller/route.go
@@ -17,7 +17,7 @@
 	if !ok {
 		return &NoRouteError{Host: c.r.Host, Method: c.r.Method, Path: path}
 	}
-	c.rt = rt
+	c.rt = c.h.split(rt)
 	depth := 1
 	if c.parent != nil {
 		depth = c.parent.Depth() + 1
@@ -28,9 +28,10 @@
 	if err := c.setDeadline(); err != nil {
 		return err
 	}
-	hop.Strip(c.r.Header)
+	c.id = c.h.dialect.ID(c.r.Header)
+	c.h.dialect.Strip(c.r.Header)
 	c.ask = balance.NewAsk(c.org.Name(), c.org.Class())
-	c.meta = hop.NewMeta(hop.Depth(depth), hop.For(c.org.Name(), c.org.Class()), hop.By(rt))
+	c.meta = hop.NewMeta(hop.Depth(depth), hop.For(c.org.Name(), c.org.Class()), hop.By(c.rt), hop.From(c.h.origin), hop.Called(c.id))
 	return nil
 }
 
@@ -39,7 +40,7 @@
 // waiting is lost work.
 func (c *call) setDeadline() error {
 	c.until = c.began.Add(c.rt.Deadline())
-	asked, ok, err := hop.CallerDeadline(c.r.Header)
+	asked, ok, err := c.h.dialect.Deadline(c.r.Header)
 	if err != nil {
 		return err
 	}
--- a/internal/traffic/caller/send.go
+++ b/internal/traffic/caller/send.go
@@ -74,7 +74,7 @@
 	}
 	began := c.h.clk.Now()
 	left := c.until.Sub(began)
-	meta := c.meta.With(hop.Attempt(c.attempts.Carries()+1), hop.Left(left-reserve(left)))
+	meta := c.meta.With(hop.Attempt(c.attempts.Carries()+1), hop.Left(left-reserve(left)), hop.Toward(p.Record().Target()))
 	req := hop.NewRequest(c.r.Method, c.r.URL.RequestURI(), c.r.Host, c.r.Header, c.body,
 		hop.WithMeta(meta), hop.OnDrop(func() { c.h.balancer.Closed(p) }))
 	c.tried = append(c.tried, p)
@@ -83,6 +83,9 @@
 		c.report(p, began, nil, err)
 		return result{}, err
 	}
+	if answer.Version() > c.snap.Version() {
+		c.h.newer(p.Record().Peer())
+	}
 	held := &heldAnswer{answer: answer, from: p, began: began}
 	return c.receive(held)
 }
--- a/internal/traffic/caller/server.go
+++ b/internal/traffic/caller/server.go
@@ -29,6 +29,10 @@
 	s.http.Serve(ctx, ln, done)
 }
 
+// Close makes each connection end with the answer that is next on it, while
+// calls are served as before.
+func (s *Server) Close() { s.http.Close() }
+
 // Drain refuses the calls that come, lets those that run end, and closes. It
 // comes after that of the target's server: what runs there may still call.
 func (s *Server) Drain(ctx context.Context) error {
--- a/internal/traffic/hop/answer.go
+++ b/internal/traffic/hop/answer.go
@@ -17,12 +17,17 @@
 	stop   func() bool
 	resp   *http.Response
 
-	stream *Stream
-	sent   chan error // the end of the streamed request body
-	err    error
-	ended  bool
-	kept   bool
-	load   string
+	stream  *Stream
+	sent    chan error // the end of the streamed request body
+	err     error
+	ended   bool
+	kept    bool
+	load    string
+	version uint64
+	// foreign marks a connection on which an answer to another call came.
+	foreign bool
+	// untilClosed marks an answer that ends with its connection.
+	untilClosed bool
 }
 
 // Status returns the status code.
@@ -48,6 +53,10 @@
 	return load, err == nil && load >= 0
 }
 
+// Version returns the version of the configuration that the far node holds, or 0
+// if it did not tell.
+func (a *Answer) Version() uint64 { return a.version }
+
 // Read implements io.Reader; io.EOF says that the body is whole.
 func (a *Answer) Read(p []byte) (int, error) {
 	if a.ended {
@@ -80,7 +89,7 @@
 func (a *Answer) end() {
 	a.ended = true
 	l := a.link
-	clean := !a.resp.Close && l.br.Buffered() == 0
+	clean := !a.resp.Close && !a.foreign && !a.untilClosed && l.br.Buffered() == 0
 	if a.sent != nil {
 		// A target may answer before it has read the whole request. What is
 		// then left of the request would be read as the next one.
--- a/internal/traffic/hop/client.go
+++ b/internal/traffic/hop/client.go
@@ -4,10 +4,12 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"io"
 	"math"
 	"net/http"
 	"net/netip"
 	"os"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -20,8 +22,11 @@
 	tls        *tls.Config
 	credential *Credential
 	ask        bool
-	closed     atomic.Bool
-	shards     [shardCount]peers
+	// untilClosed takes answers that end with their connection.
+	untilClosed bool
+	idle        time.Duration
+	closed      atomic.Bool
+	shards      [shardCount]peers
 }
 
 // Option sets one property of a client.
@@ -38,9 +43,18 @@
 // refused before can then be sent elsewhere, since its body is still whole.
 func AskFirst() Option { return func(c *Client) { c.ask = true } }
 
+// UntilClosed makes the client take answers without a length, which end with
+// their connection: a reset is no end, a close is. Only for a peer on the same
+// machine, where no network between can close a connection.
+func UntilClosed() Option { return func(c *Client) { c.untilClosed = true } }
+
+// WithIdle sets how long a connection that carries nothing is kept; the peer
+// must keep it longer.
+func WithIdle(d time.Duration) Option { return func(c *Client) { c.idle = d } }
+
 // NewClient returns a client.
 func NewClient(clk *timer.Service, opts ...Option) *Client {
-	c := &Client{clk: clk}
+	c := &Client{clk: clk, idle: idleTimeout}
 	for i := range c.shards {
 		c.shards[i].idle = map[netip.AddrPort][]*link{}
 	}
@@ -61,7 +75,7 @@
 			c.reap(now)
 		case <-ctx.Done():
 			c.closed.Store(true)
-			c.reap(c.clk.Now().Add(2 * idleTimeout))
+			c.reap(c.clk.Now().Add(2 * c.idle))
 			done <- ctx.Err()
 			return
 		}
@@ -138,13 +152,13 @@
 	if streams && !ask {
 		a.startBody(stream)
 	}
-	return a.receive(r.method, stream, ask)
+	return a.receive(r, stream, ask)
 }
 
 // receive reads heads until the one of the final answer.
-func (a *Answer) receive(method string, stream *Stream, ask bool) error {
+func (a *Answer) receive(r *Request, stream *Stream, ask bool) error {
 	var of *http.Request
-	if method == http.MethodHead {
+	if r.method == http.MethodHead {
 		of = headRequest
 	}
 	for range maxInterim {
@@ -153,8 +167,12 @@
 			return err
 		}
 		switch {
+		case resp.StatusCode >= 200 && !r.echoed(resp):
+			if err := a.passOver(resp); err != nil {
+				return err
+			}
 		case resp.StatusCode >= 200:
-			return a.accept(resp, method)
+			return a.accept(resp, r.method)
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return &BadAnswerError{To: a.link.to, Reason: "it changes the protocol unasked"}
 		case resp.StatusCode == http.StatusContinue && ask:
@@ -165,6 +183,31 @@
 	return &BadAnswerError{To: a.link.to, Reason: "too many interim answers"}
 }
 
+// echoed reports whether an answer belongs to the request.
+func (r *Request) echoed(resp *http.Response) bool {
+	if r.echo[0] == "" {
+		return true
+	}
+	id := resp.Header.Get(r.echo[0])
+	return id == r.echo[1]
+}
+
+// passOver reads an answer to an earlier call to its end. The connection is not
+// used again: who answers one call twice may do so once more.
+func (a *Answer) passOver(resp *http.Response) error {
+	a.foreign = true
+	if resp.ContentLength < 0 || resp.ContentLength > maxForeign {
+		return &BadAnswerError{To: a.link.to, Reason: "it belongs to another call"}
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return &CutOffError{To: a.link.to, Err: err}
+	}
+	return nil
+}
+
+// maxForeign bounds the answers to earlier calls that are read past.
+const maxForeign = 256 << 10
+
 // maxInterim bounds the heads before the final one.
 const maxInterim = 8
 
@@ -195,10 +238,16 @@
 	bodyless := method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
 	chunked := len(resp.TransferEncoding) == 1 && resp.TransferEncoding[0] == "chunked"
 	if !bodyless && resp.ContentLength < 0 && !chunked {
+		if a.client.untilClosed {
+			a.untilClosed = true
+			a.resp = resp
+			return nil
+		}
 		return &BadAnswerError{To: a.link.to, Reason: "its body has neither a length nor chunks, so its end can't be told from a crash"}
 	}
 	a.resp = resp
 	a.load = resp.Header.Get(LoadHeader)
+	a.version, _ = strconv.ParseUint(resp.Header.Get(VersionHeader), 10, 64)
 	if bodyless || resp.ContentLength == 0 {
 		a.end()
 	}
--- a/internal/traffic/hop/header.go
+++ b/internal/traffic/hop/header.go
@@ -22,6 +22,9 @@
 	// LoadHeader holds, on answers, the calls that run and wait at the target's
 	// node over its slots.
 	LoadHeader = "Banyanlug-Load"
+	// VersionHeader holds, on answers, the version of the configuration that the
+	// answering node holds.
+	VersionHeader = "Banyanlug-Version"
 	// DeadlineHeader holds the milliseconds left; callers may send it, and
 	// targets are told it.
 	DeadlineHeader = "Banyanlug-Deadline-Ms"
@@ -52,6 +55,11 @@
 	pool         string
 	route        string
 	idempotent   bool
+	priority     int
+	instance     string
+	origin       string
+	nested       bool
+	id           string
 }
 
 // MetaOption sets one property of a call's meta data.
@@ -73,9 +81,23 @@
 
 // By sets the route that the call was matched by.
 func By(r snapshot.Route) MetaOption {
-	return func(m *Meta) { m.route, m.pool, m.idempotent = r.Name(), r.Pool(), r.Idempotent() }
+	return func(m *Meta) {
+		m.route, m.pool, m.idempotent, m.priority = r.Name(), r.Pool(), r.Idempotent(), r.Priority()
+	}
 }
 
+// Toward sets the target process that the call is meant for.
+func Toward(instance string) MetaOption { return func(m *Meta) { m.instance = instance } }
+
+// From sets the service of the instance that the call began at.
+func From(origin string) MetaOption { return func(m *Meta) { m.origin = origin } }
+
+// Nested marks a call that a target makes while it runs another.
+func Nested(yes bool) MetaOption { return func(m *Meta) { m.nested = yes } }
+
+// Called sets the id that the caller gave the call.
+func Called(id string) MetaOption { return func(m *Meta) { m.id = id } }
+
 // NewMeta returns the meta data of a call.
 func NewMeta(opts ...MetaOption) Meta {
 	m := Meta{attempt: 1, depth: 1}
@@ -114,6 +136,21 @@
 // Route returns the name of the route that the call was matched by.
 func (m Meta) Route() string { return m.route }
 
+// Priority returns the rank of the route's calls; 0 is the highest.
+func (m Meta) Priority() int { return m.priority }
+
+// Instance returns the target process that the call is meant for, or "".
+func (m Meta) Instance() string { return m.instance }
+
+// Origin returns the service of the instance that the call began at, or "".
+func (m Meta) Origin() string { return m.origin }
+
+// Nested reports whether a target makes the call while it runs another.
+func (m Meta) Nested() bool { return m.nested }
+
+// ID returns the id that the caller gave the call, or "".
+func (m Meta) ID() string { return m.id }
+
 // Idempotent reports whether the call may run more than once.
 func (m Meta) Idempotent() bool { return m.idempotent }
 
@@ -128,6 +165,11 @@
 	fieldPool         = "pool"
 	fieldRoute        = "route"
 	fieldRepeat       = "repeat"
+	fieldPriority     = "priority"
+	fieldInstance     = "to"
+	fieldOrigin       = "from"
+	fieldNested       = "nested"
+	nestedWord        = "yes"
 	idempotentWord    = "idempotent"
 	neverWord         = "never"
 )
@@ -137,6 +179,8 @@
 	maxLeft = time.Hour
 	// maxAttempts is above what any declared number of retries leads to.
 	maxAttempts = 100
+	// maxPriority is above any rank that can be declared.
+	maxPriority = 100
 )
 
 func (m *Meta) write(w *bufio.Writer) {
@@ -156,12 +200,24 @@
 		{fieldPool, m.pool},
 		{fieldRoute, m.route},
 		{fieldRepeat, repeat},
+		{fieldInstance, m.instance},
+		{fieldOrigin, m.origin},
 	} {
+		if f[1] == "" {
+			continue
+		}
 		_ = w.WriteByte(' ')
 		_, _ = w.WriteString(f[0])
 		_ = w.WriteByte('=')
 		_, _ = w.WriteString(f[1])
 	}
+	if m.priority > 0 {
+		_, _ = w.WriteString(" " + fieldPriority + "=")
+		_, _ = w.Write(strconv.AppendInt(w.AvailableBuffer(), int64(m.priority), 10))
+	}
+	if m.nested {
+		_, _ = w.WriteString(" " + fieldNested + "=" + nestedWord)
+	}
 	_, _ = w.WriteString("\r\n")
 }
 
@@ -191,6 +247,14 @@
 			m.route = value
 		case fieldRepeat:
 			repeat = value
+		case fieldPriority:
+			m.priority = int(number(value, maxPriority))
+		case fieldInstance:
+			m.instance = value
+		case fieldOrigin:
+			m.origin = value
+		case fieldNested:
+			m.nested = value == nestedWord
 		}
 	}
 	m.idempotent = repeat == idempotentWord
@@ -214,19 +278,6 @@
 	return n
 }
 
-// CallerDeadline returns the deadline that a caller asked for, if it did.
-func CallerDeadline(h http.Header) (time.Duration, bool, error) {
-	text := h.Get(DeadlineHeader)
-	if text == "" {
-		return 0, false, nil
-	}
-	ms := number(text, maxLeft.Milliseconds())
-	if ms == 0 {
-		return 0, false, &HeaderError{Name: DeadlineHeader, Value: text}
-	}
-	return time.Duration(ms) * time.Millisecond, true, nil
-}
-
 // hopByHop lists the headers that concern one connection alone.
 var hopByHop = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
--- a/internal/traffic/hop/pool.go
+++ b/internal/traffic/hop/pool.go
@@ -98,7 +98,7 @@
 		if l == nil {
 			return c.dial(ctx, to, until)
 		}
-		if http1.Quiet(l.conn) {
+		if c.clk.Since(l.since) < c.idle && http1.Quiet(l.conn) {
 			return l, nil
 		}
 		l.drop()
@@ -179,7 +179,7 @@
 		for to, idle := range p.idle {
 			keep := idle[:0]
 			for _, l := range idle {
-				if now.Sub(l.since) < idleTimeout {
+				if now.Sub(l.since) < c.idle {
 					keep = append(keep, l)
 				} else {
 					old = append(old, l)
--- a/internal/traffic/hop/relay.go
+++ b/internal/traffic/hop/relay.go
@@ -35,7 +35,7 @@
 	buf := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buf)
 	n, err := a.Read(*buf)
-	for short := a.Length() >= 0 && a.Length() <= copyBytes; short && err == nil; {
+	for short := a.untilClosed || a.Length() >= 0 && a.Length() <= copyBytes; short && err == nil && n < len(*buf); {
 		var m int
 		m, err = a.Read((*buf)[n:])
 		n += m
@@ -43,7 +43,11 @@
 	if err != nil && err != io.EOF {
 		return Relayed{}, err
 	}
-	passHead(w, a)
+	length := a.Length()
+	if a.untilClosed && err == io.EOF {
+		length = int64(n)
+	}
+	passHead(w, a, length)
 	out := Relayed{began: true}
 	dst := io.Writer(w)
 	var k *keeper
@@ -72,15 +76,15 @@
 	return out, nil
 }
 
-func passHead(w http.ResponseWriter, a *Answer) {
+func passHead(w http.ResponseWriter, a *Answer, length int64) {
 	from, to := a.Header(), w.Header()
 	Strip(from)
 	for k, v := range from {
 		to[k] = v
 	}
 	status := a.Status()
-	if a.Length() >= 0 && status != http.StatusNoContent && status != http.StatusNotModified {
-		to["Content-Length"] = []string{strconv.FormatInt(a.Length(), 10)}
+	if length >= 0 && status != http.StatusNoContent && status != http.StatusNotModified {
+		to["Content-Length"] = []string{strconv.FormatInt(length, 10)}
 	}
 	w.WriteHeader(status)
 }
--- a/internal/traffic/hop/request.go
+++ b/internal/traffic/hop/request.go
@@ -102,6 +102,7 @@
 	meta   *Meta
 	extra  [][2]string
 	onDrop func()
+	echo   [2]string
 }
 
 // RequestOption sets one property of a request.
@@ -115,6 +116,13 @@
 	return func(r *Request) { r.extra = append(r.extra, [2]string{name, value}) }
 }
 
+// WithEcho names a header that the answer must repeat. An answer that does not
+// belongs to another call that went over the connection before, and is passed
+// over.
+func WithEcho(name, value string) RequestOption {
+	return func(r *Request) { r.echo = [2]string{name, value} }
+}
+
 // OnDrop sets what is called if the connection that carries the request is kept
 // for another call and then closed without one; f must not block.
 func OnDrop(f func()) RequestOption { return func(r *Request) { r.onDrop = f } }
--- a/internal/traffic/http1/answer.go
+++ b/internal/traffic/http1/answer.go
@@ -129,7 +129,7 @@
 	}
 	a.length = a.declared()
 	a.bodyless = a.head || a.status == http.StatusNoContent || a.status == http.StatusNotModified
-	if a.c.s.draining.Load() {
+	if a.c.s.draining.Load() || a.c.s.closing.Load() {
 		a.keep = false
 	}
 	if a.body != nil && a.keep {
--- a/internal/traffic/http1/server.go
+++ b/internal/traffic/http1/server.go
@@ -61,6 +61,7 @@
 	body        time.Duration
 	maxBody     int64
 
+	closing  atomic.Bool
 	draining atomic.Bool
 	next     atomic.Uint32
 	shards   [shardCount]shard
@@ -186,6 +187,11 @@
 	go c.run(s.connContext(ctx, rwc))
 }
 
+// Close makes each connection end with the answer that is next on it, while
+// calls are served as before: a client that is told so sends its next call
+// elsewhere, and none is refused or cut.
+func (s *Server) Close() { s.closing.Store(true) }
+
 // Drain refuses calls that come from now on, lets those that run end and then
 // closes all connections; where ctx ends first it cuts off the rest.
 func (s *Server) Drain(ctx context.Context) error {
--- a/internal/traffic/target/admit.go
+++ b/internal/traffic/target/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +13,7 @@
 	"banyanlug.example/banyanlug/internal/clock/timer"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
 	"banyanlug.example/banyanlug/internal/policy/admission"
+	"banyanlug.example/banyanlug/internal/policy/lifecycle"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
 )
 
@@ -28,6 +30,8 @@
 	clk    *timer.Service
 	gate   *admission.Gate
 	snap   atomic.Pointer[snapshot.Snapshot]
+	// beside is the target process, where it tells of itself.
+	beside atomic.Pointer[lifecycle.Target]
 
 	mu      sync.Mutex
 	waiting map[admission.Ticket]chan admission.Decision
@@ -45,6 +49,18 @@
 	return s
 }
 
+// Beside tells of the target process, on a platform where targets tell of
+// themselves; before the first word of one no call is let in.
+func (s *Slots) Beside(t lifecycle.Target) {
+	s.beside.Store(&t)
+	now := s.clk.Now()
+	if !t.Open() {
+		s.deliver(s.gate.Drain(now, nil))
+		return
+	}
+	s.deliver(s.gate.Configure(now, nil, admission.Slots(t.Slots()), admission.Leaving(false)))
+}
+
 // Load returns what runs and waits now.
 func (s *Slots) Load() admission.Load { return s.gate.Load(s.clk.Now()) }
 
@@ -67,7 +83,7 @@
 	s.snap.Store(snap)
 	// A pool that is no longer configured keeps its last slots: the calls that
 	// began with the version before still come.
-	if p, ok := snap.Pool(s.pool); ok {
+	if p, ok := snap.Pool(s.pool); ok && s.beside.Load() == nil {
 		s.deliver(s.gate.Configure(s.clk.Now(), nil,
 			admission.Slots(p.Slots()), admission.Promised(p.Promised()), admission.Connections(p.Connections())))
 	}
@@ -175,7 +191,10 @@
 // leave says how a call left its slot.
 func (c *call) leave(t admission.Ticket, status int, err error) {
 	how := admission.Done
+	var own *TargetRefusedError
 	switch {
+	case errors.As(err, &own):
+		how = admission.Shed
 	case err != nil && c.r.Context().Err() != nil:
 		how = admission.Cancelled
 	case err != nil:
--- a/internal/traffic/target/answer.go
+++ b/internal/traffic/target/answer.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"time"
 
 	"banyanlug.example/banyanlug/internal/traffic/hop"
 	"banyanlug.example/banyanlug/internal/traffic/http1"
@@ -22,12 +23,18 @@
 	http1.Refuse(c.w, refusal)
 }
 
+// targetFullRetry is when a call may come back that the target itself had no
+// room for, although its node counts its slots: about one service time.
+const targetFullRetry = 50 * time.Millisecond
+
 // refusalOf is the one place that decides how a failure is told to nodes.
 func refusalOf(err error) *http1.Refusal {
 	var (
 		stranger *StrangerError
 		pool     *PoolError
 		refused  *RefusedError
+		instance *InstanceError
+		own      *TargetRefusedError
 		header   *hop.HeaderError
 		refusal  *http1.Refusal
 		failure  hop.Failure
@@ -42,6 +49,12 @@
 		r.Status, r.Type = http.StatusUnauthorized, "not-of-the-fleet"
 	case errors.As(err, &pool):
 		r.Status, r.Type = http.StatusMisdirectedRequest, "wrong-pool"
+	case errors.As(err, &instance):
+		r.Status, r.Type = http.StatusMisdirectedRequest, "wrong-instance"
+	case errors.As(err, &own) && own.Status == http.StatusMisdirectedRequest:
+		r.Status, r.Type = http.StatusMisdirectedRequest, "wrong-instance"
+	case errors.As(err, &own):
+		r.Status, r.Type, r.RetryAfter = http.StatusServiceUnavailable, "target-full", targetFullRetry
 	case errors.As(err, &header):
 		r.Status, r.Type = http.StatusBadRequest, "bad-header"
 	case errors.As(err, &refused):
--- a/internal/traffic/target/authenticate.go
+++ b/internal/traffic/target/authenticate.go
@@ -15,6 +15,9 @@
 
 // authenticate asks each connection once for the fleet's proof.
 func (c *call) authenticate() error {
+	if c.h.credential == nil {
+		return nil
+	}
 	p, ok := c.r.Context().Value(proofKey{}).(*proof)
 	if ok && p.given.Load() {
 		return nil
--- a/internal/traffic/target/errors.go
+++ b/internal/traffic/target/errors.go
@@ -19,6 +19,22 @@
 	return fmt.Sprintf("call for pool %s came to a target of %s", e.Asked, e.Serves)
 }
 
+// InstanceError tells of a call for another process than the one that runs
+// beside this node now.
+type InstanceError struct{ Asked, Runs string }
+
+func (e *InstanceError) Error() string {
+	return fmt.Sprintf("call for instance %s came to %q", e.Asked, e.Runs)
+}
+
+// TargetRefusedError tells of a call that the target itself certifies not to
+// have run.
+type TargetRefusedError struct{ Status int }
+
+func (e *TargetRefusedError) Error() string {
+	return fmt.Sprintf("the target refused the call with %d", e.Status)
+}
+
 // RefusedError tells of a call that the target's slots have no room for.
 type RefusedError struct {
 	Reason     string
--- a/internal/traffic/target/forward.go
+++ b/internal/traffic/target/forward.go
@@ -1,27 +1,58 @@
 package target
 
 import (
+	"errors"
 	"strconv"
+	"syscall"
 
 	"banyanlug.example/banyanlug/internal/traffic/hop"
 )
 
 // forward sends the call to the target and passes its answer on.
 func (c *call) forward() (began bool, status int, err error) {
-	left := c.until.Sub(c.h.clk.Now())
-	parent := hop.NewParent(c.meta, c.until)
-	req := hop.NewRequest(c.r.Method, c.r.URL.RequestURI(), c.r.Host, c.r.Header, c.body,
-		hop.WithHeader(hop.CallHeader, c.h.sealer.Seal(parent)),
-		hop.WithHeader(hop.DeadlineHeader, strconv.FormatInt(max(1, left.Milliseconds()), 10)),
-		hop.WithHeader(hop.OrganisationHeader, c.meta.Organisation()),
-		hop.WithHeader(hop.ClassHeader, c.meta.Class().String()),
-	)
-	answer, err := c.h.client.Do(c.r.Context(), c.h.local, req, c.until)
+	answer, err := c.h.client.Do(c.r.Context(), c.h.local, c.toTarget(), c.until)
 	if err != nil {
+		c.tellRefused(err)
 		return false, 0, err
 	}
 	defer answer.Close()
+	if c.h.dialect.NotRun(answer) {
+		return false, 0, &TargetRefusedError{Status: answer.Status()}
+	}
+	if !c.h.dialect.Signed(answer) {
+		return false, 0, &hop.BadAnswerError{To: c.h.local, Reason: "a success without the target's signature"}
+	}
 	c.w.Header()[hop.LoadHeader] = []string{c.h.slots.load()}
+	c.tellVersion()
 	relayed, err := hop.Relay(c.w, answer, false)
 	return relayed.Began(), answer.Status(), err
 }
+
+// toTarget returns the call as the target gets it.
+func (c *call) toTarget() *hop.Request {
+	left := c.until.Sub(c.h.clk.Now())
+	opts := c.h.dialect.ToTarget(c.r.Header, c.meta, left)
+	if c.h.sealer != nil {
+		opts = append(opts,
+			hop.WithHeader(hop.CallHeader, c.h.sealer.Seal(hop.NewParent(c.meta, c.until))),
+			hop.WithHeader(hop.OrganisationHeader, c.meta.Organisation()),
+			hop.WithHeader(hop.ClassHeader, c.meta.Class().String()))
+	}
+	return hop.NewRequest(c.r.Method, c.r.URL.RequestURI(), c.r.Host, c.r.Header, c.body, opts...)
+}
+
+// tellVersion lets the sender know of a configuration that it may have missed.
+func (c *call) tellVersion() {
+	if c.h.version != nil {
+		c.w.Header()[hop.VersionHeader] = []string{strconv.FormatUint(c.h.version(), 10)}
+	}
+}
+
+// tellRefused tells of a target that has ended: nothing but a closed port
+// refuses a connection on one machine, so one refusal is enough.
+func (c *call) tellRefused(err error) {
+	var dial *hop.DialError
+	if errors.As(err, &dial) && errors.Is(dial, syscall.ECONNREFUSED) {
+		c.h.onRefused(c.meta.Instance())
+	}
+}
--- a/internal/traffic/target/handler.go
+++ b/internal/traffic/target/handler.go
@@ -25,6 +25,9 @@
 	log        *event.Logger
 	meters     *meters
 	strangerAt atomic.Int64
+	dialect    hop.Dialect
+	onRefused  func(instance string)
+	version    func() uint64
 }
 
 // Option sets one property of a handler.
@@ -33,6 +36,17 @@
 // WithGuard sets what looks at calls that must not run twice.
 func WithGuard(g Guard) Option { return func(h *Handler) { h.guard = g } }
 
+// WithDialect sets the headers in which the target is spoken to.
+func WithDialect(d hop.Dialect) Option { return func(h *Handler) { h.dialect = d } }
+
+// OnRefused sets what is told of a target process whose address refuses
+// connections; f must not block.
+func OnRefused(f func(instance string)) Option { return func(h *Handler) { h.onRefused = f } }
+
+// WithVersion sets what tells the version of the configuration held, which
+// answers carry to other nodes.
+func WithVersion(f func() uint64) Option { return func(h *Handler) { h.version = f } }
+
 // WithLog sets where the handler and its server write events.
 func WithLog(l *event.Logger) Option { return func(h *Handler) { h.log = l } }
 
@@ -46,7 +60,7 @@
 func New(slots *Slots, local netip.AddrPort, client *hop.Client, credential *hop.Credential, sealer *hop.Sealer, clk *timer.Service, opts ...Option) *Handler {
 	h := &Handler{
 		slots: slots, local: local, client: client, credential: credential, sealer: sealer, clk: clk,
-		guard: unguarded{}, log: event.Discard(), meters: newMeters(metrics.NewSet(), slots),
+		dialect: hop.NewDialect(), onRefused: func(string) {}, guard: unguarded{}, log: event.Discard(), meters: newMeters(metrics.NewSet(), slots),
 	}
 	for _, opt := range opts {
 		opt(h)
--- a/internal/traffic/target/read.go
+++ b/internal/traffic/target/read.go
@@ -13,9 +13,12 @@
 	if meta.Pool() != c.h.slots.pool {
 		return &PoolError{Asked: meta.Pool(), Serves: c.h.slots.pool}
 	}
+	if t := c.h.slots.beside.Load(); t != nil && meta.Instance() != t.ID() {
+		return &InstanceError{Asked: meta.Instance(), Runs: t.ID()}
+	}
 	c.meta = meta
 	c.until = c.h.clk.Now().Add(meta.Left())
-	hop.Strip(c.r.Header)
+	c.h.dialect.Strip(c.r.Header)
 	c.body, err = hop.ReadBody(c.w, c.r, c.until)
 	return err
 }
