A full near target sends its calls on to where there is room, and only there

Cause: a refusal's time to come back, which spreads callers over seconds, also kept this node from the target for as long; a refusal used up an attempt of the route although no target had seen the call; farther targets were tried although full. Change: a full target is left alone for 15 ms; up to two further targets are asked after refusals, of a fifth of the calls; waiting makes a target dearer; farther ones cost three times as much and are left out when full; names between nodes are shorter (about 100 of 960 bytes of a short call).

--- a/internal/policy/balance/pool.go
+++ b/internal/policy/balance/pool.go
@@ -13,7 +13,7 @@
 	// a call still finds one free nineteen times in twenty; beyond, the near
 	// queue costs more than the millisecond or two of a farther domain.
 	spillAt = 1.0
-	farCost = 1.5
+	farCost = 3
 	// maxEjected is the part of a pool that failures may eject. If more of it
 	// fails, the cause is seldom the targets, and leaving them all would turn
 	// one fault into an outage.
@@ -49,11 +49,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best, bestCost := (*target)(nil), math.Inf(1)
+	near := false
 	for i, tier := range p.tiers {
 		t, cost := p.two(at, tier, a, tried)
 		if i > 0 {
+			if near && t != nil && t.utilisation(at) > spillAt {
+				// Full there too: it would only carry the refusal about.
+				continue
+			}
 			cost *= farCost
 		}
+		near = near || p.serves(tier)
 		if cost < bestCost {
 			best, bestCost = t, cost
 		}
@@ -72,6 +78,17 @@
 	return Picked{best}
 }
 
+// serves reports whether a tier has a target that is neither leaving nor ejected,
+// even if it has no room just now.
+func (p *pool) serves(tier []*target) bool {
+	for _, t := range tier {
+		if !t.leaving && !t.ejected {
+			return true
+		}
+	}
+	return false
+}
+
 // two draws two targets and returns the cheaper. One that is always the
 // cheapest of all by lagging knowledge would get every caller's calls at once;
 // the cheaper of two random ones gets at most twice its share. A target to probe
--- a/internal/policy/balance/target.go
+++ b/internal/policy/balance/target.go
@@ -27,6 +27,9 @@
 	// than half of late. One or two happen to a healthy target when a call or
 	// a connection breaks.
 	ejectAt = 0.5
+	// waitCost makes a target dearer whose calls wait: with all slots in use each
+	// further call waits for one, while below that it is served at once.
+	waitCost = 4
 	// failureCost makes a target that fails part of its calls dearer before it
 	// is ejected: failing fast, it would look idle.
 	failureCost = 4
@@ -118,7 +121,11 @@
 
 // cost orders targets: the time a call takes, times the work before it.
 func (t *target) cost(at int64, usual float64) float64 {
-	c := t.latencyNow(at, usual) * t.utilisation(at)
+	u := t.utilisation(at)
+	if u > 1 {
+		u += waitCost * (u - 1)
+	}
+	c := t.latencyNow(at, usual) * u
 	c *= 1 + failureCost*t.failures*fade(at-t.failedAt, latencyFade)
 	if t.warm == 0 && t.cold(at) == 1 {
 		// A cold target has no connection yet and must get its few calls all
--- a/internal/policy/retry/budget.go
+++ b/internal/policy/retry/budget.go
@@ -51,6 +51,9 @@
 // Budgets decides about retries and holds each service's budget at one node.
 type Budgets struct {
 	shards [shards]shard
+	// refusedShare is the part of the calls that may ask another target after a
+	// refusal.
+	refusedShare float64
 }
 
 type shard struct {
@@ -63,9 +66,19 @@
 // take, in nanoseconds, but for the late ones.
 type budget struct{ repeats, refused, late float64 }
 
+// Option sets one property of budgets.
+type Option func(*Budgets)
+
+// RefusedShare sets the part of the calls, from 0 to 1, that may ask another
+// target after a refusal.
+func RefusedShare(share float64) Option { return func(b *Budgets) { b.refusedShare = share } }
+
 // NewBudgets returns budgets whose jitter is drawn from rng.
-func NewBudgets(rng *rand.Rand) *Budgets {
-	b := &Budgets{}
+func NewBudgets(rng *rand.Rand, opts ...Option) *Budgets {
+	b := &Budgets{refusedShare: refusedShare}
+	for _, opt := range opts {
+		opt(b)
+	}
 	for i := range b.shards {
 		b.shards[i].rng = rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
 		b.shards[i].services = map[string]*budget{}
@@ -80,7 +93,7 @@
 	defer s.mu.Unlock()
 	left := s.budget(c.service)
 	left.repeats = min(maxTokens, left.repeats+repeatShareAt(c.depth))
-	left.refused = min(maxTokens, left.refused+refusedShare)
+	left.refused = min(maxTokens, left.refused+b.refusedShare)
 }
 
 func repeatShareAt(depth int) float64 { return max(minRepeatShare, math.Ldexp(repeatShare, -depth)) }
@@ -110,7 +123,11 @@
 		c.moves++
 		return 0, c.moves <= maxMoves
 	}
-	if c.attempts-c.moves > c.retries || c.Carries() > maxCarried {
+	if o.kind == refused && c.refusals < c.elsewhere {
+		c.refusals++
+		return 0, true
+	}
+	if c.attempts-c.moves-c.refusals > c.retries || c.Carries() > maxCarried {
 		return 0, false
 	}
 	switch o.kind {
--- a/internal/policy/retry/call.go
+++ b/internal/policy/retry/call.go
@@ -15,6 +15,8 @@
 
 	attempts   int
 	moves      int
+	elsewhere  int // further targets that may be asked after refusals
+	refusals   int // those that were
 	mayHaveRun bool
 	hedged     bool
 }
@@ -34,6 +36,7 @@
 	depth
 	carried
 	expected
+	elsewhere
 )
 
 // Idempotent marks a call that may run more than once.
@@ -51,6 +54,10 @@
 // Expected sets how long an attempt usually takes.
 func Expected(d time.Duration) CallOption { return CallOption{expected, int64(d)} }
 
+// Elsewhere sets how many further targets may be asked after refusals that
+// certify that nothing was begun, beside the retries that the route allows.
+func Elsewhere(n int) CallOption { return CallOption{elsewhere, int64(n)} }
+
 // NewCall returns a call to a service that is worth nothing after deadline.
 func NewCall(service string, deadline time.Time, opts ...CallOption) Call {
 	c := Call{service: service, deadline: deadline}
@@ -66,6 +73,8 @@
 			c.carried = int(opt.n)
 		case expected:
 			c.expected = time.Duration(opt.n)
+		case elsewhere:
+			c.elsewhere = int(opt.n)
 		}
 	}
 	return c
@@ -76,7 +85,7 @@
 
 // Carries returns the number of retries to pass along with the next attempt.
 func (c *Call) Carries() int {
-	n := c.carried + c.attempts - c.moves
+	n := c.carried + c.attempts - c.moves - c.refusals
 	if c.hedged && c.attempts == 0 {
 		n++
 	}
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -116,6 +116,16 @@
 // theirs after ten seconds or more, and a call sent as they do is lost.
 const targetIdle = 4 * time.Second
 
+const (
+	// elsewhere is how many further targets a call asks that found one full: a
+	// third full one tells that the pool is.
+	elsewhere = 2
+	// refusedShare is the part of the calls that may do so. A target that is full
+	// for a moment turns away up to a fifth of a burst's calls, while others have
+	// room; where all are full, more of it would only carry refusals about.
+	refusedShare = 0.2
+)
+
 func (n *Node) wire(store platform.Prefixes, configKey string, decode fleet.Decoder) {
 	seed := uint64(n.clk.Now().UnixNano())
 	// The settings have been checked, so the addresses can be read.
@@ -131,7 +141,8 @@
 		caller.WithDialect(n.dialect), caller.WithOrigin(n.cfg.Pool), caller.OpenTo(openTo),
 		caller.WithMetrics(n.metrics), caller.OnNewer(n.fleet.Hint),
 		caller.WithBalancer(balance.New(n.clk.Now(), rand.New(rand.NewPCG(seed, 3)), balance.Domain(n.cfg.Domain))),
-		caller.WithBudgets(retry.NewBudgets(rand.New(rand.NewPCG(seed, 4)))),
+		caller.WithElsewhere(elsewhere),
+		caller.WithBudgets(retry.NewBudgets(rand.New(rand.NewPCG(seed, 4)), retry.RefusedShare(refusedShare))),
 	), n.clk, n.log)
 	n.slots = target.NewSlots(n.fleet, n.cfg.Pool, n.clk)
 	n.slots.Beside(n.tracker.Target())
--- a/internal/traffic/caller/failure_test.go
+++ b/internal/traffic/caller/failure_test.go
@@ -187,7 +187,7 @@
 	r := newRig(t, rigOptions{targets: 1})
 	resp, err := r.browser().Do(r.newRequest("GET", "/read?size=1", map[string]string{
 		"Authorization": "Bearer " + trialKey, hop.ClassHeader: "paying", hop.OrganisationHeader: "harbour",
-		hop.MetaHeader: "ms=1000 attempt=1 depth=1 class=paying organisation=harbour pool=quotes route=read repeat=never", "Connection": "X-Api-Key, Banyanlug-Class",
+		hop.MetaHeader: "ms=1000 n=1 d=1 c=paying o=harbour p=quotes r=read x=once", "Connection": "X-Api-Key, Banyanlug-Class",
 	}))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -58,10 +58,11 @@
 	maxDepth int
 	meters   *meters
 
-	dialect hop.Dialect
-	origin  string
-	open    *snapshot.Organisation
-	newer   func(peer netip.AddrPort, version uint64)
+	dialect   hop.Dialect
+	origin    string
+	elsewhere int
+	open      *snapshot.Organisation
+	newer     func(peer netip.AddrPort, version uint64)
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -99,6 +100,10 @@
 // whose platform has let the callers in already.
 func OpenTo(o snapshot.Organisation) Option { return func(h *Handler) { h.open = &o } }
 
+// WithElsewhere sets how many further targets a call may ask after refusals, beside
+// the retries of its route.
+func WithElsewhere(n int) Option { return func(h *Handler) { h.elsewhere = n } }
+
 // OnNewer sets what is told of a node that holds a newer configuration than
 // this one; f must not block.
 func OnNewer(f func(peer netip.AddrPort, version uint64)) Option {
--- a/internal/traffic/caller/pick.go
+++ b/internal/traffic/caller/pick.go
@@ -124,6 +124,11 @@
 	}
 }
 
+// fullFor bounds how long a target that has no room is left alone. What it tells
+// callers spreads their return over seconds; its next slot comes free within a
+// service time over its slots, some milliseconds.
+const fullFor = 15 * time.Millisecond
+
 // refusalReport tells whom a refusal by the target's node is meant for.
 func refusalReport(e *RefusedError) balance.Report {
 	switch e.Refusal.Type {
@@ -132,7 +137,7 @@
 	case "displaced":
 		return balance.Shed(balance.ForOrganisation, e.Refusal.RetryAfter)
 	case "queue-full", "too-late", "no-trial-slots":
-		return balance.Shed(balance.ForClass, e.Refusal.RetryAfter)
+		return balance.Shed(balance.ForClass, min(e.Refusal.RetryAfter, fullFor))
 	case "target-full":
 		return balance.Shed(balance.ForAll, e.Refusal.RetryAfter)
 	case "connection-closed":
--- a/internal/traffic/caller/route.go
+++ b/internal/traffic/caller/route.go
@@ -31,7 +31,7 @@
 	c.id = c.h.dialect.ID(c.r.Header)
 	c.h.dialect.Strip(c.r.Header)
 	c.ask = balance.NewAsk(c.org.Name(), c.org.Class())
-	c.meta = hop.NewMeta(hop.Depth(depth), hop.For(c.org.Name(), c.org.Class()), hop.By(c.rt), hop.From(c.h.origin), hop.Called(c.id))
+	c.meta = hop.NewMeta(hop.Depth(depth), hop.For(c.org.Name(), c.org.Class()), hop.By(c.rt), hop.From(c.h.origin))
 	return nil
 }
 
--- a/internal/traffic/caller/send.go
+++ b/internal/traffic/caller/send.go
@@ -55,13 +55,14 @@
 }
 
 func (c *call) begin() {
-	opts := [4]retry.CallOption{retry.Retries(c.rt.Retries()), retry.Depth(c.meta.Depth() - 1)}
+	opts := [5]retry.CallOption{retry.Retries(c.rt.Retries()), retry.Depth(c.meta.Depth() - 1)}
 	if c.rt.Idempotent() {
 		opts[2] = retry.Idempotent()
 	}
 	if c.parent != nil {
 		opts[3] = retry.Carried(c.parent.Retries())
 	}
+	opts[4] = retry.Elsewhere(c.h.elsewhere)
 	c.attempts = retry.NewCall(c.rt.Service(), c.until, opts[:]...)
 	c.h.budgets.Fresh(&c.attempts)
 }
--- a/internal/traffic/hop/header.go
+++ b/internal/traffic/hop/header.go
@@ -18,13 +18,13 @@
 	FleetHeader = "Banyanlug-Fleet"
 	// MetaHeader holds all that one node tells the next about a call. It is one
 	// header, since each costs its reader as much as the rest of a small head.
-	MetaHeader = "Banyanlug-Meta"
+	MetaHeader = "Bl-Call"
 	// LoadHeader holds, on answers, the calls that run and wait at the target's
 	// node over its slots.
-	LoadHeader = "Banyanlug-Load"
+	LoadHeader = "Bl-Load"
 	// VersionHeader holds, on answers, the version of the configuration that the
 	// answering node holds.
-	VersionHeader = "Banyanlug-Version"
+	VersionHeader = "Bl-Version"
 	// DeadlineHeader holds the milliseconds left; callers may send it, and
 	// targets are told it.
 	DeadlineHeader = "Banyanlug-Deadline-Ms"
@@ -39,6 +39,8 @@
 	KeyHeader = "Idempotency-Key"
 
 	prefix = "Banyanlug-"
+	// shortPrefix is of the headers that only nodes see.
+	shortPrefix = "Bl-"
 )
 
 // MaxDepth is the deepest call any node accepts, whatever its settings: three
@@ -58,8 +60,6 @@
 	priority     int
 	instance     string
 	origin       string
-	nested       bool
-	id           string
 	due          time.Duration
 }
 
@@ -97,12 +97,6 @@
 // From sets the service of the instance that the call began at.
 func From(origin string) MetaOption { return func(m *Meta) { m.origin = origin } }
 
-// Nested marks a call that a target makes while it runs another.
-func Nested(yes bool) MetaOption { return func(m *Meta) { m.nested = yes } }
-
-// Called sets the id that the caller gave the call.
-func Called(id string) MetaOption { return func(m *Meta) { m.id = id } }
-
 // NewMeta returns the meta data of a call.
 func NewMeta(opts ...MetaOption) Meta {
 	m := Meta{attempt: 1, depth: 1}
@@ -153,34 +147,28 @@
 // Origin returns the service of the instance that the call began at, or "".
 func (m Meta) Origin() string { return m.origin }
 
-// Nested reports whether a target makes the call while it runs another.
-func (m Meta) Nested() bool { return m.nested }
-
-// ID returns the id that the caller gave the call, or "".
-func (m Meta) ID() string { return m.id }
-
 // Idempotent reports whether the call may run more than once.
 func (m Meta) Idempotent() bool { return m.idempotent }
 
 // The fields of MetaHeader, each "name=value", in any order and with a space
-// between; names of objects hold neither.
+// between; names of objects hold neither. The names are short: each call between
+// failure domains pays for its bytes, and long names were a tenth of a short
+// call's.
 const (
 	fieldLeft         = "ms"
-	fieldAttempt      = "attempt"
-	fieldDepth        = "depth"
-	fieldClass        = "class"
-	fieldOrganisation = "organisation"
-	fieldPool         = "pool"
-	fieldRoute        = "route"
-	fieldRepeat       = "repeat"
-	fieldPriority     = "priority"
-	fieldInstance     = "to"
-	fieldOrigin       = "from"
-	fieldNested       = "nested"
-	fieldDue          = "due"
-	nestedWord        = "yes"
-	idempotentWord    = "idempotent"
-	neverWord         = "never"
+	fieldAttempt      = "n"
+	fieldDepth        = "d"
+	fieldClass        = "c"
+	fieldOrganisation = "o"
+	fieldPool         = "p"
+	fieldRoute        = "r"
+	fieldRepeat       = "x"
+	fieldPriority     = "k"
+	fieldInstance     = "t"
+	fieldOrigin       = "f"
+	fieldDue          = "u"
+	idempotentWord    = "any"
+	neverWord         = "once"
 )
 
 const (
@@ -228,9 +216,6 @@
 		_, _ = w.WriteString(" " + fieldDue + "=")
 		_, _ = w.Write(strconv.AppendInt(w.AvailableBuffer(), max(1, m.due.Milliseconds()), 10))
 	}
-	if m.nested {
-		_, _ = w.WriteString(" " + fieldNested + "=" + nestedWord)
-	}
 	_, _ = w.WriteString("\r\n")
 }
 
@@ -268,8 +253,6 @@
 			m.origin = value
 		case fieldDue:
 			m.due = time.Duration(number(value, maxLeft.Milliseconds())) * time.Millisecond
-		case fieldNested:
-			m.nested = value == nestedWord
 		}
 	}
 	m.idempotent = repeat == idempotentWord
@@ -316,7 +299,7 @@
 		delete(h, name)
 	}
 	for name := range h {
-		if strings.HasPrefix(name, prefix) {
+		if strings.HasPrefix(name, prefix) || strings.HasPrefix(name, shortPrefix) {
 			delete(h, name)
 		}
 	}
--- a/internal/traffic/hop/header_test.go
+++ b/internal/traffic/hop/header_test.go
@@ -49,10 +49,10 @@
 	}
 	whole := r.Header.Get(MetaHeader)
 	for _, text := range []string{
-		"", "x", strings.Replace(whole, "ms=1500", "ms=0", 1), strings.Replace(whole, "attempt=2", "attempt=-1", 1),
-		strings.Replace(whole, "depth=3", "depth=33", 1), strings.Replace(whole, "depth=3", "", 1),
-		strings.Replace(whole, "paying", "royal", 1), strings.Replace(whole, "organisation=harbour", "", 1),
-		strings.Replace(whole, "pool=bindings", "pool=", 1), strings.Replace(whole, "idempotent", "sometimes", 1),
+		"", "x", strings.Replace(whole, "ms=1500", "ms=0", 1), strings.Replace(whole, "n=2", "n=-1", 1),
+		strings.Replace(whole, "d=3", "d=33", 1), strings.Replace(whole, "d=3", "", 1),
+		strings.Replace(whole, "paying", "royal", 1), strings.Replace(whole, "o=harbour", "", 1),
+		strings.Replace(whole, "p=bindings", "p=", 1), strings.Replace(whole, "x=any", "x=sometimes", 1),
 	} {
 		var bad *HeaderError
 		if _, err := ReadMeta(http.Header{MetaHeader: {text}}); !errors.As(err, &bad) {
--- a/internal/traffic/hop/relay_test.go
+++ b/internal/traffic/hop/relay_test.go
@@ -13,7 +13,7 @@
 func TestRelayPassesOnWhatConcernsTheCall(t *testing.T) {
 	t.Parallel()
 	f := newFake(t, answering("HTTP/1.1 201 Created\r\nTransfer-Encoding: chunked\r\nTrailer: Digest\r\nKeep-Alive: 5\r\n"+
-		"Banyanlug-Outcome: not-run\r\nBanyanlug-Load: 0.50\r\nETag: x\r\n\r\n3\r\nabc\r\n0\r\nDigest: y\r\n\r\n"))
+		"Banyanlug-Outcome: not-run\r\nBl-Load: 0.50\r\nETag: x\r\n\r\n3\r\nabc\r\n0\r\nDigest: y\r\n\r\n"))
 	a, err := f.client.Do(context.Background(), f.addr, NewRequest("GET", "/", "a", http.Header{}, None{}), f.clk.Now().Add(ample))
 	if err != nil {
 		t.Fatal(err)
