Decisions on single calls are logged, bounded and never waited for; explain

Cause: on-call engineers have only logs and metrics; nothing named a call by its id. Change: a line for each attempt that fails, each call that ends without an answer, each refusal beside a target, with the load, age and version that decided it; plain successes one in 512. Lines go through a buffer that drops and counts, 50 a second of each kind. 'banyanlug explain ID' reads the logs of several nodes. Found by the tests of the whole path at a stand-in of the platform, each mended: a failure without an id was waited past until the deadline; a refusal said to come back in a second where the target has room in milliseconds; a call that had asked all targets was held for nothing; a process whose clock was set back could not replace the entry it had left; a caller was told 421.

--- /dev/null
+++ b/internal/cli/command/explain.go
@@ -0,0 +1,81 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"banyanlug.example/banyanlug/internal/report/explain"
+)
+
+// NotLoggedError tells of a call that no line names.
+type NotLoggedError struct{ ID string }
+
+func (e *NotLoggedError) Error() string {
+	return fmt.Sprintf("no line names the call %s; plain successes are sampled, and a node that was killed may not have written its last lines", e.ID)
+}
+
+func explainCommand(a *App) *ffcli.Command {
+	fs := a.Flags("explain")
+	asJSON := false
+	a.jsonFlag(fs, &asJSON)
+	return &ffcli.Command{
+		Name: "explain", ShortUsage: name + " explain [flags] ID [FILE...]", FlagSet: fs,
+		ShortHelp: "tell the life of one call from the logs of several nodes",
+		LongHelp: "Reads the logs of the nodes, or standard input, and prints the lines that name the\n" +
+			"call in order of time, below each what its node believed then and for how long.\n\n" + exitHelp,
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) == 0 {
+				return &UsageError{Text: "explain needs the id of a call"}
+			}
+			log, err := a.readLogs(args[1:])
+			if err != nil {
+				return err
+			}
+			lines := log.Call(args[0])
+			if len(lines) == 0 {
+				return &NotLoggedError{ID: args[0]}
+			}
+			if asJSON {
+				return a.writeJSON(lines)
+			}
+			return a.write(life(lines))
+		},
+	}
+}
+
+// readLogs reads the files, or standard input where there are none.
+func (a *App) readLogs(files []string) (*explain.Log, error) {
+	log := &explain.Log{}
+	if len(files) == 0 {
+		return log, log.Read("standard input", a.stdin)
+	}
+	for _, file := range files {
+		f, err := os.Open(file)
+		if err != nil {
+			return nil, &explain.ReadError{Name: file, Err: err}
+		}
+		err = log.Read(file, io.Reader(f))
+		_ = f.Close()
+		if err != nil {
+			return nil, err
+		}
+	}
+	return log, nil
+}
+
+func life(lines []explain.Line) string {
+	var b strings.Builder
+	for _, l := range lines {
+		fmt.Fprintln(&b, l)
+		for _, belief := range l.Beliefs() {
+			fmt.Fprintf(&b, "    believed for %v: %s\n", belief.Age().Round(time.Millisecond), belief.Text())
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/control/fleet/fleet_test.go
@@ -0,0 +1,260 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+
+	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/policy/membership"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const configKey = "the/configuration"
+
+// decodeNumber reads a configuration that is nothing but its version.
+func decodeNumber(b []byte) (*snapshot.Snapshot, error) {
+	n, err := strconv.ParseUint(string(b), 10, 64)
+	if err != nil {
+		return nil, &EntryError{Key: configKey, Reason: "is no number"}
+	}
+	return snapshot.Assemble(n, nil)
+}
+
+// rig is some nodes' fleets at one store, on the machine's clock: what is waited
+// for is polled, so that a slow machine makes the test slow and nothing else.
+type rig struct {
+	t     *testing.T
+	clk   *timer.Service
+	store *fakeStore
+	nodes map[string]*spot
+}
+
+type spot struct {
+	*Fleet
+	stop func()
+}
+
+func newRig(t *testing.T, names ...string) *rig {
+	t.Helper()
+	clk, stop := timer.Start()
+	t.Cleanup(stop)
+	r := &rig{t: t, clk: clk, store: newFakeStore(clk), nodes: map[string]*spot{}}
+	for i, name := range names {
+		r.start(name, uint64(i+1))
+	}
+	return r
+}
+
+// start starts a node that tells of a ready target.
+func (r *rig) start(name string, boot uint64) *spot {
+	r.t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	peer := netip.MustParseAddrPort(ln.Addr().String())
+	self := membership.NewRecord(name, membership.Domain("a"), membership.Pool("quotes"),
+		membership.Address(peer), membership.Peer(peer), membership.Boot(boot))
+	f := New(r.store, r.clk, self, configKey, decodeNumber, WithSeed(boot))
+	srv := &http.Server{Handler: f.Handler(), ReadHeaderTimeout: time.Second}
+	served, ran := make(chan error, 1), make(chan error, 1)
+	go func() { served <- srv.Serve(ln) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	go f.Run(ctx, ran)
+	f.Announce(membership.Ready, name+"-target", 12)
+	s := &spot{Fleet: f}
+	stopped := false
+	s.stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		<-ran
+		_ = srv.Close()
+		<-served
+	}
+	r.t.Cleanup(s.stop)
+	r.nodes[name] = s
+	return s
+}
+
+// eventually waits until a condition holds.
+func (r *rig) eventually(what string, ok func() bool) {
+	r.t.Helper()
+	deadline := r.clk.Now().Add(20 * time.Second)
+	for !ok() {
+		if r.clk.Now().After(deadline) {
+			r.t.Fatalf("never: %s", what)
+		}
+		_ = r.clk.Sleep(context.Background(), 5*time.Millisecond)
+	}
+}
+
+// sees waits until a node knows just these targets of the pool.
+func (r *rig) sees(node string, targets ...string) {
+	r.t.Helper()
+	r.eventually(fmt.Sprintf("%s sees %v", node, targets), func() bool {
+		var got []string
+		for _, t := range r.nodes[node].Targets("quotes") {
+			got = append(got, strings.TrimSuffix(t.Target(), "-target"))
+		}
+		return cmp.Equal(targets, got)
+	})
+}
+
+func (r *rig) holds(node string, version uint64) {
+	r.t.Helper()
+	r.eventually(fmt.Sprintf("%s holds version %d", node, version), func() bool {
+		return r.nodes[node].Current().Version() == version
+	})
+}
+
+func TestNodesFindEachOtherAndTheConfiguration(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, "n1", "n2")
+	r.store.put(configKey, []byte("3"))
+	for _, n := range []string{"n1", "n2"} {
+		r.sees(n, "n1", "n2")
+		r.holds(n, 3)
+	}
+	r.nodes["n2"].stop()
+	r.sees("n1", "n1")
+}
+
+// A store that lags, another writer or a node that was away for long brings an
+// older version, or bytes that are none. Callers must never see a version after a
+// newer one, so neither changes anything.
+func TestAVersionNeverGoesBack(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, "n1")
+	r.store.put(configKey, []byte("7"))
+	r.holds("n1", 7)
+	r.store.put(configKey, []byte("4"))
+	r.store.put(configKey, []byte("none"))
+	r.store.put(configKey, []byte("8"))
+	r.holds("n1", 8)
+	f := r.nodes["n1"].Fleet
+	f.take([]byte("5"), "a node")
+	if v := f.Current().Version(); v != 8 {
+		t.Errorf("version %d after 8", v)
+	}
+}
+
+// The store drops its history while watches hear nothing, and a version comes
+// meanwhile. The watch ends without events but at a later revision: taken for "no
+// change", the version would stay unseen for good.
+func TestAChangeThatTheStoreHidesIsFound(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, "n1")
+	r.store.put(configKey, []byte("1"))
+	r.holds("n1", 1)
+	r.store.set(func() { r.store.deaf = true })
+	r.store.put(configKey, []byte("2"))
+	r.holds("n1", 2)
+}
+
+// The store is out, its leases run out meanwhile, and it comes back without the
+// entries of nodes that serve as before. The nodes write them again; until then
+// the others keep them, as they answer when asked.
+func TestEntriesThatLapsedAreKeptAndWrittenAgain(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, "n1", "n2")
+	r.sees("n1", "n1", "n2")
+	r.store.set(func() { r.store.out = true })
+	r.store.set(func() { r.store.out = false; r.store.lapse() })
+	r.eventually("both entries are back", func() bool {
+		_, one := r.store.held(MembersPrefix + "n1")
+		_, two := r.store.held(MembersPrefix + "n2")
+		return one && two
+	})
+	r.sees("n1", "n1", "n2")
+	r.sees("n2", "n1", "n2")
+}
+
+// A node dies for good and the store drops its entry with the lease. It does not
+// answer when asked, so it is taken for gone and gets no more calls.
+func TestAMemberThatNeitherTheStoreNorItselfVouchesForGoes(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, "n1")
+	dead := membership.NewRecord("n9", membership.Domain("a"), membership.Pool("quotes"), membership.Boot(1),
+		membership.Address(netip.MustParseAddrPort("127.0.0.1:1")), membership.Peer(netip.MustParseAddrPort("127.0.0.1:1")),
+		membership.InState(membership.Ready), membership.Target("n9-target"))
+	r.store.put(MembersPrefix+"n9", encode(dead))
+	r.sees("n1", "n1", "n9")
+	r.store.put(MembersPrefix+"n9", nil)
+	r.sees("n1", "n1")
+}
+
+// The store turns one node away and goes on serving the others. It learns of the
+// version that comes then from one of them.
+func TestANodeThatTheStoreTurnsAwayLearnsFromOthers(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, "n1", "n2")
+	r.store.put(configKey, []byte("1"))
+	r.holds("n1", 1)
+	r.holds("n2", 1)
+	r.sees("n1", "n1", "n2")
+	r.store.set(func() { r.store.out = true })
+	r.nodes["n2"].take([]byte("2"), "the store, which still serves this node")
+	r.holds("n1", 2)
+}
+
+// A write's answer is lost, so the node writes again; the store answers that the
+// key has another revision. The node must end with its own entry there, and not
+// write for ever.
+func TestALostAnswerToAWriteIsSettled(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	r.store.loseWrite = true
+	r.start("n1", 1)
+	r.sees("n1", "n1")
+	r.eventually("the entry stands", func() bool {
+		v, ok := r.store.held(MembersPrefix + "n1")
+		return ok && strings.Contains(string(v.Data()), "n1-target")
+	})
+}
+
+// A process is killed and starts again beside the same target while its entry
+// still stands, on a machine whose clock has been set back. Its new entry must
+// win over the one that it left.
+func TestARestartedNodesEntryWinsOverTheOneItLeft(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, "n2")
+	old := membership.NewRecord("n1", membership.Domain("a"), membership.Pool("quotes"), membership.Boot(900), membership.Seq(9),
+		membership.Address(netip.MustParseAddrPort("127.0.0.1:1")), membership.Peer(netip.MustParseAddrPort("127.0.0.1:1")),
+		membership.InState(membership.Ready), membership.Target("old-target"))
+	r.store.put(MembersPrefix+"n1", encode(old))
+	r.sees("n2", "old", "n2")
+	r.start("n1", 5)
+	r.sees("n2", "n1", "n2")
+	r.sees("n1", "n1", "n2")
+}
+
+func TestEntriesOfOthersAreNoEntries(t *testing.T) {
+	t.Parallel()
+	for _, text := range []string{
+		``, `[]`, `{"instance":7}`, `{}`,
+		`{"instance":"n2","failure_domain":"a","pool":"q","address":"127.0.0.1:1","peer":"127.0.0.1:1","state":"ready","target":"t"}`,
+		`{"instance":"n1","failure_domain":"a","pool":"q","address":"here","peer":"127.0.0.1:1","state":"ready","target":"t"}`,
+		`{"instance":"n1","failure_domain":"a","pool":"q","address":"127.0.0.1:1","peer":"127.0.0.1:1","state":"asleep","target":"t"}`,
+		`{"instance":"n1","failure_domain":"a","pool":"","address":"127.0.0.1:1","peer":"127.0.0.1:1","state":"ready","target":"t"}`,
+		`{"instance":"n1","failure_domain":"a","pool":"q","address":"127.0.0.1:1","peer":"127.0.0.1:1","state":"ready"}`,
+	} {
+		if r, err := decode(MembersPrefix+"n1", []byte(text)); err == nil {
+			t.Errorf("%s is read as %+v", text, r)
+		}
+	}
+}
--- a/internal/control/fleet/follow.go
+++ b/internal/control/fleet/follow.go
@@ -8,6 +8,7 @@
 
 	"banyanlug.example/banyanlug/internal/control/platform"
 	"banyanlug.example/banyanlug/internal/log/event"
+	"banyanlug.example/banyanlug/internal/policy/membership"
 )
 
 const (
@@ -134,14 +135,35 @@
 		f.log.Emit(event.RecordRefused, event.F("error", err))
 		return
 	}
+	if f.isOwn(r) {
+		f.ownEntry(r, v.Revision())
+		return
+	}
 	if f.view.put(r, v.Revision()) {
 		f.log.Emit(event.MemberChanged, event.F("instance", r.Instance()), event.F("state", r.State()),
 			event.F("target", r.Target()), event.F("pool", r.Pool()), event.F("revision", v.Revision()))
 	}
-	self, told := f.own()
-	if told && r.Instance() == self.Instance() && r.Newer(self) {
-		f.nudge()
-	}
+}
+
+func (f *Fleet) isOwn(r membership.Record) bool {
+	self, _ := f.own()
+	return r.Instance() == self.Instance()
+}
+
+// ownEntry takes in the entry that stands under the node's own name. One that
+// would win over the node's own is of a process before it, whose clock was ahead:
+// the node takes a later boot, or the others would go on with what has ended.
+func (f *Fleet) ownEntry(r membership.Record, revision uint64) {
+	f.mu.Lock()
+	if r.Newer(f.self) {
+		f.self = f.self.Rebooted(r.Boot() + 1)
+		f.log.Emit(event.BootRaised, event.F("boot", f.self.Boot()), event.F("left", r.Boot()))
+	}
+	self := f.self
+	f.mu.Unlock()
+	f.view.revise(self, revision)
+	f.view.put(self, 0)
+	f.nudge()
 }
 
 func (f *Fleet) nudge() {
--- /dev/null
+++ b/internal/control/fleet/store_test.go
@@ -0,0 +1,207 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/control/platform"
+)
+
+// fakeStore is the platform's store in memory, with the faults that it has.
+type fakeStore struct {
+	clk *timer.Service
+
+	mu       sync.Mutex
+	revision uint64
+	values   map[string]platform.Value
+	leases   map[string]platform.LeaseID
+	events   []platform.Event
+	changed  chan struct{}
+	lease    platform.LeaseID
+	ended    map[platform.LeaseID]bool
+
+	out       bool // no call is answered
+	deaf      bool // watches hear nothing, and the history is dropped
+	loseWrite bool // the next write is done and its answer lost
+	calls     int
+}
+
+func newFakeStore(clk *timer.Service) *fakeStore {
+	return &fakeStore{
+		clk: clk, revision: 1, values: map[string]platform.Value{}, leases: map[string]platform.LeaseID{},
+		changed: make(chan struct{}), ended: map[platform.LeaseID]bool{},
+	}
+}
+
+// set changes what the store does.
+func (s *fakeStore) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+	s.notify()
+}
+
+func (s *fakeStore) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// put writes as another writer would.
+func (s *fakeStore) put(key string, value []byte) {
+	s.set(func() { s.write(key, value) })
+}
+
+func (s *fakeStore) write(key string, value []byte) {
+	s.revision++
+	v := platform.NewValue(key, value, s.revision)
+	if value == nil {
+		delete(s.values, key)
+	} else {
+		s.values[key] = v
+	}
+	s.events = append(s.events, platform.NewEvent(v, value == nil))
+}
+
+// lapse ends all leases, as an outage may.
+func (s *fakeStore) lapse() {
+	for key, lease := range s.leases {
+		s.ended[lease] = true
+		delete(s.leases, key)
+		s.write(key, nil)
+	}
+}
+
+func (s *fakeStore) held(key string) (platform.Value, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v, ok := s.values[key]
+	return v, ok
+}
+
+func (s *fakeStore) begin(kind platform.Kind) error {
+	s.calls++
+	if s.out {
+		return &platform.UnavailableError{Op: kind}
+	}
+	return nil
+}
+
+func (s *fakeStore) Get(_ context.Context, key string) (platform.Value, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.begin(platform.KindGet); err != nil {
+		return platform.Value{}, err
+	}
+	v, ok := s.values[key]
+	if !ok {
+		return platform.Value{}, &platform.NotFoundError{Key: key}
+	}
+	return v, nil
+}
+
+func (s *fakeStore) Range(context.Context, string) ([]platform.Value, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.begin(platform.KindGet); err != nil {
+		return nil, 0, err
+	}
+	var out []platform.Value
+	for _, v := range s.values {
+		out = append(out, v)
+	}
+	return out, s.revision, nil
+}
+
+func (s *fakeStore) WatchPrefix(ctx context.Context, _ string, after uint64, wait time.Duration) ([]platform.Event, uint64, error) {
+	timeout := s.clk.After(wait)
+	defer timeout.Stop()
+	for {
+		s.mu.Lock()
+		if err := s.begin(platform.KindWatch); err != nil {
+			s.mu.Unlock()
+			return nil, after, err
+		}
+		var out []platform.Event
+		for _, e := range s.events {
+			if e.Value().Revision() > after && !s.deaf {
+				out = append(out, e)
+			}
+		}
+		at, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if len(out) > 0 {
+			return out, at, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, after, &platform.UnavailableError{Op: platform.KindWatch, Err: ctx.Err()}
+		case <-timeout.C():
+			return nil, at, nil
+		case <-changed:
+		}
+	}
+}
+
+func (s *fakeStore) CompareAndSwap(_ context.Context, key string, revision uint64, value []byte, opts ...platform.WriteOption) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.begin(platform.KindSwap); err != nil {
+		return 0, err
+	}
+	if now := s.values[key].Revision(); now != revision {
+		return 0, &platform.ConflictError{Key: key, Want: revision, Current: now}
+	}
+	lease := platform.NewWrite(opts...).Lease()
+	if s.ended[lease] {
+		return 0, &platform.LeaseExpiredError{Lease: lease}
+	}
+	s.write(key, value)
+	s.leases[key] = lease
+	s.notify()
+	if s.loseWrite {
+		s.loseWrite = false
+		return 0, &platform.UnknownOutcomeError{Op: platform.KindSwap}
+	}
+	return s.revision, nil
+}
+
+func (s *fakeStore) Grant(context.Context, time.Duration) (platform.LeaseID, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.begin(platform.KindGrant); err != nil {
+		return 0, err
+	}
+	s.lease++
+	return s.lease, nil
+}
+
+func (s *fakeStore) KeepAlive(_ context.Context, lease platform.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.begin(platform.KindKeepAlive); err != nil {
+		return err
+	}
+	if s.ended[lease] {
+		return &platform.LeaseExpiredError{Lease: lease}
+	}
+	return nil
+}
+
+func (s *fakeStore) Revoke(_ context.Context, lease platform.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, l := range s.leases {
+		if l == lease {
+			delete(s.leases, key)
+			s.write(key, nil)
+		}
+	}
+	s.notify()
+	return s.begin(platform.KindRevoke)
+}
+
+func (s *fakeStore) Watch(context.Context, string, uint64, time.Duration) (platform.Value, error) {
+	return platform.Value{}, &platform.UnavailableError{Op: platform.KindWatch}
+}
--- /dev/null
+++ b/internal/log/event/budget.go
@@ -0,0 +1,61 @@
+package event
+
+import (
+	"sync"
+	"time"
+
+	"banyanlug.example/banyanlug/internal/clock/timer"
+)
+
+const (
+	// linesASecond is what each kind of event may write: a node of the users'
+	// deployments refuses some 25 calls a second when it is saturated, and twice
+	// that is 15 KB/s.
+	linesASecond = 50
+	// linesAtOnce is what may come in one moment, as when a target ends with all
+	// its calls.
+	linesAtOnce = 200
+)
+
+// Budget bounds how much each kind of event writes, and tells how many lines it
+// left out.
+type Budget struct {
+	clk *timer.Service
+
+	mu    sync.Mutex
+	kinds map[Code]*kind
+}
+
+type kind struct {
+	left    float64
+	at      time.Time
+	omitted uint64
+}
+
+// NewBudget returns a budget.
+func NewBudget(clk *timer.Service) *Budget { return &Budget{clk: clk, kinds: map[Code]*kind{}} }
+
+// allow reports whether an event may be written, and how many of its kind were
+// left out since the last one that was.
+func (b *Budget) allow(c Code) (omitted uint64, ok bool) {
+	if b == nil {
+		return 0, true
+	}
+	now := b.clk.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.kinds[c]
+	if k == nil {
+		k = &kind{left: linesAtOnce, at: now}
+		b.kinds[c] = k
+	}
+	k.left = min(linesAtOnce, k.left+linesASecond*now.Sub(k.at).Seconds())
+	k.at = now
+	if k.left < 1 {
+		k.omitted++
+		return 0, false
+	}
+	k.left--
+	omitted, k.omitted = k.omitted, 0
+	return omitted, true
+}
--- a/internal/log/event/catalogue.go
+++ b/internal/log/event/catalogue.go
@@ -30,7 +30,7 @@
 
 // catalogue holds the events of all areas; each area has a file of its own.
 var catalogue = gather(
-	processEvents, configurationEvents, distributionEvents, membershipEvents, callsEvents, operatorsEvents, storeEvents, onceEvents,
+	processEvents, configurationEvents, distributionEvents, membershipEvents, callsEvents, operatorsEvents, storeEvents, onceEvents, decisionEvents,
 )
 
 func gather(areas ...map[Code]Entry) map[Code]Entry {
--- /dev/null
+++ b/internal/log/event/decisions.go
@@ -0,0 +1,22 @@
+package event
+
+// The 1800s are about what was decided of single calls; each names the call's id.
+const (
+	CallFailed     Code = 1801
+	AttemptFailed  Code = 1802
+	CallServed     Code = 1803
+	CallLeft       Code = 1804
+	SlotRefused    Code = 1811
+	TargetFailed   Code = 1812
+	TargetAnswered Code = 1813
+)
+
+var decisionEvents = map[Code]Entry{
+	CallFailed:     {Warn, "a call ended without its target's answer", "read cause; not-run calls may be sent again, unknown ones were sent and may have run"},
+	AttemptFailed:  {Info, "an attempt at a target failed; next says what followed", "nothing; look at the target's node for the same id"},
+	CallServed:     {Info, "a call was answered; one in 512 is written, and each that took more than one attempt", "nothing"},
+	CallLeft:       {Info, "the caller left before its answer", "nothing, unless many leave: then look at the latency"},
+	SlotRefused:    {Info, "the node beside a target turned a call away; it has not run", "read reason with the load that decided it"},
+	TargetFailed:   {Warn, "a call that was passed to the target got no whole answer", "look at the target; its outcome is unknown unless sent is false"},
+	TargetAnswered: {Info, "the target answered; one in 512 is written, and each failure", "nothing"},
+}
--- a/internal/log/event/logger.go
+++ b/internal/log/event/logger.go
@@ -20,7 +20,10 @@
 func F(name string, value any) Field { return Field{name, value} }
 
 // Logger writes events as one JSON object a line.
-type Logger struct{ out *log.Logger }
+type Logger struct {
+	out    *log.Logger
+	budget *Budget
+}
 
 // New returns a logger that writes to w and marks each event with the node.
 func New(w io.Writer, node string) *Logger {
@@ -31,6 +34,9 @@
 	return &Logger{out: l}
 }
 
+// Within returns the logger with a bound on how much each kind of event writes.
+func (l *Logger) Within(b *Budget) *Logger { return &Logger{out: l.out, budget: b} }
+
 // Discard returns a logger that writes nothing, for tests.
 func Discard() *Logger { return New(io.Discard, "") }
 
@@ -55,6 +61,10 @@
 	if !ok {
 		entry = Entry{Level: Error, Text: "event without a catalogue entry"}
 	}
+	omitted, ok := l.budget.allow(c)
+	if !ok {
+		return
+	}
 	var e *log.Entry
 	switch entry.Level {
 	case Warn:
@@ -65,6 +75,9 @@
 		e = l.out.Info()
 	}
 	e = e.Int("event", int(c))
+	if omitted > 0 {
+		e = e.Uint64("omitted", omitted)
+	}
 	for _, f := range fields {
 		switch v := f.value.(type) {
 		case string:
--- a/internal/policy/balance/balancer.go
+++ b/internal/policy/balance/balancer.go
@@ -109,6 +109,14 @@
 	p.t.pool.done(b.at(now), p.t, a, took, r)
 }
 
+// Belief returns the load that a target last told and how long ago; it explains
+// a choice afterwards.
+func (b *Balancer) Belief(now time.Time, p Picked) (load float64, age time.Duration) {
+	p.t.pool.mu.Lock()
+	defer p.t.pool.mu.Unlock()
+	return p.t.load, time.Duration(b.at(now) - p.t.loadAt)
+}
+
 // Closed tells that a connection kept for another call has been closed.
 func (b *Balancer) Closed(p Picked) {
 	p.t.pool.mu.Lock()
--- a/internal/policy/membership/record.go
+++ b/internal/policy/membership/record.go
@@ -125,6 +125,12 @@
 // declaration says so.
 func (r Record) Slots() int { return r.slots }
 
+// Rebooted returns the record as a later boot of the instance announces it.
+func (r Record) Rebooted(boot uint64) Record {
+	r.boot = boot
+	return r
+}
+
 // Newer reports whether r supersedes other, which is about the same instance.
 //
 // A later boot wins. Within a boot Gone is final, so that a delayed "ready"
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -38,6 +38,7 @@
 	cfg     *Settings
 	clk     *timer.Service
 	log     *event.Logger
+	out     *event.Async
 	metrics *metrics.Set
 	dialect hop.Dialect
 	listen  listeners
@@ -68,9 +69,10 @@
 		return nil, err
 	}
 	n := &Node{
-		cfg: cfg, clk: clk, log: event.New(out, cfg.Instance), metrics: metrics.NewSet(),
+		cfg: cfg, clk: clk, out: event.NewAsync(out, clk), metrics: metrics.NewSet(),
 		dialect: hop.NewDialect(), tracker: lifecycle.NewTracker(),
 	}
+	n.log = event.New(n.out, cfg.Instance).Within(event.NewBudget(clk))
 	for _, opt := range opts {
 		opt(n)
 	}
@@ -141,14 +143,14 @@
 		caller.WithDialect(n.dialect), caller.WithOrigin(n.cfg.Pool), caller.OpenTo(openTo),
 		caller.WithMetrics(n.metrics), caller.OnNewer(n.fleet.Hint),
 		caller.WithBalancer(balance.New(n.clk.Now(), rand.New(rand.NewPCG(seed, 3)), balance.Domain(n.cfg.Domain))),
-		caller.WithElsewhere(elsewhere),
+		caller.WithElsewhere(elsewhere), caller.WithDecisions(n.log),
 		caller.WithBudgets(retry.NewBudgets(rand.New(rand.NewPCG(seed, 4)), retry.RefusedShare(refusedShare))),
 	), n.clk, n.log)
 	n.slots = target.NewSlots(n.fleet, n.cfg.Pool, n.clk)
 	n.slots.Beside(n.tracker.Target())
 	n.targets = target.NewServer(target.New(n.slots, local, n.local, nil, nil, n.clk,
 		target.WithLog(n.log), target.WithMetrics(n.metrics), target.WithDialect(n.dialect),
-		target.OnRefused(n.refused), target.WithVersion(n.version)), n.clk)
+		target.OnRefused(n.refused), target.WithVersion(n.version), target.WithDecisions(n.log)), n.clk)
 }
 
 func (n *Node) version() uint64 { return n.fleet.Current().Version() }
--- a/internal/process/resident/run.go
+++ b/internal/process/resident/run.go
@@ -23,6 +23,13 @@
 
 // Run serves until ctx ends, then lets the calls in flight end and returns.
 func (n *Node) Run(ctx context.Context) error {
+	logging, endLog := context.WithCancel(context.WithoutCancel(ctx))
+	logged := make(chan error, 1)
+	go n.out.Run(logging, logged)
+	defer func() {
+		endLog()
+		<-logged
+	}()
 	n.log.Emit(event.NodeStarted, event.F("callers", n.cfg.Callers), event.F("mesh", n.cfg.Mesh),
 		event.F("peers", n.cfg.Peers), event.F("failure_domain", n.cfg.Domain), event.F("pool", n.cfg.Pool))
 	serving, end := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/traffic/caller/answer.go
+++ b/internal/traffic/caller/answer.go
@@ -30,15 +30,24 @@
 func (c *call) finish(res result, err error) {
 	if err == nil {
 		c.h.meters.end(c, res.status, nil)
+		c.tellEnd(res, nil)
 		return
 	}
 	refusal := refusalOf(err)
 	c.h.meters.end(c, res.status, refusal)
+	c.tellEnd(res, refusal)
 	if res.began || gone(c.r.Context()) {
 		// What was passed on must not look whole, and no one waits any more.
 		panic(http.ErrAbortHandler)
 	}
-	http1.Refuse(c.w, refusal)
+	told := *refusal
+	if told.Status == http.StatusMisdirectedRequest {
+		// That this node's view lagged is no fault of the caller's request.
+		told.Status = http.StatusServiceUnavailable
+	}
+	told.Fractions = c.h.dialect.Fractions()
+	c.h.dialect.Echo(c.w.Header(), c.id)
+	http1.Refuse(c.w, &told)
 }
 
 func gone(ctx context.Context) bool {
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -5,12 +5,14 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"banyanlug.example/banyanlug/internal/clock/timer"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/policy/balance"
 	"banyanlug.example/banyanlug/internal/policy/limit"
 	"banyanlug.example/banyanlug/internal/policy/membership"
@@ -64,6 +66,9 @@
 	open      *snapshot.Organisation
 	newer     func(peer netip.AddrPort, version uint64)
 
+	log    *event.Logger // of single calls, or nil
+	served atomic.Uint64
+
 	mu  sync.Mutex
 	rng *rand.Rand
 }
@@ -104,6 +109,9 @@
 // the retries of its route.
 func WithElsewhere(n int) Option { return func(h *Handler) { h.elsewhere = n } }
 
+// WithDecisions sets where what is decided of single calls is written.
+func WithDecisions(l *event.Logger) Option { return func(h *Handler) { h.log = l } }
+
 // OnNewer sets what is told of a node that holds a newer configuration than
 // this one; f must not block.
 func OnNewer(f func(peer netip.AddrPort, version uint64)) Option {
@@ -180,7 +188,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{h: h, w: w, r: r, snap: h.config.Current(), began: h.clk.Now()}
+	c := &call{h: h, w: w, r: r, snap: h.config.Current(), began: h.clk.Now(), id: h.dialect.ID(r.Header)}
 	c.finish(c.run())
 }
 
--- a/internal/traffic/caller/route.go
+++ b/internal/traffic/caller/route.go
@@ -28,7 +28,6 @@
 	if err := c.setDeadline(); err != nil {
 		return err
 	}
-	c.id = c.h.dialect.ID(c.r.Header)
 	c.h.dialect.Strip(c.r.Header)
 	c.ask = balance.NewAsk(c.org.Name(), c.org.Class())
 	c.meta = hop.NewMeta(hop.Depth(depth), hop.For(c.org.Name(), c.org.Class()), hop.By(c.rt), hop.From(c.h.origin))
--- a/internal/traffic/caller/send.go
+++ b/internal/traffic/caller/send.go
@@ -32,12 +32,16 @@
 			return res, err
 		}
 		var none *NoTargetError
-		if errors.As(err, &none) && last != nil {
+		switch {
+		case !errors.As(err, &none):
+			last = err
+		case last != nil:
 			// What the last target said tells more than that no other is left.
 			none.Last = last
+			none.RetryAfter = sooner(none.RetryAfter, last)
 		}
-		last = err
-		after, gaveUp := c.next(err)
+		after, gaveUp := c.following(err)
+		c.tellAttempt(err, after, gaveUp)
 		if gaveUp == nil {
 			if after == 0 {
 				continue
@@ -54,6 +58,17 @@
 	}
 }
 
+// sooner returns when a call may come back that found no further target: when the
+// last one that refused it said, where that is sooner. Where others are only left
+// alone for a second, that one may have room within milliseconds.
+func sooner(after time.Duration, last error) time.Duration {
+	var refused *RefusedError
+	if !errors.As(last, &refused) || refused.Refusal.RetryAfter <= 0 {
+		return after
+	}
+	return min(after, refused.Refusal.RetryAfter)
+}
+
 func (c *call) begin() {
 	opts := [5]retry.CallOption{retry.Retries(c.rt.Retries()), retry.Depth(c.meta.Depth() - 1)}
 	if c.rt.Idempotent() {
@@ -157,6 +172,17 @@
 	return min(max(left/reserveShare, minReserve), maxReserve)
 }
 
+// following decides what follows a failed attempt. A call that has asked all
+// targets is given up at once: none of them is asked twice, so waiting would only
+// hold its caller up.
+func (c *call) following(err error) (after time.Duration, gaveUp error) {
+	var none *NoTargetError
+	if errors.As(err, &none) && none.Reason == balance.AllTried {
+		return 0, c.giveUp(err, none.RetryAfter)
+	}
+	return c.next(err)
+}
+
 // next decides what follows a failed attempt: another one after a time, or the
 // error that the call ends with.
 func (c *call) next(err error) (after time.Duration, gaveUp error) {
--- a/internal/traffic/hop/client.go
+++ b/internal/traffic/hop/client.go
@@ -168,7 +168,7 @@
 		}
 		switch {
 		case resp.StatusCode >= 200 && !r.echoed(resp):
-			if err := a.passOver(resp); err != nil {
+			if err := a.passOver(r, resp); err != nil {
 				return err
 			}
 		case resp.StatusCode >= 200:
@@ -183,20 +183,22 @@
 	return &BadAnswerError{To: a.link.to, Reason: "too many interim answers"}
 }
 
-// echoed reports whether an answer belongs to the request.
+// echoed reports whether an answer belongs to the request. A failure may come
+// without an id, as from a process that has read no more than the head; a success
+// without one belongs to nobody.
 func (r *Request) echoed(resp *http.Response) bool {
 	if r.echo[0] == "" {
 		return true
 	}
 	id := resp.Header.Get(r.echo[0])
-	return id == r.echo[1]
+	return id == r.echo[1] || id == "" && resp.StatusCode >= http.StatusBadRequest
 }
 
 // passOver reads an answer to an earlier call to its end. The connection is not
 // used again: who answers one call twice may do so once more.
-func (a *Answer) passOver(resp *http.Response) error {
+func (a *Answer) passOver(r *Request, resp *http.Response) error {
 	a.foreign = true
-	if resp.ContentLength < 0 || resp.ContentLength > maxForeign {
+	if resp.ContentLength < 0 || resp.ContentLength > maxForeign || resp.Header.Get(r.echo[0]) == "" {
 		return &BadAnswerError{To: a.link.to, Reason: "it belongs to another call"}
 	}
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
--- a/internal/traffic/hop/dialect.go
+++ b/internal/traffic/hop/dialect.go
@@ -62,6 +62,14 @@
 	return h.Get(d.id)
 }
 
+// Echo puts a call's id on an answer that this node makes itself, as targets do,
+// so that its caller can tell which call it answers.
+func (d Dialect) Echo(h http.Header, id string) {
+	if d.id != "" && id != "" {
+		h.Set(d.id, id)
+	}
+}
+
 // Deadline returns the time that a caller allows, if it names one.
 func (d Dialect) Deadline(h http.Header) (time.Duration, bool, error) {
 	text := h.Get(d.deadline)
--- a/internal/traffic/http1/refusal.go
+++ b/internal/traffic/http1/refusal.go
@@ -29,6 +29,9 @@
 	Message    string
 	Outcome    Outcome
 	RetryAfter time.Duration
+	// Fractions lets Retry-After hold fractions of a second, for callers that
+	// read them.
+	Fractions bool
 }
 
 func (r *Refusal) Error() string { return r.Type + ": " + r.Message + " (" + string(r.Outcome) + ")" }
@@ -62,12 +65,20 @@
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	h.Set(OutcomeHeader, string(r.Outcome))
 	if r.RetryAfter > 0 {
-		h.Set("Retry-After", retryAfterSeconds(r.RetryAfter))
+		h.Set("Retry-After", r.retryAfter())
 	}
 	w.WriteHeader(r.Status)
 	_, _ = w.Write(body)
 }
 
+// retryAfter returns the time as the header holds it.
+func (r *Refusal) retryAfter() string {
+	if r.Fractions {
+		return strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64)
+	}
+	return retryAfterSeconds(r.RetryAfter)
+}
+
 // retryAfterSeconds rounds up, since the header counts whole seconds and an
 // early return would be refused again; the body has the milliseconds.
 func retryAfterSeconds(d time.Duration) string {
--- a/internal/traffic/target/answer.go
+++ b/internal/traffic/target/answer.go
@@ -14,11 +14,12 @@
 	if err == nil {
 		return
 	}
+	refusal := refusalOf(err)
+	c.tellRefusal(err, refusal)
 	if began {
 		// What was passed on must not look whole.
 		panic(http.ErrAbortHandler)
 	}
-	refusal := refusalOf(err)
 	c.h.meters.refused(refusal)
 	http1.Refuse(c.w, refusal)
 }
--- a/internal/traffic/target/forward.go
+++ b/internal/traffic/target/forward.go
@@ -25,6 +25,9 @@
 	c.w.Header()[hop.LoadHeader] = []string{c.h.slots.load()}
 	c.tellVersion()
 	relayed, err := hop.Relay(c.w, answer, false)
+	if err == nil {
+		c.tellAnswer(answer.Status())
+	}
 	return relayed.Began(), answer.Status(), err
 }
 
--- a/internal/traffic/target/handler.go
+++ b/internal/traffic/target/handler.go
@@ -28,6 +28,8 @@
 	dialect    hop.Dialect
 	onRefused  func(instance string)
 	version    func() uint64
+	decisions  *event.Logger // of single calls, or nil
+	answered   atomic.Uint64
 }
 
 // Option sets one property of a handler.
@@ -43,6 +45,9 @@
 // connections; f must not block.
 func OnRefused(f func(instance string)) Option { return func(h *Handler) { h.onRefused = f } }
 
+// WithDecisions sets where what is decided of single calls is written.
+func WithDecisions(l *event.Logger) Option { return func(h *Handler) { h.decisions = l } }
+
 // WithVersion sets what tells the version of the configuration held, which
 // answers carry to other nodes.
 func WithVersion(f func() uint64) Option { return func(h *Handler) { h.version = f } }
@@ -73,6 +78,8 @@
 	h     *Handler
 	w     http.ResponseWriter
 	r     *http.Request
+	id    string
+	began time.Time
 	meta  hop.Meta
 	until time.Time
 	body  hop.Body
@@ -80,7 +87,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{h: h, w: w, r: r}
+	c := &call{h: h, w: w, r: r, began: h.clk.Now(), id: h.dialect.ID(r.Header)}
 	c.finish(c.run())
 }
 
