A claim that its own end overtook is not held; ends are told until heard

Cause: a send that gives up on a busy holder tells it so while its claim is still on its way; the claim then stood there for five minutes, as did one whose end was lost, and no other send of the key got a majority: each was told 'unknown', and the call ran at no time. Change: a holder remembers the claims given back, and ends are told up to four times. Ruled out: the split of three sends among three holders, which ends by itself as each gives up after another time. Also: a node's retry budget follows from what the platform lets the whole mesh repeat.

--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -94,6 +94,9 @@
 // change.
 func (f *Fleet) Targets(pool string) []membership.Record { return f.view.targets(pool) }
 
+// Size returns how many nodes are known, this one included.
+func (f *Fleet) Size() int { return max(1, int(f.view.size.Load())) }
+
 // Members returns what is known of all nodes.
 func (f *Fleet) Members() []membership.Record { return f.view.records() }
 
--- a/internal/control/fleet/view.go
+++ b/internal/control/fleet/view.go
@@ -15,6 +15,7 @@
 	mu      sync.Mutex
 	members map[string]*member
 	pools   atomic.Pointer[map[string][]membership.Record]
+	size    atomic.Int64
 }
 
 // member is one node as this one knows it.
@@ -162,6 +163,7 @@
 		}
 	}
 	v.pools.Store(&pools)
+	v.size.Store(int64(len(v.members)))
 }
 
 // revise takes in that the store holds an instance's entry at a revision, or
--- a/internal/control/ledger/claim.go
+++ b/internal/control/ledger/claim.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"banyanlug.example/banyanlug/internal/control/ledger/ledgerpb"
@@ -26,6 +27,9 @@
 	handOverTime = 8 * time.Second
 	// endTimeout bounds how long a call's answer follows its row's holders.
 	endTimeout = 5 * time.Second
+	// endTries is how often a holder is told that does not answer: one that is
+	// busy has answered by then, and one that has died holds nothing any more.
+	endTries = 4
 	// holderTimeout bounds one holder's answer. Two of three suffice, so it is
 	// waited for only where two are slow at once; a machine that is busy for a
 	// second must not make calls' outcomes unknown.
@@ -192,20 +196,28 @@
 // Abandon gives back the claim on a call that has not run and will not.
 func (c *Claim) Abandon() { c.end(&ledgerpb.EndRequest{}) }
 
-// end tells the holders in the background. A lost message leaves the claim
-// taken: a re-send is then told that the outcome is unknown.
+// end tells the holders in the background, again and again until all have heard
+// it: a claim that a holder has not heard the end of keeps the key from every
+// other send, which is told that the outcome is unknown.
 func (c *Claim) end(req *ledgerpb.EndRequest) {
 	req.Row, req.Key, req.Token = uint32(c.row), c.key, fromToken(c.token)
 	c.n.working.Go(func() {
 		ctx, cancel := c.n.clock.WithTimeout(context.Background(), endTimeout)
 		defer cancel()
-		for {
+		for tries := 1; ; {
 			row := c.n.row(c.row)
-			if c.tell(ctx, row.Holders(), req) <= row.Epoch() || !req.GetDone() {
+			epoch, all := c.tell(ctx, row.Holders(), req)
+			switch {
+			case epoch > row.Epoch():
+			case all || tries == endTries:
 				return
+			default:
+				tries++
+			}
+			if epoch > row.Epoch() {
+				// The row has been handed over meanwhile, without this end.
+				c.n.refresh(ctx)
 			}
-			// The row has been handed over meanwhile, without the answer.
-			c.n.refresh(ctx)
 			if c.n.clock.Sleep(ctx, claimPause) != nil {
 				return
 			}
@@ -214,20 +226,23 @@
 }
 
 // tell brings the end to some holders and returns the latest epoch that they
-// know of.
-func (c *Claim) tell(ctx context.Context, holders []once.Member, req *ledgerpb.EndRequest) uint64 {
+// know of, and whether all have heard it.
+func (c *Claim) tell(ctx context.Context, holders []once.Member, req *ledgerpb.EndRequest) (epoch uint64, all bool) {
+	var missed atomic.Int32
 	epochs := make([]uint64, len(holders))
 	var told sync.WaitGroup
 	for i, m := range holders {
 		told.Go(func() {
 			hctx, cancel := c.n.clock.WithTimeout(ctx, holderTimeout)
 			defer cancel()
-			// An error is a lost message.
-			if resp, err := c.n.at(m.Peer()).End(hctx, req); err == nil {
-				epochs[i] = resp.GetEpoch()
+			resp, err := c.n.at(m.Peer()).End(hctx, req)
+			if err != nil {
+				missed.Add(1)
+				return
 			}
+			epochs[i] = resp.GetEpoch()
 		})
 	}
 	told.Wait()
-	return slices.Max(append(epochs, 0))
+	return slices.Max(append(epochs, 0)), missed.Load() == 0
 }
--- a/internal/policy/once/claim.go
+++ b/internal/policy/once/claim.go
@@ -51,6 +51,11 @@
 	if !h.serving || h.sealed || !slices.ContainsFunc(h.row.holders, l.is) {
 		return Unready, nil
 	}
+	if l.given.has(c.Token) {
+		// The claim was overtaken by its own end. Held now, it would keep the key
+		// from every other send until its time is over.
+		return Taken, nil
+	}
 	if r := h.records[c.Key]; r != nil {
 		switch {
 		case r.Done:
@@ -125,6 +130,7 @@
 
 // Abandon gives back the claim of a send that has not run and will not.
 func (l *Ledger) Abandon(row int, key string, t Token) {
+	l.given.add(t)
 	h := l.rows[row]
 	if h == nil {
 		return
--- a/internal/policy/once/ledger.go
+++ b/internal/policy/once/ledger.go
@@ -55,6 +55,7 @@
 	bytes   int
 	limit   int
 	stopped bool
+	given   given
 }
 
 // held is a row that the process holds or has held.
--- a/internal/policy/retry/budget.go
+++ b/internal/policy/retry/budget.go
@@ -54,6 +54,9 @@
 	// refusedShare is the part of the calls that may ask another target after a
 	// refusal.
 	refusedShare float64
+	// bounds returns the part of the calls from outside that may be repeated, and
+	// what a service can save up.
+	bounds func() (share, most float64)
 }
 
 type shard struct {
@@ -73,9 +76,15 @@
 // target after a refusal.
 func RefusedShare(share float64) Option { return func(b *Budgets) { b.refusedShare = share } }
 
+// Bounded sets what tells, from 0 to 1, the part of the calls from outside that
+// may be repeated, and how many repeats a service can save up. Where a platform
+// bounds the repeats of all nodes together, each node's part depends on how many
+// there are.
+func Bounded(f func() (share, most float64)) Option { return func(b *Budgets) { b.bounds = f } }
+
 // NewBudgets returns budgets whose jitter is drawn from rng.
 func NewBudgets(rng *rand.Rand, opts ...Option) *Budgets {
-	b := &Budgets{refusedShare: refusedShare}
+	b := &Budgets{refusedShare: refusedShare, bounds: func() (share, most float64) { return repeatShare, maxTokens }}
 	for _, opt := range opts {
 		opt(b)
 	}
@@ -92,11 +101,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	left := s.budget(c.service)
-	left.repeats = min(maxTokens, left.repeats+repeatShareAt(c.depth))
+	share, most := b.bounds()
+	left.repeats = min(most, left.repeats+shareAt(share, c.depth))
 	left.refused = min(maxTokens, left.refused+b.refusedShare)
 }
 
-func repeatShareAt(depth int) float64 { return max(minRepeatShare, math.Ldexp(repeatShare, -depth)) }
+func shareAt(share float64, depth int) float64 {
+	return max(min(share, minRepeatShare), math.Ldexp(share, -depth))
+}
 
 // After decides what follows an attempt that did not succeed. While another
 // attempt of a hedged call is out, there is nothing to decide yet.
--- a/internal/policy/retry/stateful_test.go
+++ b/internal/policy/retry/stateful_test.go
@@ -34,7 +34,7 @@
 				o.call = NewCall("quote", play.Start.Add(time.Minute), opts...)
 				for range rapid.IntRange(1, 50).Draw(t, "alike") {
 					b.Fresh(&o.call)
-					paid += repeatShareAt(depth) + refusedShare
+					paid += shareAt(repeatShare, depth) + refusedShare
 				}
 				calls = append(calls, o)
 			},
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -128,6 +128,22 @@
 	refusedShare = 0.2
 )
 
+const (
+	// repeatPart is the part of the mesh's retry share that first calls use. A
+	// repeated call repeats the calls that it leads to, so that a service one
+	// level down gets about twice as many repeats; a fifth is left for targets
+	// that refuse.
+	repeatPart = 0.4
+	// sparePart is the part of what the mesh may repeat besides that its nodes may
+	// save up between them; the other half is for nodes that start.
+	sparePart = 0.5
+)
+
+// retryBounds returns this node's part of what the platform lets the mesh repeat.
+func (n *Node) retryBounds() (share, most float64) {
+	return n.cfg.RetryShare * repeatPart, max(1, float64(n.cfg.RetrySpare)*sparePart/float64(n.fleet.Size()))
+}
+
 func (n *Node) wire(store platform.Prefixes, configKey string, decode fleet.Decoder) {
 	seed := uint64(n.clk.Now().UnixNano())
 	// The settings have been checked, so the addresses can be read.
@@ -144,7 +160,7 @@
 		caller.WithMetrics(n.metrics), caller.OnNewer(n.fleet.Hint),
 		caller.WithBalancer(balance.New(n.clk.Now(), rand.New(rand.NewPCG(seed, 3)), balance.Domain(n.cfg.Domain))),
 		caller.WithElsewhere(elsewhere), caller.WithDecisions(n.log),
-		caller.WithBudgets(retry.NewBudgets(rand.New(rand.NewPCG(seed, 4)), retry.RefusedShare(refusedShare))),
+		caller.WithBudgets(retry.NewBudgets(rand.New(rand.NewPCG(seed, 4)), retry.RefusedShare(refusedShare), retry.Bounded(n.retryBounds))),
 	), n.clk, n.log)
 	n.slots = target.NewSlots(n.fleet, n.cfg.Pool, n.clk)
 	n.slots.Beside(n.tracker.Target())
