Requests that crash targets are held back; settings read again; short calls wait

Cause: the register of calls in flight at crashes was called by nobody, so such a request took one target down after the other. Change: the node beside a target that ends a call looks at its port; a closed one is a crash, told to all with the calls in flight in the node's entry; a call in flight at two is refused. Found on the way: a refused connection counted as in flight at a crash, which it never was. Short calls wait to their deadline, as the calls that made them are lost with them; a pool found full asks callers back after 0.3 s at the least.

--- a/internal/control/fleet/ask.go
+++ b/internal/control/fleet/ask.go
@@ -128,6 +128,9 @@
 	}
 	self, _ := f.own()
 	if r.Instance() != self.Instance() && r.State() != membership.Gone {
+		if r.Crash() != "" {
+			f.onCrash(r.Crash())
+		}
 		f.view.put(r, 0)
 	}
 }
--- a/internal/control/fleet/entry.go
+++ b/internal/control/fleet/entry.go
@@ -32,6 +32,7 @@
 	State    string `json:"state"`
 	Target   string `json:"target,omitempty"`
 	Slots    int    `json:"slots,omitempty"`
+	Crash    string `json:"crash,omitempty"`
 }
 
 func encode(r membership.Record) []byte {
@@ -39,7 +40,7 @@
 	b, _ := json.Marshal(entry{
 		Instance: r.Instance(), Domain: r.Domain(), Pool: r.Pool(),
 		Address: r.Address().String(), Peer: r.Peer().String(),
-		Boot: r.Boot(), Seq: r.Seq(), State: r.State().String(), Target: r.Target(), Slots: r.Slots(),
+		Boot: r.Boot(), Seq: r.Seq(), State: r.State().String(), Target: r.Target(), Slots: r.Slots(), Crash: r.Crash(),
 	})
 	return b
 }
@@ -67,7 +68,7 @@
 	return membership.NewRecord(e.Instance,
 		membership.Domain(e.Domain), membership.Pool(e.Pool), membership.Address(address), membership.Peer(peer),
 		membership.Boot(e.Boot), membership.Seq(e.Seq), membership.InState(state),
-		membership.Target(e.Target), membership.Slots(e.Slots)), nil
+		membership.Target(e.Target), membership.Slots(e.Slots), membership.Crash(e.Crash)), nil
 }
 
 // decodeAny reads an entry that another node passed on.
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -31,6 +31,7 @@
 	decode    Decoder
 	rng       *rand.Rand
 	http      *http.Client
+	onCrash   func(text string)
 
 	view    *view
 	none    *snapshot.Snapshot
@@ -71,13 +72,17 @@
 	return func(f *Fleet) { f.rng = rand.New(rand.NewPCG(seed, 1)) }
 }
 
+// OnCrash sets what is told of each crash of a target, more than once of some; f
+// must not block.
+func OnCrash(f func(text string)) Option { return func(fl *Fleet) { fl.onCrash = f } }
+
 // New returns the part of the instance that self names; configKey is where the
 // store holds the configuration.
 func New(store platform.Prefixes, clk *timer.Service, self membership.Record, configKey string, decode Decoder, opts ...Option) *Fleet {
 	f := &Fleet{
 		store: store, clk: clk, log: event.Discard(), configKey: configKey, decode: decode,
 		rng: rand.New(rand.NewPCG(1, 1)), view: newView(), none: snapshot.Empty(), self: self,
-		hints: make(chan hint, 1), change: make(chan struct{}, 1),
+		onCrash: func(string) {}, hints: make(chan hint, 1), change: make(chan struct{}, 1),
 		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	for _, opt := range opts {
@@ -109,13 +114,14 @@
 }
 
 // Announce changes what the node tells of itself; the entry is written by Run.
-func (f *Fleet) Announce(state membership.State, target string, slots int) {
+// crash tells of the target's last crash, if there was one.
+func (f *Fleet) Announce(state membership.State, target string, slots int, crash string) {
 	f.mu.Lock()
 	r := f.self
 	f.self = membership.NewRecord(r.Instance(),
 		membership.Domain(r.Domain()), membership.Pool(r.Pool()), membership.Address(r.Address()), membership.Peer(r.Peer()),
 		membership.Boot(r.Boot()), membership.Seq(r.Seq()+1), membership.InState(state),
-		membership.Target(target), membership.Slots(slots))
+		membership.Target(target), membership.Slots(slots), membership.Crash(crash))
 	f.told = true
 	self := f.self
 	f.mu.Unlock()
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -73,7 +73,7 @@
 	go func() { served <- srv.Serve(ln) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	go f.Run(ctx, ran)
-	f.Announce(membership.Ready, name+"-target", 12)
+	f.Announce(membership.Ready, name+"-target", 12, "")
 	s := &spot{Fleet: f}
 	stopped := false
 	s.stop = func() {
--- a/internal/control/fleet/follow.go
+++ b/internal/control/fleet/follow.go
@@ -139,6 +139,9 @@
 		f.ownEntry(r, v.Revision())
 		return
 	}
+	if r.Crash() != "" {
+		f.onCrash(r.Crash())
+	}
 	if f.view.put(r, v.Revision()) {
 		f.log.Emit(event.MemberChanged, event.F("instance", r.Instance()), event.F("state", r.State()),
 			event.F("target", r.Target()), event.F("pool", r.Pool()), event.F("revision", v.Revision()))
--- a/internal/policy/admission/due_test.go
+++ b/internal/policy/admission/due_test.go
@@ -126,3 +126,33 @@
 		t.Errorf("of %d calls %d served, %d in time, %d refused", calls, served, inTime, refused)
 	}
 }
+
+// Long calls fill both slots and more wait. A short call that other work depends
+// on comes, due sooner than a slot can come free; turned away, it would take the
+// call that made it down with it. It waits, and gets the next slot.
+func TestAShortCallAmongLongOnesWaits(t *testing.T) {
+	t.Parallel()
+	g := newDueGate(t)
+	enter := func(route string, due time.Duration) Decision {
+		d, _ := g.gate.Enter(g.now, NewRequest("all", snapshot.Paying, route, g.now.Add(200*time.Millisecond), Due(g.now.Add(due))), nil)
+		return d
+	}
+	for range 32 {
+		d := enter("check", 60*time.Millisecond)
+		g.now = g.now.Add(5 * time.Millisecond)
+		g.gate.Leave(g.now, d.(Admitted).Ticket(), Done, nil)
+		d, _ = g.enter(time.Second, 0, 0)
+		g.now = g.now.Add(50 * time.Millisecond)
+		g.gate.Leave(g.now, d.(Admitted).Ticket(), Done, nil)
+	}
+	running := g.fill()
+	d := enter("check", 8*time.Millisecond)
+	q, ok := d.(Queued)
+	if !ok {
+		t.Fatalf("a short call: %T", d)
+	}
+	g.now = g.now.Add(40 * time.Millisecond)
+	if wakes := g.gate.Leave(g.now, running[0], Done, nil); len(wakes) != 1 || wakes[0].Ticket() != q.Ticket() {
+		t.Errorf("woken: %v", wakes)
+	}
+}
--- a/internal/policy/admission/gate.go
+++ b/internal/policy/admission/gate.go
@@ -36,6 +36,8 @@
 	// mostService is how many times its mean a service time is for nine in ten
 	// calls, where they vary as the users' do (log-normal, a spread of 0.8).
 	mostService = 2
+	// shortPart is up to which part of the usual service time a call is short.
+	shortPart = 2.0 / 3
 	// refillSlots is how many slots a waiting call may outlast: with one call for
 	// each of the next two, a target with a dozen slots is idle for under 1% of
 	// its time when it is saturated.
@@ -449,6 +451,10 @@
 // kind would still end by the due time, or until the next slots come free, so
 // that none stays empty for want of a call that waits.
 //
+// A call that is short beside the others waits to its deadline if it must: it
+// goes first by its due time, turning it away would free next to nothing, and it
+// is mostly part of a longer call elsewhere, all of which would be lost with it.
+//
 // On a saturated target every call that runs has waited to the end of what it
 // may; with the mean service time in place of most, half of them came late.
 func (g *Gate) latestStart(at int64, c *call) int64 {
@@ -456,6 +462,9 @@
 	if c.due == c.deadline {
 		return c.deadline - expected
 	}
+	if float64(expected) < shortPart*g.all.mean {
+		return c.deadline - mostService*expected
+	}
 	refill := int64(refillSlots * g.all.mean / float64(g.capacity()))
 	return min(max(c.due-mostService*expected, at+refill), c.deadline-expected)
 }
--- a/internal/policy/membership/record.go
+++ b/internal/policy/membership/record.go
@@ -51,6 +51,7 @@
 	state    State
 	target   string
 	slots    int
+	crash    string
 }
 
 // RecordOption sets one property of a record.
@@ -85,6 +86,10 @@
 // Slots sets how many calls the target runs at once, where it says so itself.
 func Slots(n int) RecordOption { return func(r *Record) { r.slots = n } }
 
+// Crash sets what the instance tells of the last crash of its target; its words
+// are the sender's and the reader's affair.
+func Crash(text string) RecordOption { return func(r *Record) { r.crash = text } }
+
 // NewRecord returns an announcement by an instance.
 func NewRecord(instance string, opts ...RecordOption) Record {
 	r := Record{instance: instance, state: Starting}
@@ -131,6 +136,9 @@
 	return r
 }
 
+// Crash returns what the instance tells of the last crash of its target, or "".
+func (r Record) Crash() string { return r.crash }
+
 // Newer reports whether r supersedes other, which is about the same instance.
 //
 // A later boot wins. Within a boot Gone is final, so that a delayed "ready"
--- /dev/null
+++ b/internal/policy/poison/crash_test.go
@@ -0,0 +1,35 @@
+package poison
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestACrashIsReadAsItWasWritten(t *testing.T) {
+	t.Parallel()
+	want := Crash{
+		Process: Process{Instance: "i-1", Boot: 7},
+		InFlight: []Fingerprint{
+			FingerprintOf("a", "r", "", "GET", "/x", nil), FingerprintOf("a", "r", "", "GET", "/y", nil),
+		},
+	}
+	got, ok := ParseCrash(want.String())
+	if diff := cmp.Diff(want, got, cmp.AllowUnexported(Fingerprint{})); !ok || diff != "" {
+		t.Error(ok, diff)
+	}
+}
+
+// Others may write to where nodes tell of crashes; what is no crash holds nothing
+// back.
+func TestWhatIsNoCrash(t *testing.T) {
+	t.Parallel()
+	for _, text := range []string{
+		"", "i-1", "i-1/7", "/7/", "i-1/x/", "i-1/7/zz", "i-1/7/00", "i-1/7/" + strings.Repeat("00", 16*(maxTold+1)),
+	} {
+		if c, ok := ParseCrash(text); ok {
+			t.Errorf("%q is read as %v", text, c)
+		}
+	}
+}
--- a/internal/policy/retry/call.go
+++ b/internal/policy/retry/call.go
@@ -83,6 +83,9 @@
 // Attempts returns how many attempts have ended.
 func (c *Call) Attempts() int { return c.attempts }
 
+// Refusals returns how many targets were asked besides because one had refused.
+func (c *Call) Refusals() int { return c.refusals }
+
 // Carries returns the number of retries to pass along with the next attempt.
 func (c *Call) Carries() int {
 	n := c.carried + c.attempts - c.moves - c.refusals
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -22,6 +22,7 @@
 	"banyanlug.example/banyanlug/internal/policy/balance"
 	"banyanlug.example/banyanlug/internal/policy/lifecycle"
 	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/policy/poison"
 	"banyanlug.example/banyanlug/internal/policy/retry"
 	"banyanlug.example/banyanlug/internal/traffic/caller"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
@@ -49,10 +50,14 @@
 	callers *caller.Server
 	slots   *target.Slots
 	targets *target.Server
+	target  *target.Handler
+	calls   *register
 
-	stopping atomic.Bool
-	mu       sync.Mutex
-	tracker  *lifecycle.Tracker
+	bounds    atomic.Pointer[bounds]
+	stopping  atomic.Bool
+	mu        sync.Mutex
+	tracker   *lifecycle.Tracker
+	lastCrash string
 }
 
 type listeners struct{ callers, mesh, peers, admin net.Listener }
@@ -72,6 +77,8 @@
 		cfg: cfg, clk: clk, out: event.NewAsync(out, clk), metrics: metrics.NewSet(),
 		dialect: hop.NewDialect(), tracker: lifecycle.NewTracker(),
 	}
+	b := cfg.bounds()
+	n.bounds.Store(&b)
 	n.log = event.New(n.out, cfg.Instance).Within(event.NewBudget(clk))
 	for _, opt := range opts {
 		opt(n)
@@ -141,7 +148,8 @@
 
 // retryBounds returns this node's part of what the platform lets the mesh repeat.
 func (n *Node) retryBounds() (share, most float64) {
-	return n.cfg.RetryShare * repeatPart, max(1, float64(n.cfg.RetrySpare)*sparePart/float64(n.fleet.Size()))
+	b := n.bounds.Load()
+	return b.retryShare * repeatPart, max(1, float64(b.retrySpare)*sparePart/float64(n.fleet.Size()))
 }
 
 func (n *Node) wire(store platform.Prefixes, configKey string, decode fleet.Decoder) {
@@ -152,25 +160,48 @@
 	local, _ := netip.ParseAddrPort(n.cfg.Target)
 	self := membership.NewRecord(n.cfg.Instance, membership.Domain(n.cfg.Domain), membership.Pool(n.cfg.Pool),
 		membership.Address(mesh), membership.Peer(peers), membership.Boot(uint64(n.clk.Now().UnixMilli())))
-	n.fleet = fleet.New(store, n.clk, self, configKey, decode, fleet.WithLog(n.log), fleet.WithSeed(seed))
+	n.calls = &register{clk: n.clk, log: n.log, calls: poison.NewRegister()}
+	n.fleet = fleet.New(store, n.clk, self, configKey, decode,
+		fleet.WithLog(n.log), fleet.WithSeed(seed), fleet.OnCrash(n.calls.crashed))
 	n.hop = hop.NewClient(n.clk, hop.AskFirst())
 	n.local = hop.NewClient(n.clk, hop.UntilClosed(), hop.WithIdle(targetIdle))
 	n.callers = caller.NewServer(caller.New(n.fleet, n.fleet, n.hop, nil, n.clk,
 		caller.WithDialect(n.dialect), caller.WithOrigin(n.cfg.Pool), caller.OpenTo(openTo),
 		caller.WithMetrics(n.metrics), caller.OnNewer(n.fleet.Hint),
 		caller.WithBalancer(balance.New(n.clk.Now(), rand.New(rand.NewPCG(seed, 3)), balance.Domain(n.cfg.Domain))),
-		caller.WithElsewhere(elsewhere), caller.WithDecisions(n.log),
+		caller.WithElsewhere(elsewhere), caller.WithDecisions(n.log), caller.WithRegister(n.calls),
 		caller.WithBudgets(retry.NewBudgets(rand.New(rand.NewPCG(seed, 4)), retry.RefusedShare(refusedShare), retry.Bounded(n.retryBounds))),
 	), n.clk, n.log)
 	n.slots = target.NewSlots(n.fleet, n.cfg.Pool, n.clk)
 	n.slots.Beside(n.tracker.Target())
-	n.targets = target.NewServer(target.New(n.slots, local, n.local, nil, nil, n.clk,
+	n.target = target.New(n.slots, local, n.local, nil, nil, n.clk,
 		target.WithLog(n.log), target.WithMetrics(n.metrics), target.WithDialect(n.dialect),
-		target.OnRefused(n.refused), target.WithVersion(n.version), target.WithDecisions(n.log)), n.clk)
+		target.OnRefused(n.refused), target.WithVersion(n.version), target.WithDecisions(n.log))
+	n.targets = target.NewServer(n.target, n.clk)
 }
 
 func (n *Node) version() uint64 { return n.fleet.Current().Version() }
 
+// Reload takes over settings that have changed: the bounds at once, while
+// addresses and names hold until the next start.
+func (n *Node) Reload(cfg *Settings) {
+	if err := cfg.Check(); err != nil {
+		n.log.Emit(event.SettingsRefused, event.F("error", err))
+		return
+	}
+	after, before := cfg.bounds(), *n.bounds.Load()
+	fixed := *cfg
+	fixed.Grace, fixed.RetryShare, fixed.RetrySpare, fixed.RetryWindow = n.cfg.Grace, n.cfg.RetryShare, n.cfg.RetrySpare, n.cfg.RetryWindow
+	n.bounds.Store(&after)
+	n.log.Emit(event.SettingsRead, event.F("bounds_changed", after != before), event.F("start_needed", fixed != *n.cfg))
+}
+
+// Refuse tells of settings that can't be read; those in force hold.
+func (n *Node) Refuse(err error) { n.log.Emit(event.SettingsRefused, event.F("error", err)) }
+
+// Targets returns the ready targets of a pool, as this node knows them.
+func (n *Node) Targets(pool string) []membership.Record { return n.fleet.Targets(pool) }
+
 // Ready reports whether the node takes callers' calls: it knows a configuration
 // and the members, and does not stop.
 func (n *Node) Ready() bool { return n.fleet.Ready() && !n.stopping.Load() }
@@ -190,10 +221,15 @@
 func (n *Node) follow(word func() bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	before := n.tracker.Target()
 	if !word() {
 		return
 	}
 	t := n.tracker.Target()
+	if crash := n.crash(before, t); crash != "" {
+		n.lastCrash = crash
+		n.calls.crashed(crash)
+	}
 	n.log.Emit(event.TargetChanged, event.F("target", t.ID()), event.F("phase", t.Phase()),
 		event.F("born_ms", t.Born()), event.F("slots", t.Slots()))
 	if n.stopping.Load() {
@@ -211,7 +247,7 @@
 	case lifecycle.Leaving:
 		state = membership.Draining
 	}
-	n.fleet.Announce(state, t.ID(), t.Slots())
+	n.fleet.Announce(state, t.ID(), t.Slots(), n.lastCrash)
 }
 
 // stop lets the other nodes know that this one takes no further call for its
@@ -221,7 +257,7 @@
 	defer n.mu.Unlock()
 	n.stopping.Store(true)
 	t := n.tracker.Target()
-	n.fleet.Announce(membership.Draining, t.ID(), t.Slots())
+	n.fleet.Announce(membership.Draining, t.ID(), t.Slots(), n.lastCrash)
 	n.log.Emit(event.NodeDrains)
 }
 
--- a/internal/process/resident/settings.go
+++ b/internal/process/resident/settings.go
@@ -30,6 +30,18 @@
 	RetryWindow time.Duration
 }
 
+// bounds are the settings that a running node takes over.
+type bounds struct {
+	grace       time.Duration
+	retryShare  float64
+	retrySpare  int
+	retryWindow time.Duration
+}
+
+func (s *Settings) bounds() bounds {
+	return bounds{s.Grace, s.RetryShare, s.RetrySpare, s.RetryWindow}
+}
+
 // Check returns the first setting that can't be used as a SettingError.
 func (s *Settings) Check() error {
 	for _, c := range []struct{ name, value string }{
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -66,8 +66,9 @@
 	open      *snapshot.Organisation
 	newer     func(peer netip.AddrPort, version uint64)
 
-	log    *event.Logger // of single calls, or nil
-	served atomic.Uint64
+	log      *event.Logger // of single calls, or nil
+	register Register
+	served   atomic.Uint64
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -109,6 +110,9 @@
 // the retries of its route.
 func WithElsewhere(n int) Option { return func(h *Handler) { h.elsewhere = n } }
 
+// WithRegister sets what tells which calls are held back.
+func WithRegister(r Register) Option { return func(h *Handler) { h.register = r } }
+
 // WithDecisions sets where what is decided of single calls is written.
 func WithDecisions(l *event.Logger) Option { return func(h *Handler) { h.log = l } }
 
@@ -208,6 +212,9 @@
 	if err := c.readBody(); err != nil {
 		return result{}, err
 	}
+	if err := c.holdBack(); err != nil {
+		return result{}, err
+	}
 	recorded, err := c.claimRun()
 	if err != nil {
 		return result{}, err
--- a/internal/traffic/caller/send.go
+++ b/internal/traffic/caller/send.go
@@ -201,7 +201,20 @@
 }
 
 func (c *call) giveUp(err error, retryAfter time.Duration) error {
-	return &GaveUpError{Err: err, MayHaveRun: c.mayHaveRun, RetryAfter: retryAfter}
+	return &GaveUpError{Err: err, MayHaveRun: c.mayHaveRun, RetryAfter: c.comeBack(retryAfter)}
+}
+
+// fullPool is when a call may come back that found a whole pool full. The slots
+// that come free meanwhile go to fresh calls; one that is back within milliseconds
+// is refused again and has used up one of its caller's few tries.
+const fullPool = 300 * time.Millisecond
+
+// comeBack returns when the caller may try again.
+func (c *call) comeBack(after time.Duration) time.Duration {
+	if after > 0 && c.attempts.Refusals() >= c.h.elsewhere && c.h.elsewhere > 0 {
+		return max(after, fullPool+after/2)
+	}
+	return after
 }
 
 // outcomeOf says how an attempt ended, in the terms that retries are decided
--- a/internal/traffic/hop/pool.go
+++ b/internal/traffic/hop/pool.go
@@ -170,6 +170,16 @@
 	return cfg
 }
 
+// Warm opens a connection for the next call to a peer.
+func (c *Client) Warm(to netip.AddrPort, until time.Time) error {
+	l, err := c.dial(context.Background(), to, until)
+	if err != nil {
+		return err
+	}
+	c.put(l)
+	return nil
+}
+
 // reap closes connections that were idle too long or that their peer closed.
 func (c *Client) reap(now time.Time) {
 	for i := range c.shards {
--- a/internal/traffic/target/forward.go
+++ b/internal/traffic/target/forward.go
@@ -4,15 +4,24 @@
 	"errors"
 	"strconv"
 	"syscall"
+	"time"
 
 	"banyanlug.example/banyanlug/internal/traffic/hop"
 )
 
 // forward sends the call to the target and passes its answer on.
 func (c *call) forward() (began bool, status int, err error) {
+	c.h.flights.begin(c)
+	defer func() {
+		broke := brokeOff(err)
+		c.h.flights.end(c, c.h.clk.Now(), broke)
+		if broke {
+			c.h.look(c.meta.Instance())
+		}
+	}()
 	answer, err := c.h.client.Do(c.r.Context(), c.h.local, c.toTarget(), c.until)
 	if err != nil {
-		c.tellRefused(err)
+		c.h.tellRefused(c.meta.Instance(), err)
 		return false, 0, err
 	}
 	defer answer.Close()
@@ -53,9 +62,33 @@
 
 // tellRefused tells of a target that has ended: nothing but a closed port
 // refuses a connection on one machine, so one refusal is enough.
-func (c *call) tellRefused(err error) {
+func (h *Handler) tellRefused(instance string, err error) {
 	var dial *hop.DialError
 	if errors.As(err, &dial) && errors.Is(dial, syscall.ECONNREFUSED) {
-		c.h.onRefused(c.meta.Instance())
+		h.onRefused(instance)
 	}
 }
+
+// brokeOff reports whether the target's process ended a call that it ran.
+func brokeOff(err error) bool {
+	var (
+		none *hop.NoAnswerError
+		cut  *hop.CutOffError
+	)
+	return errors.As(err, &none) || errors.As(err, &cut)
+}
+
+// lookTimeout bounds a look at the target's port; on one machine it takes about a
+// millisecond.
+const lookTimeout = 100 * time.Millisecond
+
+// look opens a connection to a target that has just ended one, for the next call
+// to use. If the port is closed the process has crashed, and what ran there is
+// known now, while the calls that broke off are still remembered.
+func (h *Handler) look(instance string) {
+	if !h.looking.CompareAndSwap(false, true) {
+		return
+	}
+	defer h.looking.Store(false)
+	h.tellRefused(instance, h.client.Warm(h.local, h.clk.Now().Add(lookTimeout)))
+}
--- a/internal/traffic/target/handler.go
+++ b/internal/traffic/target/handler.go
@@ -30,6 +30,8 @@
 	version    func() uint64
 	decisions  *event.Logger // of single calls, or nil
 	answered   atomic.Uint64
+	flights    flights
+	looking    atomic.Bool
 }
 
 // Option sets one property of a handler.
