--- /dev/null
+++ b/internal/policy/retry/elsewhere_test.go
@@ -0,0 +1,66 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"banyanlug.example/banyanlug/internal/policy/play"
+)
+
+// Targets of a pool are full for a moment. A call that may not be repeated and
+// whose route allows no retry may still ask others, as none has begun it; but not
+// without end, and not once one has begun it.
+func TestARefusedCallMayAskElsewhere(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name      string
+		elsewhere int
+		outcomes  []Outcome
+		want      []bool
+	}{
+		{"twice and no more", 2, []Outcome{Refused(0), Refused(0), Refused(0)}, []bool{true, true, false}},
+		{"not where it is not set", 0, []Outcome{Refused(0)}, []bool{false}},
+		{"not after an attempt that may have run", 2, []Outcome{Refused(0), Broken()}, []bool{true, false}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			b := NewBudgets(rand.New(rand.NewPCG(1, 2)), RefusedShare(1))
+			for range 20 {
+				fresh := NewCall("s", play.Start.Add(time.Second))
+				b.Fresh(&fresh)
+			}
+			c := NewCall("s", play.Start.Add(time.Second), Elsewhere(tc.elsewhere))
+			for i, o := range tc.outcomes {
+				_, again := b.After(play.Start, &c, o).(Retry)
+				if again != tc.want[i] {
+					t.Errorf("after %d outcomes: again %v", i+1, again)
+				}
+			}
+			if c.Carries() > 1 && tc.name != "not after an attempt that may have run" {
+				t.Errorf("carries %d retries", c.Carries())
+			}
+		})
+	}
+}
+
+// The platform lets all nodes together repeat a share of the calls and some
+// besides. A node of many that saved up as much as one alone would, with the
+// others, break that bound in the moment that a target fails.
+func TestANodesBudgetFollowsFromTheMeshs(t *testing.T) {
+	t.Parallel()
+	const nodes, spare, share = 13, 60, 0.2
+	b := NewBudgets(rand.New(rand.NewPCG(1, 2)), Bounded(func() (float64, float64) { return share * 0.4, spare * 0.5 / nodes }))
+	const calls = 1000
+	repeats := 0
+	for range calls {
+		c := NewCall("s", play.Start.Add(time.Second), Idempotent(), Retries(1))
+		b.Fresh(&c)
+		if _, again := b.After(play.Start, &c, Broken()).(Retry); again {
+			repeats++
+		}
+	}
+	if most := share*calls + float64(spare)/nodes; float64(repeats) > most/2 {
+		t.Errorf("%d repeats of %d calls, half of what the mesh may is %v", repeats, calls, most/2)
+	}
+}
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -178,6 +178,7 @@
 		target.WithLog(n.log), target.WithMetrics(n.metrics), target.WithDialect(n.dialect),
 		target.OnRefused(n.refused), target.WithVersion(n.version), target.WithDecisions(n.log))
 	n.targets = target.NewServer(n.target, n.clk)
+	n.registerMetrics()
 }
 
 func (n *Node) version() uint64 { return n.fleet.Current().Version() }
@@ -261,6 +262,21 @@
 	n.log.Emit(event.NodeDrains)
 }
 
+// registerMetrics adds what is read from the parts when somebody asks.
+func (n *Node) registerMetrics() {
+	gauge := func(name string, f func() float64) { n.metrics.NewGauge(name, f) }
+	gauge("banyanlug_config_version", func() float64 { return float64(n.version()) })
+	gauge("banyanlug_members", func() float64 { return float64(n.fleet.Size()) })
+	gauge("banyanlug_store_silent_seconds", func() float64 { return n.fleet.StoreAge().Seconds() })
+	gauge("banyanlug_log_dropped_lines", func() float64 { return float64(n.out.Dropped()) })
+	gauge("banyanlug_ready", func() float64 {
+		if n.Ready() {
+			return 1
+		}
+		return 0
+	})
+}
+
 func (n *Node) adminHandler() http.Handler {
 	mux := flow.New()
 	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
