--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -102,9 +102,6 @@
 // Size returns how many nodes are known, this one included.
 func (f *Fleet) Size() int { return max(1, int(f.view.size.Load())) }
 
-// Members returns what is known of all nodes.
-func (f *Fleet) Members() []membership.Record { return f.view.records() }
-
 // Ready reports whether the node knows a configuration and the members.
 func (f *Fleet) Ready() bool { return f.synced.Load() && f.Current().Version() > 0 }
 
--- a/internal/traffic/hop/request.go
+++ b/internal/traffic/hop/request.go
@@ -25,9 +25,6 @@
 // Whole is a body held in memory, which can be sent again.
 type Whole struct{ bytes []byte }
 
-// Bytes returns the body, which the caller must not change.
-func (b Whole) Bytes() []byte { return b.bytes }
-
 // Stream is a body that is sent on as it comes, and only once.
 type Stream struct {
 	r         io.Reader
