--- a/internal/control/ledger/message.go
+++ b/internal/control/ledger/message.go
@@ -74,6 +74,22 @@
 	return once.Token{Boot: t.GetBoot(), Number: t.GetNumber()}
 }
 
+func fromTokens(ts []once.Token) []*ledgerpb.Token {
+	var out []*ledgerpb.Token
+	for _, t := range ts {
+		out = append(out, fromToken(t))
+	}
+	return out
+}
+
+func toTokens(ts []*ledgerpb.Token) []once.Token {
+	var out []once.Token
+	for _, t := range ts {
+		out = append(out, toToken(t))
+	}
+	return out
+}
+
 // Times cross the network as durations, since clocks differ.
 func fromSealed(now time.Time, s once.Sealed) *ledgerpb.SealResponse {
 	out := &ledgerpb.SealResponse{Ok: true, Lost: s.Lost}
@@ -84,6 +100,7 @@
 		out.Records = append(out.Records, &ledgerpb.Record{
 			Key: r.Key, Token: fromToken(r.Token), Epoch: r.Epoch, Done: r.Done, Answer: r.Answer,
 			LeftMs: uint32(max(0, r.Until.Sub(now).Milliseconds())) + 1,
+			Rivals: fromTokens(r.Rivals),
 		})
 	}
 	return out
@@ -97,7 +114,8 @@
 	for _, r := range m.GetRecords() {
 		s.Records = append(s.Records, once.Record{
 			Key: r.GetKey(), Token: toToken(r.GetToken()), Epoch: r.GetEpoch(), Done: r.GetDone(), Answer: r.GetAnswer(),
-			Until: now.Add(time.Duration(r.GetLeftMs()) * time.Millisecond),
+			Until:  now.Add(time.Duration(r.GetLeftMs()) * time.Millisecond),
+			Rivals: toTokens(r.GetRivals()),
 		})
 	}
 	return s
--- a/internal/control/ledger/node_test.go
+++ b/internal/control/ledger/node_test.go
@@ -165,6 +165,7 @@
 	var unknown *UnknownError
 	switch {
 	case errors.As(err, &unknown):
+		r.t.Logf("call %q at %s: %v", key, node, err)
 		return "unknown", nil
 	case err != nil:
 		r.t.Fatal(err)
--- a/internal/policy/once/claim.go
+++ b/internal/policy/once/claim.go
@@ -60,7 +60,7 @@
 		switch {
 		case r.Done:
 			return Done, r.Answer
-		case r.Token == c.Token && r.Epoch == c.Epoch:
+		case r.Token == c.Token && len(r.Rivals) == 0 && r.Epoch == c.Epoch:
 			return Granted, nil
 		default:
 			return Taken, nil
@@ -135,10 +135,16 @@
 	if h == nil {
 		return
 	}
-	if r := h.records[key]; r != nil && !r.Done && r.Token == t {
-		l.bytes -= r.bytes()
-		delete(h.records, key)
+	r := h.records[key]
+	if r == nil || r.Done {
+		return
+	}
+	if left, held := r.without(func(c Token) bool { return c == t }); held {
+		l.put(h, left)
+		return
 	}
+	l.bytes -= r.bytes()
+	delete(h.records, key)
 }
 
 // Decision is what a sender does after its holders answered.
--- a/internal/policy/once/ledger.go
+++ b/internal/policy/once/ledger.go
@@ -23,6 +23,8 @@
 	// recordBytes is what a record takes besides its key and answer: about 150
 	// bytes of heap by BenchmarkRecord, and room for what is not collected yet.
 	recordBytes = 256
+	// tokenBytes is the size of a Token.
+	tokenBytes = 16
 	// MaxAnswerBytes bounds an answer that is kept for re-sends.
 	MaxAnswerBytes = 64 << 10
 )
@@ -34,6 +36,10 @@
 type Record struct {
 	Key   string
 	Token Token
+	// Rivals are other sends whose claims came from other holders as the row
+	// changed hands. Any one of all may have run, so the key is free only when
+	// each has given its claim back; it is, since those that lost do.
+	Rivals []Token
 	// Epoch is the one in which the claim was granted. The same send gets it
 	// again only in that epoch: later a minority's claim may have come through
 	// where a majority's was lost.
@@ -43,7 +49,36 @@
 	Until  time.Time
 }
 
-func (r *Record) bytes() int { return recordBytes + len(r.Key) + len(r.Answer) }
+func (r *Record) bytes() int {
+	return recordBytes + len(r.Key) + len(r.Answer) + len(r.Rivals)*tokenBytes
+}
+
+// claims returns all sends that may hold the key.
+func (r *Record) claims() []Token { return append([]Token{r.Token}, r.Rivals...) }
+
+// without returns the record without the claims that drop names, and whether
+// one is left.
+func (r Record) without(drop func(Token) bool) (Record, bool) {
+	left := slices.DeleteFunc(r.claims(), drop)
+	if len(left) == 0 {
+		return r, false
+	}
+	r.Token, r.Rivals = left[0], left[1:]
+	return r, true
+}
+
+// join returns the record with the claims of another one on its key.
+func (r Record) join(other Record) Record {
+	for _, t := range other.claims() {
+		if !slices.Contains(r.claims(), t) {
+			r.Rivals = append(slices.Clip(r.Rivals), t)
+		}
+	}
+	if other.Until.After(r.Until) {
+		r.Until = other.Until
+	}
+	return r
+}
 
 // Ledger is one process's part in holding records. It is not safe for
 // concurrent use.
@@ -283,10 +318,16 @@
 		if old != nil && old.Done {
 			continue
 		}
-		if old != nil && !r.Done && old.Token != r.Token {
-			// One of the two may have run, and which one is not known here: no
-			// send may give the claim back.
-			r.Token = Token{}
+		if !r.Done {
+			// A claim may have been given back here before the holder of the
+			// epoch before, sealed earlier, brings it: nobody would do so again.
+			var held bool
+			if r, held = r.without(l.given.has); !held {
+				continue
+			}
+			if old != nil {
+				r = old.join(r)
+			}
 		}
 		l.put(h, r)
 	}
