--- a/internal/control/fleet/ask.go
+++ b/internal/control/fleet/ask.go
@@ -43,8 +43,11 @@
 		case <-ctx.Done():
 		case hinted := <-f.hints:
 			f.askHinted(ctx, hinted)
+		case <-f.chased:
+			f.chase(ctx)
 		case now := <-tick.C():
 			f.vouch(ctx, now)
+			f.chase(ctx)
 			if f.StoreAge() > storeSilence && !f.storeOK.Load() {
 				f.askAny(ctx)
 			}
@@ -53,21 +56,19 @@
 	done <- ctx.Err()
 }
 
-// askHinted learns of a newer configuration that another node holds. The store
-// is asked first: it is the source, and what it sends crosses no failure domain.
+// askHinted learns of a newer configuration that another node holds. A node that
+// reads asks the store first: it is the source, and what it sends crosses no
+// failure domain.
 func (f *Fleet) askHinted(ctx context.Context, hinted hint) {
 	if f.clk.Sleep(ctx, hintPause) != nil || f.Current().Version() >= hinted.version {
 		return
 	}
-	if f.storeOK.Load() {
-		v, err := f.store.Get(ctx, f.configKey)
-		if err == nil {
-			f.value(v)
-			return
-		}
-		f.lostStore(ctx, err)
+	if f.reads() {
+		f.getConfiguration(ctx)
+	}
+	if f.Current().Version() < hinted.version {
+		f.askPeer(ctx, hinted.peer, false)
 	}
-	f.askPeer(ctx, hinted.peer)
 }
 
 // askAny asks one other node, another one each time.
@@ -96,12 +97,13 @@
 	f.mu.Lock()
 	peer := others[f.rng.IntN(len(others))]
 	f.mu.Unlock()
-	f.askPeer(ctx, peer)
+	f.askPeer(ctx, peer, true)
 }
 
-// askPeer takes over what a node holds that is newer.
-func (f *Fleet) askPeer(ctx context.Context, peer netip.AddrPort) {
-	resp, err := f.viewOf(ctx, peer, f.Current().Version())
+// askPeer takes over what a node holds that is newer, its members too if they are
+// asked for.
+func (f *Fleet) askPeer(ctx context.Context, peer netip.AddrPort, members bool) {
+	resp, err := f.viewOf(ctx, peer, f.Current().Version(), members)
 	if err != nil {
 		f.log.Emit(event.PeerLost, event.F("peer", peer), event.F("error", err))
 		return
@@ -146,7 +148,7 @@
 		if r.Instance() == self.Instance() {
 			continue
 		}
-		resp, err := f.viewOf(ctx, r.Peer(), f.Current().Version())
+		resp, err := f.viewOf(ctx, r.Peer(), f.Current().Version(), false)
 		if err == nil {
 			if answer, derr := decodeAny(resp.GetEntry()); derr == nil && answer.Boot() >= r.Boot() && answer.Instance() == r.Instance() {
 				f.view.put(answer, 0)
@@ -160,9 +162,9 @@
 	}
 }
 
-func (f *Fleet) viewOf(ctx context.Context, peer netip.AddrPort, version uint64) (*fleetpb.ViewResponse, error) {
+func (f *Fleet) viewOf(ctx context.Context, peer netip.AddrPort, version uint64, members bool) (*fleetpb.ViewResponse, error) {
 	ctx, cancel := f.clk.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	client := fleetpb.NewFleetProtobufClient("http://"+peer.String(), f.http)
-	return client.View(ctx, &fleetpb.ViewRequest{Version: version})
+	return client.View(ctx, &fleetpb.ViewRequest{Version: version, Members: members})
 }
--- a/internal/control/fleet/entry.go
+++ b/internal/control/fleet/entry.go
@@ -9,8 +9,12 @@
 	"banyanlug.example/banyanlug/internal/policy/membership"
 )
 
-// MembersPrefix is where the nodes' entries stand in the store.
-const MembersPrefix = "members/"
+const (
+	// ownPrefix is where all keys that nodes write stand in the store.
+	ownPrefix = "fleet/"
+	// MembersPrefix is where the nodes' entries stand in the store.
+	MembersPrefix = ownPrefix + "members/"
+)
 
 // EntryError tells of an entry that no node of this program wrote.
 type EntryError struct {
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -44,7 +44,10 @@
 	mu     sync.Mutex
 	self   membership.Record
 	told   bool // self has been announced
+	news   news
 	change chan struct{}
+	fresh  chan struct{} // the store brought a newer version
+	chased chan struct{} // the store tells of a newer version
 
 	asks int // questions to other nodes; only ask uses it
 }
@@ -57,8 +60,9 @@
 
 // held is the configuration in force with the bytes that it came as.
 type held struct {
-	snap  *snapshot.Snapshot
-	bytes []byte
+	snap     *snapshot.Snapshot
+	bytes    []byte
+	squeezed func() []byte
 }
 
 // Option sets one property of a fleet.
@@ -83,6 +87,7 @@
 		store: store, clk: clk, log: event.Discard(), configKey: configKey, decode: decode,
 		rng: rand.New(rand.NewPCG(1, 1)), view: newView(), none: snapshot.Empty(), self: self,
 		onCrash: func(string) {}, hints: make(chan hint, 1), change: make(chan struct{}, 1),
+		fresh: make(chan struct{}, 1), chased: make(chan struct{}, 1),
 		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	for _, opt := range opts {
@@ -123,10 +128,7 @@
 	self := f.self
 	f.mu.Unlock()
 	f.view.put(self, 0)
-	select {
-	case f.change <- struct{}{}:
-	default:
-	}
+	f.nudge()
 }
 
 // Hint tells that the node at a peer's address holds a newer configuration; it
@@ -141,7 +143,7 @@
 // Run follows the store and keeps the node's own entry there until ctx ends,
 // then removes the entry and reports on done.
 func (f *Fleet) Run(ctx context.Context, done chan<- error) {
-	parts := []func(context.Context, chan<- error){f.follow, f.keep, f.ask}
+	parts := []func(context.Context, chan<- error){f.follow, f.keep, f.ask, f.tell}
 	ended := make(chan error, len(parts))
 	for _, part := range parts {
 		go part(ctx, ended)
@@ -160,6 +162,9 @@
 	return f.self, f.told
 }
 
+// fromStore names the store as where a configuration came from.
+const fromStore = "store"
+
 // take puts a configuration in force if it is newer than the one held.
 //
 // Versions only grow here, whichever way one came: a store or a node that lags
@@ -175,9 +180,12 @@
 		if snap.Version() <= now.snap.Version() {
 			return
 		}
-		if f.config.CompareAndSwap(now, &held{snap: snap, bytes: b}) {
+		if f.config.CompareAndSwap(now, &held{snap: snap, bytes: b, squeezed: sync.OnceValue(func() []byte { return squeeze(b) })}) {
 			f.log.Emit(event.VersionApplied, event.F("version", snap.Version()),
 				event.F("before", now.snap.Version()), event.F("from", from), event.F("bytes", len(b)))
+			if from == fromStore {
+				f.wake(f.fresh)
+			}
 			return
 		}
 	}
@@ -187,11 +195,13 @@
 func (f *Fleet) View(_ context.Context, r *fleetpb.ViewRequest) (*fleetpb.ViewResponse, error) {
 	self, _ := f.own()
 	out := &fleetpb.ViewResponse{Entry: encode(self)}
-	for _, r := range f.view.records() {
-		out.Members = append(out.Members, encode(r))
+	if r.GetMembers() {
+		for _, m := range f.view.records() {
+			out.Members = append(out.Members, encode(m))
+		}
 	}
 	if c := f.config.Load(); c.snap.Version() > r.GetVersion() {
-		out.Version, out.Configuration = c.snap.Version(), squeeze(c.bytes)
+		out.Version, out.Configuration = c.snap.Version(), c.squeezed()
 	}
 	return out, nil
 }
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -281,3 +281,68 @@
 	r.store.put(configKey, []byte("14"))
 	r.holds("n1", 14)
 }
+
+// Nodes beyond the first few of a failure domain don't read the configuration,
+// which would cost the store's link its length once a node; they fetch it from
+// those that do as soon as one of these tells of it. A reader that is gone and one
+// that never answers are passed over.
+func TestNodesThatDoNotReadFetchFromThoseThatDo(t *testing.T) {
+	t.Parallel()
+	names := []string{"n1", "n2", "n3", "n4", "n5", "n6", "n7"}
+	r := newRig(t, names...)
+	r.store.put(configKey, []byte("1"))
+	for _, n := range names {
+		r.sees(n, names...)
+		r.holds(n, 1)
+	}
+	r.eventually("some don't read", func() bool {
+		read := 0
+		for _, n := range names {
+			if r.nodes[n].reads() {
+				read++
+			}
+		}
+		return read == readersPerDomain
+	})
+	r.store.put(configKey, []byte("2"))
+	for _, n := range names {
+		r.holds(n, 2)
+	}
+	// A store that forgot the note, and another writer in its place.
+	r.store.put(newsKey, nil)
+	r.store.put(configKey, []byte("3"))
+	for _, n := range names {
+		r.holds(n, 3)
+	}
+	r.store.put(newsKey, []byte("none"))
+	r.store.put(configKey, []byte("4"))
+	for _, n := range names {
+		r.holds(n, 4)
+	}
+}
+
+// Another writer's note tells of a version that nobody has. It is looked for a few
+// times and then passed over: the versions that come are told of again.
+func TestANoteOfAVersionThatNobodyHasIsPassedOver(t *testing.T) {
+	t.Parallel()
+	names := []string{"n1", "n2", "n3", "n4", "n5", "n6"}
+	r := newRig(t, names...)
+	r.store.put(configKey, []byte("1"))
+	for _, n := range names {
+		r.sees(n, names...)
+		r.holds(n, 1)
+	}
+	r.store.put(newsKey, []byte("1000"))
+	r.eventually("it is passed over", func() bool {
+		for _, n := range names {
+			if version, revision := r.nodes[n].heardOf(); version != 0 || revision == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	r.store.put(configKey, []byte("2"))
+	for _, n := range names {
+		r.holds(n, 2)
+	}
+}
--- a/internal/control/fleet/follow.go
+++ b/internal/control/fleet/follow.go
@@ -35,13 +35,21 @@
 	retryMost  = 500 * time.Millisecond
 )
 
+// everything is the prefix of all keys.
+const everything = ""
+
 // follow keeps the view and the configuration at what the store holds.
 func (f *Fleet) follow(ctx context.Context, done chan<- error) {
-	m, after := reading, uint64(0)
+	m, after, prefix := reading, uint64(0), everything
 	pause, failed := retryFirst, time.Time{}
 	for ctx.Err() == nil {
+		if reads := f.reads(); reads && prefix != everything {
+			m, prefix = reading, everything
+		} else if !reads {
+			prefix = ownPrefix
+		}
 		began := f.clk.Now()
-		changes, a := f.get(ctx, m, &after)
+		changes, a := f.get(ctx, m, prefix, &after)
 		var gone *platform.CompactedError
 		if a.err == nil || errors.As(a.err, &gone) {
 			f.heardStore()
@@ -68,12 +76,12 @@
 }
 
 // get makes one call as the mode has it and returns how many changes it brought.
-func (f *Fleet) get(ctx context.Context, m mode, after *uint64) (changes int, a answer) {
+func (f *Fleet) get(ctx context.Context, m mode, prefix string, after *uint64) (changes int, a answer) {
 	if m == watching {
-		return f.watch(ctx, after)
+		return f.watch(ctx, prefix, after)
 	}
 	before := f.Current().Version()
-	at, err := f.read(ctx)
+	at, err := f.read(ctx, prefix)
 	if err != nil {
 		return 0, answer{err: err}
 	}
@@ -84,9 +92,9 @@
 	return 0, answer{}
 }
 
-// read takes in all that the store holds.
-func (f *Fleet) read(ctx context.Context) (uint64, error) {
-	values, at, err := f.store.Range(ctx, "")
+// read takes in all that the store holds under a prefix.
+func (f *Fleet) read(ctx context.Context, prefix string) (uint64, error) {
+	values, at, err := f.store.Range(ctx, prefix)
 	if err != nil {
 		return 0, err
 	}
@@ -106,14 +114,15 @@
 }
 
 // watch takes in the changes after a revision.
-func (f *Fleet) watch(ctx context.Context, after *uint64) (int, answer) {
-	events, at, err := f.store.WatchPrefix(ctx, "", *after, f.between(watchLeast, watchMost))
+func (f *Fleet) watch(ctx context.Context, prefix string, after *uint64) (int, answer) {
+	events, at, err := f.store.WatchPrefix(ctx, prefix, *after, f.between(watchLeast, watchMost))
 	if err != nil {
 		return 0, answer{err: err}
 	}
 	if len(events) == 0 && at > *after {
-		// Every change of the store is under this prefix, so some were kept
-		// from the watch.
+		// Every change of the store is under the prefix, so some were kept from
+		// the watch. Without the configuration that is not certain until the note
+		// of a version is written; looking in vain costs a call.
 		return 0, answer{err: &platform.CompactedError{After: *after}}
 	}
 	*after = max(at, *after)
@@ -148,7 +157,11 @@
 // value takes in one value of the store.
 func (f *Fleet) value(v platform.Value) {
 	if v.Key() == f.configKey {
-		f.take(v.Data(), "store")
+		f.take(v.Data(), fromStore)
+		return
+	}
+	if v.Key() == newsKey {
+		f.heardNews(v)
 		return
 	}
 	if !strings.HasPrefix(v.Key(), MembersPrefix) {
@@ -193,9 +206,13 @@
 	f.nudge()
 }
 
-func (f *Fleet) nudge() {
+func (f *Fleet) nudge() { f.wake(f.change) }
+
+// wake tells one that waits on a channel of one; a word that waits there already
+// is enough.
+func (f *Fleet) wake(ch chan<- struct{}) {
 	select {
-	case f.change <- struct{}{}:
+	case ch <- struct{}{}:
 	default:
 	}
 }
--- a/internal/control/fleet/store_test.go
+++ b/internal/control/fleet/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -104,7 +105,7 @@
 	return v, nil
 }
 
-func (s *fakeStore) Range(context.Context, string) ([]platform.Value, uint64, error) {
+func (s *fakeStore) Range(_ context.Context, prefix string) ([]platform.Value, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.begin(platform.KindGet); err != nil {
@@ -112,12 +113,14 @@
 	}
 	var out []platform.Value
 	for _, v := range s.values {
-		out = append(out, v)
+		if strings.HasPrefix(v.Key(), prefix) {
+			out = append(out, v)
+		}
 	}
 	return out, s.revision, nil
 }
 
-func (s *fakeStore) WatchPrefix(ctx context.Context, _ string, after uint64, wait time.Duration) ([]platform.Event, uint64, error) {
+func (s *fakeStore) WatchPrefix(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Event, uint64, error) {
 	timeout := s.clk.After(wait)
 	defer timeout.Stop()
 	for {
@@ -128,7 +131,7 @@
 		}
 		var out []platform.Event
 		for _, e := range s.events {
-			if e.Value().Revision() > after && !s.deaf {
+			if e.Value().Revision() > after && !s.deaf && strings.HasPrefix(e.Value().Key(), prefix) {
 				out = append(out, e)
 			}
 		}
