--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -125,6 +125,12 @@
 // theirs after ten seconds or more, and a call sent as they do is lost.
 const targetIdle = 4 * time.Second
 
+// dialWithin is how long a connection to another node may take to open. The ways
+// here take some milliseconds, and a kernel answers for a process that stands
+// still; what takes longer is a cut or a lost packet, which the kernel sends again
+// only after a second, when most calls have no time left to go elsewhere.
+const dialWithin = 250 * time.Millisecond
+
 const (
 	// elsewhere is how many further targets a call asks that found one full: a
 	// third full one tells that the pool is.
@@ -163,7 +169,7 @@
 	n.calls = &register{clk: n.clk, log: n.log, calls: poison.NewRegister()}
 	n.fleet = fleet.New(store, n.clk, self, configKey, decode,
 		fleet.WithLog(n.log), fleet.WithSeed(seed), fleet.OnCrash(n.calls.crashed))
-	n.hop = hop.NewClient(n.clk, hop.AskFirst())
+	n.hop = hop.NewClient(n.clk, hop.AskFirst(), hop.DialWithin(dialWithin))
 	n.local = hop.NewClient(n.clk, hop.UntilClosed(), hop.WithIdle(targetIdle))
 	n.callers = caller.NewServer(caller.New(n.fleet, n.fleet, n.hop, nil, n.clk,
 		caller.WithDialect(n.dialect), caller.WithOrigin(n.cfg.Pool), caller.OpenTo(openTo),
--- a/internal/traffic/caller/pick.go
+++ b/internal/traffic/caller/pick.go
@@ -111,6 +111,8 @@
 	switch {
 	case errors.As(err, &refused):
 		return refusalReport(refused)
+	case errors.As(err, &dial) && dial.Short:
+		return balance.Cancelled()
 	case errors.As(err, &dial):
 		return balance.Unreachable()
 	case errors.As(err, &cancelled), errors.As(err, &body):
--- a/internal/traffic/caller/tell.go
+++ b/internal/traffic/caller/tell.go
@@ -47,7 +47,10 @@
 	fields := []event.Field{
 		event.F("id", c.id), event.F("route", c.rt.Name()), event.F("pool", c.rt.Pool()), event.F("version", c.snap.Version()),
 		event.F("took_ms", c.h.clk.Since(c.began).Milliseconds()), event.F("waited_before_ms", c.waited.Milliseconds()),
-		event.F("left_ms", c.until.Sub(c.h.clk.Now()).Milliseconds()), event.F("attempts", len(c.tried)),
+		event.F("attempts", len(c.tried)),
+	}
+	if !c.until.IsZero() { // a call that no route allows has no time of its own
+		fields = append(fields, event.F("left_ms", c.until.Sub(c.h.clk.Now()).Milliseconds()))
 	}
 	if n := len(c.tried); n > 0 {
 		fields = append(fields, targetFields(c.tried[n-1], c.h.clk.Now(), c.h.balancer)...)
--- a/internal/traffic/hop/client.go
+++ b/internal/traffic/hop/client.go
@@ -25,6 +25,7 @@
 	// untilClosed takes answers that end with their connection.
 	untilClosed bool
 	idle        time.Duration
+	dialWithin  time.Duration
 	closed      atomic.Bool
 	shards      [shardCount]peers
 }
@@ -52,9 +53,12 @@
 // must keep it longer.
 func WithIdle(d time.Duration) Option { return func(c *Client) { c.idle = d } }
 
+// DialWithin sets how long a connection may take to open.
+func DialWithin(d time.Duration) Option { return func(c *Client) { c.dialWithin = d } }
+
 // NewClient returns a client.
 func NewClient(clk *timer.Service, opts ...Option) *Client {
-	c := &Client{clk: clk, idle: idleTimeout}
+	c := &Client{clk: clk, idle: idleTimeout, dialWithin: dialTimeout}
 	for i := range c.shards {
 		c.shards[i].idle = map[netip.AddrPort][]*link{}
 	}
--- a/internal/traffic/hop/errors.go
+++ b/internal/traffic/hop/errors.go
@@ -19,6 +19,8 @@
 type DialError struct {
 	To  netip.AddrPort
 	Err error
+	// Short tells that the call had too little time to learn of the peer.
+	Short bool
 }
 
 func (e *DialError) Error() string { return fmt.Sprintf("connect to %v: %v", e.To, e.Err) }
--- a/internal/traffic/hop/pool.go
+++ b/internal/traffic/hop/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"errors"
 	"io"
 	"math"
 	"net"
@@ -26,6 +27,11 @@
 	// dialTimeout covers one lost packet on the longest way; a peer that takes
 	// longer is better tried later.
 	dialTimeout = 1200 * time.Millisecond
+	// dialShare is the part of a call's time left that one connection may take to
+	// open: nothing has been sent, so what is left serves to ask another target.
+	// Calls with 1 s to go that met a target cut off from their node spent all of
+	// it there and ended as not run, 4 s long, until the target was left out.
+	dialShare = 2
 	// maxAnswerHead bounds an answer's status line and headers.
 	maxAnswerHead = 64 << 10
 	shardCount    = 16
@@ -137,14 +143,22 @@
 	return !full
 }
 
-func (c *Client) dial(ctx context.Context, to netip.AddrPort, until time.Time) (*link, error) {
-	if limit := c.clk.Now().Add(dialTimeout); limit.Before(until) {
-		until = limit
+// dialEnd returns when a connection is given up, and whether it is so for want of
+// the call's time, which tells nothing of the peer.
+func (c *Client) dialEnd(now, until time.Time) (end time.Time, short bool) {
+	bound, share := now.Add(c.dialWithin), now.Add(until.Sub(now)/dialShare)
+	if share.Before(bound) {
+		return share, true
 	}
+	return bound, false
+}
+
+func (c *Client) dial(ctx context.Context, to netip.AddrPort, until time.Time) (*link, error) {
+	until, short := c.dialEnd(c.clk.Now(), until)
 	d := net.Dialer{Deadline: until}
 	conn, err := d.DialContext(ctx, "tcp", to.String())
 	if err != nil {
-		return nil, &DialError{To: to, Err: err}
+		return nil, dialError(to, err, short)
 	}
 	conn = http1.Quick(conn)
 	if c.tls == nil {
@@ -154,11 +168,16 @@
 	_ = conn.SetDeadline(until)
 	if err := t.HandshakeContext(ctx); err != nil {
 		_ = conn.Close()
-		return nil, &DialError{To: to, Err: err}
+		return nil, dialError(to, err, short)
 	}
 	return newLink(to, t), nil
 }
 
+func dialError(to netip.AddrPort, err error, short bool) error {
+	var timeout net.Error
+	return &DialError{To: to, Err: err, Short: short && errors.As(err, &timeout) && timeout.Timeout()}
+}
+
 // secured returns the TLS configuration for a node, which proves the address
 // that it was dialled by unless one name is configured for all.
 func (c *Client) secured(to netip.AddrPort) *tls.Config {
--- /dev/null
+++ b/internal/traffic/hop/pool_test.go
@@ -0,0 +1,66 @@
+package hop
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"banyanlug.example/banyanlug/internal/clock/timer"
+)
+
+// A target is cut off from its node without a word, so that connections to it stay
+// open-ended. The call gives up on it in time to ask another one; a call that was
+// in a hurry says nothing about the target, which may well be there.
+func TestHowLongAConnectionMayTakeToOpen(t *testing.T) {
+	t.Parallel()
+	now := time.UnixMilli(1_700_000_000_000)
+	for _, c := range []struct {
+		what  string
+		opts  []Option
+		left  time.Duration
+		want  time.Duration
+		short bool
+	}{
+		{"a call with much time", nil, time.Minute, dialTimeout, false},
+		{"a call with a second", nil, time.Second, 500 * time.Millisecond, true},
+		{"a bound of its own", []Option{DialWithin(250 * time.Millisecond)}, time.Second, 250 * time.Millisecond, false},
+		{"a hurried call with a bound", []Option{DialWithin(250 * time.Millisecond)}, 100 * time.Millisecond, 50 * time.Millisecond, true},
+		{"no time left", nil, 0, 0, true},
+	} {
+		end, short := NewClient(nil, c.opts...).dialEnd(now, now.Add(c.left))
+		if got := end.Sub(now); got != c.want || short != c.short {
+			t.Errorf("%s: %v, short %v; want %v, %v", c.what, got, short, c.want, c.short)
+		}
+	}
+}
+
+// Only a connection that ran out of time is short: one that is refused says that
+// the peer is not there, however little time was left.
+func TestARefusedConnectionIsNeverShort(t *testing.T) {
+	t.Parallel()
+	to := netip.MustParseAddrPort("127.0.0.1:1")
+	for _, c := range []struct {
+		err   error
+		short bool
+		want  bool
+	}{
+		{os.ErrDeadlineExceeded, true, true},
+		{os.ErrDeadlineExceeded, false, false},
+		{context.Canceled, true, false},
+		{os.ErrPermission, true, false},
+	} {
+		if got := dialError(to, c.err, c.short).(*DialError).Short; got != c.want {
+			t.Errorf("%v, short %v: %v", c.err, c.short, got)
+		}
+	}
+	clk, stop := timer.Start()
+	defer stop()
+	c := NewClient(clk)
+	if _, err := c.dial(context.Background(), to, clk.Now().Add(time.Millisecond)); err != nil {
+		if d, ok := err.(*DialError); !ok || d.Sent() {
+			t.Errorf("%v", err)
+		}
+	}
+}
