--- a/internal/control/fleet/ask.go
+++ b/internal/control/fleet/ask.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"banyanlug.example/banyanlug/internal/control/fleet/fleetpb"
@@ -43,11 +44,7 @@
 		case <-ctx.Done():
 		case hinted := <-f.hints:
 			f.askHinted(ctx, hinted)
-		case <-f.chased:
-			f.chase(ctx)
-		case now := <-tick.C():
-			f.vouch(ctx, now)
-			f.chase(ctx)
+		case <-tick.C():
 			if f.StoreAge() > storeSilence && !f.storeOK.Load() {
 				f.askAny(ctx)
 			}
@@ -104,6 +101,9 @@
 // asked for.
 func (f *Fleet) askPeer(ctx context.Context, peer netip.AddrPort, members bool) {
 	resp, err := f.viewOf(ctx, peer, f.Current().Version(), members)
+	if ctx.Err() != nil {
+		return // another one was faster, or the node stops
+	}
 	if err != nil {
 		f.log.Emit(event.PeerLost, event.F("peer", peer), event.F("error", err))
 		return
@@ -142,23 +142,46 @@
 // A store that was out, or that turns some nodes away, drops the entries of
 // nodes that serve as before. Taking them for gone would leave the others with
 // a part of the targets; keeping all would send calls to those that have gone.
-func (f *Fleet) vouch(ctx context.Context, now time.Time) {
+func (f *Fleet) vouch(ctx context.Context, done chan<- error) {
+	tick := f.clk.Subscribe(askPeriod)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case now := <-tick.C():
+			f.vouchAll(ctx, now)
+		}
+	}
+	done <- ctx.Err()
+}
+
+// vouchAll asks all that are due at once: a failure domain that is cut off takes a
+// dozen, and one after the other they took six seconds.
+func (f *Fleet) vouchAll(ctx context.Context, now time.Time) {
 	self, _ := f.own()
+	var asked sync.WaitGroup
 	for _, r := range f.view.unvouched(now, missingGrace, missingAgain) {
-		if r.Instance() == self.Instance() {
-			continue
+		if r.Instance() != self.Instance() {
+			asked.Go(func() { f.vouchFor(ctx, now, r) })
 		}
-		resp, err := f.viewOf(ctx, r.Peer(), f.Current().Version(), false)
-		if err == nil {
-			if answer, derr := decodeAny(resp.GetEntry()); derr == nil && answer.Boot() >= r.Boot() && answer.Instance() == r.Instance() {
-				f.view.put(answer, 0)
-				f.log.Emit(event.MemberKept, event.F("instance", r.Instance()), event.F("missing_for", now.Sub(f.view.missingSince(r.Instance()))))
-				continue
+	}
+	asked.Wait()
+}
+
+// vouchFor keeps a member that answers, and takes one that doesn't for gone.
+func (f *Fleet) vouchFor(ctx context.Context, now time.Time, r membership.Record) {
+	resp, err := f.viewOf(ctx, r.Peer(), f.Current().Version(), false)
+	if err == nil {
+		if answer, derr := decodeAny(resp.GetEntry()); derr == nil && answer.Boot() >= r.Boot() && answer.Instance() == r.Instance() {
+			f.view.put(answer, 0)
+			if since := f.view.missingSince(r.Instance()); !since.IsZero() { // else the store has it again
+				f.log.Emit(event.MemberKept, event.F("instance", r.Instance()), event.F("missing_for", now.Sub(since)))
 			}
+			return
 		}
-		if f.view.forget(r) {
-			f.log.Emit(event.InstanceLost, event.F("instance", r.Instance()), event.F("target", r.Target()), event.F("error", err))
-		}
+	}
+	if f.view.forget(r) {
+		f.log.Emit(event.InstanceLost, event.F("instance", r.Instance()), event.F("target", r.Target()), event.F("error", err))
 	}
 }
 
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -156,7 +156,7 @@
 // Run follows the store and keeps the node's own entry there until ctx ends,
 // then removes the entry and reports on done.
 func (f *Fleet) Run(ctx context.Context, done chan<- error) {
-	parts := []func(context.Context, chan<- error){f.follow, f.keep, f.ask, f.tell}
+	parts := []func(context.Context, chan<- error){f.follow, f.keep, f.ask, f.vouch, f.tell, f.chase}
 	ended := make(chan error, len(parts))
 	for _, part := range parts {
 		go part(ctx, ended)
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -346,3 +346,43 @@
 		r.holds(n, 2)
 	}
 }
+
+// A whole failure domain is cut off and the store drops its sixty entries. Each of
+// its nodes is asked whether it lives, and none answers; a version that comes
+// meanwhile reaches the nodes that fetch it all the same.
+func TestAVersionIsFetchedWhileManyMembersAreMissing(t *testing.T) {
+	t.Parallel()
+	names := []string{"n1", "n2", "n3", "n4", "n5", "n6"}
+	r := newRig(t, names...)
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // connections wait there for ever
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = silent.Close() })
+	peer := netip.MustParseAddrPort(silent.Addr().String())
+	r.store.put(configKey, []byte("1"))
+	for _, n := range names {
+		r.sees(n, names...)
+		r.holds(n, 1)
+	}
+	cut := func(n int) membership.Record {
+		return membership.NewRecord(fmt.Sprintf("cut-%d", n), membership.Domain("b"), membership.Pool("other"),
+			membership.Address(peer), membership.Peer(peer), membership.Boot(1), membership.InState(membership.Ready), membership.Target("cut"))
+	}
+	r.store.set(func() {
+		for n := range 60 {
+			r.store.write(MembersPrefix+cut(n).Instance(), encode(cut(n)))
+		}
+	})
+	r.eventually("they are known", func() bool { return r.nodes["n1"].Size() == len(names)+60 && r.nodes["n6"].Size() == len(names)+60 })
+	r.store.set(func() {
+		for n := range 60 {
+			r.store.write(MembersPrefix+cut(n).Instance(), nil)
+		}
+	})
+	r.eventually("some are gone", func() bool { return r.nodes["n1"].Size() < len(names)+60 })
+	r.store.put(configKey, []byte("2"))
+	for _, n := range names {
+		r.holds(n, 2)
+	}
+}
--- a/internal/control/fleet/news.go
+++ b/internal/control/fleet/news.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strconv"
+	"sync"
 	"time"
 
 	"banyanlug.example/banyanlug/internal/control/platform"
@@ -22,6 +23,10 @@
 	// chasePause is between two rounds of asking the near readers, which get a
 	// version at about the same time as the one that told of it.
 	chasePause = 100 * time.Millisecond
+	// fetchLate is when the next reader is asked while one has not answered: 35 KB
+	// take 60 ms on a link of 5 Mbit/s, and twice that beside one more. A reader
+	// that stands still would else cost half a second each time.
+	fetchLate = 150 * time.Millisecond
 	// farSources is how many readers of other failure domains are asked where no
 	// near one has the version; what they send is paid for.
 	farSources = 2
@@ -118,9 +123,24 @@
 	}
 }
 
-// chase fetches the version that the store tells of from the nodes that read it;
-// to those the watch brings it.
-func (f *Fleet) chase(ctx context.Context) {
+// chase fetches the versions that the store tells of from the nodes that read them;
+// to those the watch brings them.
+func (f *Fleet) chase(ctx context.Context, done chan<- error) {
+	tick := f.clk.Subscribe(askPeriod)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-f.chased:
+			f.chaseOnce(ctx)
+		case <-tick.C():
+			f.chaseOnce(ctx)
+		}
+	}
+	done <- ctx.Err()
+}
+
+func (f *Fleet) chaseOnce(ctx context.Context) {
 	wanted, open := f.wanted()
 	if !open || f.reads() {
 		return
@@ -154,14 +174,30 @@
 	return version, true
 }
 
-// fetch asks nodes one after the other and reports whether the version is there.
+// fetch asks nodes for a version and reports whether it is there. The next one is
+// asked as soon as one has answered without it, or is late.
 func (f *Fleet) fetch(ctx context.Context, from []membership.Record, wanted uint64) bool {
+	var asked sync.WaitGroup
+	defer asked.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	for _, r := range from {
+		answered := make(chan struct{})
+		asked.Go(func() {
+			f.askPeer(ctx, r.Peer(), false)
+			close(answered)
+		})
+		late := f.clk.After(fetchLate)
+		select {
+		case <-answered:
+		case <-late.C():
+		}
+		late.Stop()
 		if f.Current().Version() >= wanted || ctx.Err() != nil {
 			return true
 		}
-		f.askPeer(ctx, r.Peer(), false)
 	}
+	asked.Wait()
 	return f.Current().Version() >= wanted
 }
 
