--- a/internal/policy/lifecycle/tracker.go
+++ b/internal/policy/lifecycle/tracker.go
@@ -1,7 +1,5 @@
 package lifecycle
 
-import "time"
-
 // Phase is where the target is in its life, as its node believes.
 type Phase uint8
 
@@ -40,7 +38,6 @@
 	sequence uint64
 	draining bool
 	slots    int
-	warmup   time.Duration
 }
 
 // HeartbeatOption sets one property of a heartbeat.
@@ -58,9 +55,6 @@
 // Slots sets how many calls the target runs at once.
 func Slots(n int) HeartbeatOption { return func(h *Heartbeat) { h.slots = n } }
 
-// Warmup sets how much longer the target is slow after its start.
-func Warmup(d time.Duration) HeartbeatOption { return func(h *Heartbeat) { h.warmup = d } }
-
 // NewHeartbeat returns a heartbeat of the process with an id.
 func NewHeartbeat(id string, opts ...HeartbeatOption) Heartbeat {
 	h := Heartbeat{id: id, slots: 1}
@@ -75,11 +69,10 @@
 
 // Target is what is believed of the target.
 type Target struct {
-	id        string
-	born      uint64
-	phase     Phase
-	slots     int
-	warmUntil time.Time
+	id    string
+	born  uint64
+	phase Phase
+	slots int
 }
 
 // ID returns the name of the process, or "" before the first heartbeat.
@@ -94,16 +87,9 @@
 // Slots returns how many calls it runs at once.
 func (t Target) Slots() int { return t.slots }
 
-// WarmUntil returns when it stops being slow after its start.
-func (t Target) WarmUntil() time.Time { return t.warmUntil }
-
 // Open reports whether the target takes calls.
 func (t Target) Open() bool { return t.phase == Serving }
 
-// warmupStep is the change of a warm-up's end that is worth telling others: the
-// remaining time is told with each heartbeat and moves by the heartbeat's delay.
-const warmupStep = time.Second
-
 // Tracker follows the target beside one node. It is not safe for concurrent
 // use.
 type Tracker struct {
@@ -125,7 +111,7 @@
 func (t *Tracker) Target() Target { return t.now }
 
 // Hear takes in a heartbeat and reports whether it changes what is believed.
-func (t *Tracker) Hear(now time.Time, h Heartbeat) bool {
+func (t *Tracker) Hear(h Heartbeat) bool {
 	if !t.supersedes(h) {
 		return false
 	}
@@ -136,11 +122,6 @@
 	if h.draining {
 		t.leave()
 	}
-	if until := now.Add(h.warmup); h.warmup <= 0 {
-		t.now.warmUntil = time.Time{}
-	} else if until.Sub(t.now.warmUntil).Abs() > warmupStep {
-		t.now.warmUntil = until
-	}
 	return t.now != before
 }
 
--- a/internal/policy/lifecycle/tracker_test.go
+++ b/internal/policy/lifecycle/tracker_test.go
@@ -3,14 +3,10 @@
 import (
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/google/go-cmp/cmp"
 )
 
-// at is when the heartbeats of these tests come.
-var at = time.Unix(1_800_000_000, 0)
-
 // words are what a node hears of its target, one a word: id:born:sequence, with
 // a D for one that drains; bye:id; no:id for a refused connection.
 func play(t *testing.T, words string) Target {
@@ -28,7 +24,7 @@
 			if strings.HasSuffix(f[2], "D") {
 				opts = append(opts, Draining())
 			}
-			tr.Hear(at, NewHeartbeat(f[0], opts...))
+			tr.Hear(NewHeartbeat(f[0], opts...))
 		}
 	}
 	return tr.Target()
@@ -74,21 +70,3 @@
 		})
 	}
 }
-
-// The remaining warm-up is told with each heartbeat; if each moved its end by the
-// heartbeat's delay, each would be a change to tell all nodes.
-func TestAWarmupIsToldOnce(t *testing.T) {
-	t.Parallel()
-	tr := NewTracker()
-	changes := 0
-	for i := range 5 {
-		late := time.Duration(i%2) * 30 * time.Millisecond
-		now := at.Add(time.Duration(i) * 500 * time.Millisecond)
-		if tr.Hear(now.Add(late), NewHeartbeat("a", Sequence(uint64(i+1)), Warmup(3*time.Second-time.Duration(i)*500*time.Millisecond))) {
-			changes++
-		}
-	}
-	if changes != 1 {
-		t.Errorf("%d changes", changes)
-	}
-}
--- a/internal/process/node/listen.go
+++ b/internal/process/node/listen.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"errors"
 	"net"
 	"net/netip"
+
+	"banyanlug.example/banyanlug/internal/traffic/http1"
 )
 
 // listeners are the addresses that the node serves on; all are open before
@@ -10,26 +13,18 @@
 type listeners struct{ callers, mesh, peers, operators, admin net.Listener }
 
 func (n *Node) listen() error {
-	for _, l := range []struct {
-		to         *net.Listener
-		name, addr string
-	}{
-		{&n.listeners.callers, "callers", n.cfg.callers},
-		{&n.listeners.mesh, "mesh", n.cfg.mesh},
-		{&n.listeners.peers, "peers", n.cfg.peers},
-		{&n.listeners.operators, "operators", n.cfg.operators},
-		{&n.listeners.admin, "admin", n.cfg.admin},
-	} {
-		if l.addr == "" {
-			continue
-		}
-		ln, err := listen(l.name, l.addr)
-		if err != nil {
-			return err
-		}
-		*l.to = ln
+	err := http1.ListenAll(
+		http1.Place{To: &n.listeners.callers, Name: "callers", Address: n.cfg.callers},
+		http1.Place{To: &n.listeners.mesh, Name: "mesh", Address: n.cfg.mesh},
+		http1.Place{To: &n.listeners.peers, Name: "peers", Address: n.cfg.peers},
+		http1.Place{To: &n.listeners.operators, Name: "operators", Address: n.cfg.operators},
+		http1.Place{To: &n.listeners.admin, Name: "admin", Address: n.cfg.admin},
+	)
+	var taken *http1.PlaceError
+	if errors.As(err, &taken) {
+		return &SettingError{taken.Name, taken.Err.Error()}
 	}
-	return nil
+	return err
 }
 
 func (n *Node) closeListeners() {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -57,7 +57,6 @@
 		cfg: cfg, clock: clock, log: event.New(out, cfg.instance), metrics: metrics.NewSet(),
 	}
 	if err := n.listen(); err != nil {
-		n.closeListeners()
 		return nil, err
 	}
 	if err := n.wire(); err != nil {
--- a/internal/process/node/settings.go
+++ b/internal/process/node/settings.go
@@ -1,17 +1,14 @@
 package node
 
 import (
-	"context"
 	"flag"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"strings"
 	"time"
 
 	"banyanlug.example/banyanlug/internal/control/operator"
-	"banyanlug.example/banyanlug/internal/traffic/http1"
 )
 
 // SettingError tells of a setting that can't be used.
@@ -191,13 +188,3 @@
 	}
 	return out, nil
 }
-
-// listen opens a TCP listener for a setting; its stop resets no connection
-// that waits to be accepted.
-func listen(name, addr string) (net.Listener, error) {
-	ln, err := http1.Listen(context.Background(), addr)
-	if err != nil {
-		return nil, &SettingError{name, err.Error()}
-	}
-	return ln, nil
-}
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -1,7 +1,6 @@
 package resident
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -55,7 +54,7 @@
 	target  *target.Handler
 	calls   *register
 
-	bounds    atomic.Pointer[bounds]
+	bounds    atomic.Pointer[Bounds]
 	stopping  atomic.Bool
 	mu        sync.Mutex
 	tracker   *lifecycle.Tracker
@@ -79,14 +78,12 @@
 		cfg: cfg, clk: clk, out: event.NewAsync(out, clk), metrics: metrics.NewSet(),
 		dialect: hop.NewDialect(), tracker: lifecycle.NewTracker(),
 	}
-	b := cfg.bounds()
-	n.bounds.Store(&b)
+	n.bounds.Store(&cfg.Bounds)
 	n.log = event.New(n.out, cfg.Instance).Within(event.NewBudget(clk))
 	for _, opt := range opts {
 		opt(n)
 	}
 	if err := n.open(); err != nil {
-		n.close()
 		return nil, err
 	}
 	n.wire(store, configKey, decode)
@@ -94,33 +91,12 @@
 }
 
 func (n *Node) open() error {
-	for _, l := range []struct {
-		to   *net.Listener
-		addr string
-	}{
-		{&n.listen.callers, n.cfg.Callers},
-		{&n.listen.mesh, n.cfg.Mesh},
-		{&n.listen.peers, n.cfg.Peers},
-		{&n.listen.admin, n.cfg.Admin},
-	} {
-		if l.addr == "" {
-			continue
-		}
-		ln, err := http1.Listen(context.Background(), l.addr)
-		if err != nil {
-			return err
-		}
-		*l.to = ln
-	}
-	return nil
-}
-
-func (n *Node) close() {
-	for _, ln := range []net.Listener{n.listen.callers, n.listen.mesh, n.listen.peers, n.listen.admin} {
-		if ln != nil {
-			_ = ln.Close()
-		}
-	}
+	return http1.ListenAll(
+		http1.Place{To: &n.listen.callers, Name: "callers", Address: n.cfg.Callers},
+		http1.Place{To: &n.listen.mesh, Name: "mesh", Address: n.cfg.Mesh},
+		http1.Place{To: &n.listen.peers, Name: "peers", Address: n.cfg.Peers},
+		http1.Place{To: &n.listen.admin, Name: "admin", Address: n.cfg.Admin},
+	)
 }
 
 // targetIdle is how long a connection to the target is kept: targets close
@@ -157,7 +133,7 @@
 // retryBounds returns this node's part of what the platform lets the mesh repeat.
 func (n *Node) retryBounds() (share, most float64) {
 	b := n.bounds.Load()
-	return b.retryShare * repeatPart, max(1, float64(b.retrySpare)*sparePart/float64(n.fleet.Size()))
+	return b.RetryShare * repeatPart, max(1, float64(b.RetrySpare)*sparePart/float64(n.fleet.Size()))
 }
 
 func (n *Node) wire(store platform.Prefixes, configKey string, decode fleet.Decoder) {
@@ -199,9 +175,9 @@
 		n.log.Emit(event.SettingsRefused, event.F("error", err))
 		return
 	}
-	after, before := cfg.bounds(), *n.bounds.Load()
+	after, before := cfg.Bounds, *n.bounds.Load()
 	fixed := *cfg
-	fixed.Grace, fixed.RetryShare, fixed.RetrySpare, fixed.RetryWindow = n.cfg.Grace, n.cfg.RetryShare, n.cfg.RetrySpare, n.cfg.RetryWindow
+	fixed.Bounds = n.cfg.Bounds
 	n.bounds.Store(&after)
 	n.log.Emit(event.SettingsRead, event.F("bounds_changed", after != before), event.F("start_needed", fixed != *n.cfg))
 }
@@ -219,7 +195,7 @@
 // Hear takes in a heartbeat of the target. Once it returns, no call is passed
 // on to a target that has said that it drains.
 func (n *Node) Hear(h lifecycle.Heartbeat) {
-	n.follow(func() bool { return n.tracker.Hear(n.clk.Now(), h) })
+	n.follow(func() bool { return n.tracker.Hear(h) })
 }
 
 // Goodbye takes in that a target's process leaves.
--- a/internal/process/resident/run.go
+++ b/internal/process/resident/run.go
@@ -67,7 +67,7 @@
 
 // drain lets the calls in flight end within the grace.
 func (n *Node) drain(ctx context.Context) {
-	ctx, cancel := n.clk.WithTimeout(ctx, n.bounds.Load().grace-lastWord)
+	ctx, cancel := n.clk.WithTimeout(ctx, n.bounds.Load().Grace-lastWord)
 	defer cancel()
 	n.stop()
 	n.callers.Close()
--- a/internal/process/resident/settings.go
+++ b/internal/process/resident/settings.go
@@ -21,25 +21,17 @@
 	Mesh     string // IP:port on which other nodes send calls
 	Peers    string // IP:port on which other nodes ask
 	Admin    string // IP:port of metrics, or ""
-	// Grace is how long the process may take to stop.
-	Grace time.Duration
-	// RetryShare and RetrySpare bound the further attempts of the whole mesh in
-	// RetryWindow: a share of the calls of a service and some besides.
-	RetryShare  float64
-	RetrySpare  int
-	RetryWindow time.Duration
-}
-
-// bounds are the settings that a running node takes over.
-type bounds struct {
-	grace       time.Duration
-	retryShare  float64
-	retrySpare  int
-	retryWindow time.Duration
+	Bounds
 }
 
-func (s *Settings) bounds() bounds {
-	return bounds{s.Grace, s.RetryShare, s.RetrySpare, s.RetryWindow}
+// Bounds are the settings that a running node takes over.
+type Bounds struct {
+	// Grace is how long the process may take to stop.
+	Grace time.Duration
+	// RetryShare and RetrySpare bound the further attempts of the whole mesh: a
+	// share of the calls of a service, from 0 to 1, and some besides.
+	RetryShare float64
+	RetrySpare int
 }
 
 // Check returns the first setting that can't be used as a SettingError.
--- a/internal/traffic/http1/server_test.go
+++ b/internal/traffic/http1/server_test.go
@@ -411,3 +411,32 @@
 		t.Errorf("Retry-After %q", got)
 	}
 }
+
+// A port is taken when a process starts. The start ends with the name of what it
+// was for, and what had been opened before is free for the next try.
+func TestListenAllListensAtAllPlacesOrAtNone(t *testing.T) {
+	t.Parallel()
+	taken, err := Listen(context.Background(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	var first, none, second net.Listener
+	places := []Place{
+		{To: &first, Name: "callers", Address: "127.0.0.1:0"},
+		{To: &none, Name: "admin"},
+		{To: &second, Name: "mesh", Address: taken.Addr().String()},
+	}
+	var failed *PlaceError
+	if err := ListenAll(places...); !errors.As(err, &failed) || failed.Name != "mesh" {
+		t.Errorf("%v", err)
+	}
+	if _, err := first.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("the first place is still open: %v", err)
+	}
+	places[2].Address = "127.0.0.1:0"
+	if err := ListenAll(places...); err != nil || none != nil || first == nil || second == nil {
+		t.Fatalf("%v; %v %v %v", err, first, none, second)
+	}
+	_, _ = first.Close(), second.Close()
+}
