--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -39,6 +39,8 @@
 	clk   *timer.Service
 	store *fakeStore
 	nodes map[string]*spot
+	// allRead is up to how many nodes all read; few stand for many where it is 0.
+	allRead int
 }
 
 type spot struct {
@@ -68,7 +70,7 @@
 	self := membership.NewRecord(name, membership.Domain("a"), membership.Pool("quotes"),
 		membership.Address(peer), membership.Peer(peer), membership.Boot(boot))
 	f := New(r.store, r.clk, self, configKey, decodeNumber, WithSeed(boot))
-	f.allRead = 0 // a few nodes stand for many
+	f.allRead = r.allRead
 	srv := &http.Server{Handler: f.Handler(), ReadHeaderTimeout: time.Second}
 	served, ran := make(chan error, 1), make(chan error, 1)
 	go func() { served <- srv.Serve(ln) }()
@@ -387,3 +389,22 @@
 		r.holds(n, 2)
 	}
 }
+
+// A target leaves, and the node beside it goes on taking its callers' calls. It
+// follows the versions as the others do, few as they are.
+func TestANodeWhoseTargetLeavesFollowsTheVersions(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	r.allRead = allRead
+	r.start("n1", 1)
+	r.start("n2", 2)
+	r.store.put(configKey, []byte("1"))
+	r.nodes["n2"].Announce(membership.Draining, "n2-target", 12, "")
+	r.sees("n1", "n1")
+	r.holds("n2", 1)
+	if !r.nodes["n2"].reads() {
+		t.Error("it does not read, and nobody tells it")
+	}
+	r.store.put(configKey, []byte("2"))
+	r.holds("n2", 2)
+}
--- a/internal/control/fleet/roster.go
+++ b/internal/control/fleet/roster.go
@@ -32,8 +32,11 @@
 }
 
 // rosterOf chooses the readers among the members that are there to stay; of up to
-// all members, all read.
+// all members, all read, also those that leave: they serve callers until they have.
 func rosterOf(members []membership.Record, all int) roster {
+	if len(members) <= all {
+		return roster{readers: members}
+	}
 	staying := slices.DeleteFunc(slices.Clone(members), func(r membership.Record) bool {
 		return r.State() == membership.Draining || r.State() == membership.Gone || r.State() == membership.Suspect
 	})
@@ -44,12 +47,11 @@
 	var r roster
 	have := map[string]int{}
 	for _, m := range staying {
-		if have[m.Domain()]++; have[m.Domain()] <= readersPerDomain || len(staying) <= all {
+		if have[m.Domain()]++; have[m.Domain()] <= readersPerDomain {
 			r.readers = append(r.readers, m)
-		} else {
-			r.others = true
 		}
 	}
+	r.others = len(r.readers) < len(members)
 	return r
 }
 
--- a/internal/control/fleet/roster_test.go
+++ b/internal/control/fleet/roster_test.go
@@ -61,11 +61,16 @@
 	for n := range 3 * allRead {
 		few = append(few, nodeOf(fmt.Sprint(n/readersPerDomain), n, membership.Starting))
 	}
-	for _, members := range [][]membership.Record{one, one[:1], few, nil} {
+	leaving := []membership.Record{nodeOf("a", 1, membership.Draining), nodeOf("a", 2, membership.Ready)}
+	for _, members := range [][]membership.Record{one, one[:1], few, leaving, nil} {
 		if r := rosterOf(members, allRead); len(r.readers) != len(members) || r.others {
 			t.Errorf("of %d nodes %d read, others %v", len(members), len(r.readers), r.others)
 		}
 	}
+	// One that leaves does not read where few do, so it has to be told.
+	if r := rosterOf(leaving, 0); len(r.readers) != 1 || !r.others {
+		t.Errorf("beside one that leaves %d read, others %v", len(r.readers), r.others)
+	}
 	if r := rosterOf(append(one, nodeOf("a", allRead, membership.Ready)), allRead); len(r.readers) != readersPerDomain || !r.others {
 		t.Errorf("of one more %d read, others %v", len(r.readers), r.others)
 	}
