--- a/internal/control/fleet/keep.go
+++ b/internal/control/fleet/keep.go
@@ -15,8 +15,9 @@
 	// find it out at once, this only tidies up. Three renewals may be lost.
 	leaseTTL = 10 * time.Second
 	// renewEvery also finds a connection to the store that has gone silent, as
-	// a renewal that gets no answer ends all connections. Each costs a call: 13 a
-	// node in 40 s, where the watch takes 16.
+	// a renewal that gets no answer ends all connections. Each 1.5 s found one no
+	// sooner, as the kernel does within 4 s, and cost 18 calls more in 746 on a calm
+	// day of 13 nodes, as the users count them.
 	renewEvery = 3 * time.Second
 	// goodbye bounds the removal of the entry at a stop.
 	goodbye = 300 * time.Millisecond
--- a/internal/control/fleet/roster.go
+++ b/internal/control/fleet/roster.go
@@ -14,8 +14,8 @@
 // off, one stand still, one sit behind a narrow link and one be on its way out.
 //
 // Were all to read it, 60 nodes would fetch 60 times 460 KB for each version of
-// 1,400 routes, a fifth of a second of the store's 1,000 Mbit/s, and versions in a
-// row came 1.1 to 1.4 s late on all of them.
+// 1,400 routes, a fifth of a second of the store's 1,000 Mbit/s; a day of versions in
+// a row served 0.81 of its calls in time so, and 0.90 with four readers.
 const readersPerDomain = 4
 
 // allRead is up to how many nodes all read: 24 times 460 KB are 0.09 s of the
--- a/internal/policy/once/ledger.go
+++ b/internal/policy/once/ledger.go
@@ -206,8 +206,8 @@
 	l.settle(now, h)
 }
 
-// settle serves a row once it may be served. While a majority may still bring its records, a lost holder is not counted: the row
-// would refuse new keys for nothing.
+// settle serves a row once it may be served. While a majority may still bring its
+// records, a lost holder is not counted: the row would refuse new keys for nothing.
 func (l *Ledger) settle(now time.Time, h *held) {
 	need := majority(len(h.row.previous))
 	switch {
@@ -226,8 +226,7 @@
 }
 
 // Settle gives up the records of holders that have not answered for long and
-// returns the rows that
-// have come to be served without some.
+// returns the rows that have come to be served without some.
 func (l *Ledger) Settle(now time.Time) []int {
 	var rows []int
 	for n, h := range l.rows {
