--- a/internal/control/fleet/ask.go
+++ b/internal/control/fleet/ask.go
@@ -79,16 +79,7 @@
 // askAny asks one other node, another one each time.
 func (f *Fleet) askAny(ctx context.Context) {
 	self, _ := f.own()
-	var near, far []netip.AddrPort
-	for _, r := range f.view.records() {
-		switch {
-		case r.Instance() == self.Instance():
-		case r.Domain() == self.Domain():
-			near = append(near, r.Peer())
-		default:
-			far = append(far, r.Peer())
-		}
-	}
+	near, far := byDomain(f.view.records(), self)
 	others := near
 	// The own failure domain is the cheaper one to ask, but all of it may be cut
 	// off from the store.
@@ -100,9 +91,9 @@
 		return
 	}
 	f.mu.Lock()
-	peer := others[f.rng.IntN(len(others))]
+	other := others[f.rng.IntN(len(others))]
 	f.mu.Unlock()
-	f.askPeer(ctx, peer, true)
+	f.askPeer(ctx, other.Peer(), true)
 }
 
 // askPeer takes over what a node holds that is newer, its members too if they are
@@ -151,22 +142,30 @@
 // nodes that serve as before. Taking them for gone would leave the others with
 // a part of the targets; keeping all would send calls to those that have gone.
 func (f *Fleet) vouch(ctx context.Context, done chan<- error) {
+	f.regularly(ctx, nil, f.vouchAll)
+	done <- ctx.Err()
+}
+
+// regularly does something each askPeriod, and when it is woken, until ctx ends.
+func (f *Fleet) regularly(ctx context.Context, woken <-chan struct{}, do func(context.Context)) {
 	tick := f.clk.Subscribe(askPeriod)
 	defer tick.Stop()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-		case now := <-tick.C():
-			f.vouchAll(ctx, now)
+		case <-woken:
+			do(ctx)
+		case <-tick.C():
+			do(ctx)
 		}
 	}
-	done <- ctx.Err()
 }
 
 // vouchAll asks all that are due at once: a failure domain that is cut off takes a
 // dozen, and one after the other they took six seconds.
-func (f *Fleet) vouchAll(ctx context.Context, now time.Time) {
+func (f *Fleet) vouchAll(ctx context.Context) {
 	self, _ := f.own()
+	now := f.clk.Now()
 	var asked sync.WaitGroup
 	for _, r := range f.view.unvouched(now, missingGrace, missingAgain) {
 		if r.Instance() != self.Instance() {
--- a/internal/control/fleet/entry.go
+++ b/internal/control/fleet/entry.go
@@ -56,6 +56,20 @@
 	if err := json.Unmarshal(b, &e); err != nil {
 		return membership.Record{}, &EntryError{Key: key, Reason: "can't be read"}
 	}
+	return e.record(key)
+}
+
+// decodeAny reads an entry that another node passed on.
+func decodeAny(b []byte) (membership.Record, error) {
+	var e entry
+	if err := json.Unmarshal(b, &e); err != nil {
+		return membership.Record{}, &EntryError{Key: "from a node", Reason: "can't be read"}
+	}
+	return e.record(MembersPrefix + e.Instance)
+}
+
+// record returns what the entry under a key announces.
+func (e entry) record(key string) (membership.Record, error) {
 	state, known := states[e.State]
 	address, aerr := netip.ParseAddrPort(e.Address)
 	peer, perr := netip.ParseAddrPort(e.Peer)
@@ -75,15 +89,6 @@
 		membership.Target(e.Target), membership.Slots(e.Slots), membership.Crash(e.Crash)), nil
 }
 
-// decodeAny reads an entry that another node passed on.
-func decodeAny(b []byte) (membership.Record, error) {
-	var e entry
-	if err := json.Unmarshal(b, &e); err != nil {
-		return membership.Record{}, &EntryError{Key: "from a node", Reason: "can't be read"}
-	}
-	return decode(MembersPrefix+e.Instance, b)
-}
-
 var states = map[string]membership.State{
 	membership.Starting.String(): membership.Starting,
 	membership.Ready.String():    membership.Ready,
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -35,7 +35,6 @@
 	onCrash   func(text string)
 
 	view    *view
-	none    *snapshot.Snapshot
 	config  atomic.Pointer[held]
 	synced  atomic.Bool
 	storeOK atomic.Bool
@@ -59,10 +58,10 @@
 	version uint64
 }
 
-// held is the configuration in force with the bytes that it came as.
+// held is the configuration in force, since when, and the bytes that it came as,
+// squeezed when first asked for.
 type held struct {
 	snap     *snapshot.Snapshot
-	bytes    []byte
 	since    time.Time
 	squeezed func() []byte
 }
@@ -87,7 +86,7 @@
 func New(store platform.Prefixes, clk *timer.Service, self membership.Record, configKey string, decode Decoder, opts ...Option) *Fleet {
 	f := &Fleet{
 		store: store, clk: clk, log: event.Discard(), configKey: configKey, decode: decode, allRead: allRead,
-		rng: rand.New(rand.NewPCG(1, 1)), view: newView(), none: snapshot.Empty(), self: self,
+		rng: rand.New(rand.NewPCG(1, 1)), view: newView(), self: self,
 		onCrash: func(string) {}, hints: make(chan hint, 1), change: make(chan struct{}, 1),
 		fresh: make(chan struct{}, 1), chased: make(chan struct{}, 1),
 		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
@@ -95,7 +94,7 @@
 	for _, opt := range opts {
 		opt(f)
 	}
-	f.config.Store(&held{snap: f.none, since: clk.Now()})
+	f.config.Store(&held{snap: snapshot.Empty(), since: clk.Now()})
 	return f
 }
 
@@ -194,7 +193,7 @@
 		if snap.Version() <= now.snap.Version() {
 			return
 		}
-		if f.config.CompareAndSwap(now, &held{snap: snap, bytes: b, since: f.clk.Now(), squeezed: sync.OnceValue(func() []byte { return squeeze(b) })}) {
+		if f.config.CompareAndSwap(now, &held{snap: snap, since: f.clk.Now(), squeezed: sync.OnceValue(func() []byte { return squeeze(b) })}) {
 			f.log.Emit(event.VersionApplied, event.F("version", snap.Version()),
 				event.F("before", now.snap.Version()), event.F("from", from), event.F("bytes", len(b)))
 			if from == fromStore {
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -125,6 +125,16 @@
 	})
 }
 
+// begin waits until nodes know each other and hold version 1.
+func (r *rig) begin(names ...string) {
+	r.t.Helper()
+	r.store.put(configKey, []byte("1"))
+	for _, n := range names {
+		r.sees(n, names...)
+		r.holds(n, 1)
+	}
+}
+
 func TestNodesFindEachOtherAndTheConfiguration(t *testing.T) {
 	t.Parallel()
 	r := newRig(t, "n1", "n2")
@@ -293,11 +303,7 @@
 	t.Parallel()
 	names := []string{"n1", "n2", "n3", "n4", "n5", "n6", "n7"}
 	r := newRig(t, names...)
-	r.store.put(configKey, []byte("1"))
-	for _, n := range names {
-		r.sees(n, names...)
-		r.holds(n, 1)
-	}
+	r.begin(names...)
 	r.eventually("some don't read", func() bool {
 		read := 0
 		for _, n := range names {
@@ -330,11 +336,7 @@
 	t.Parallel()
 	names := []string{"n1", "n2", "n3", "n4", "n5", "n6"}
 	r := newRig(t, names...)
-	r.store.put(configKey, []byte("1"))
-	for _, n := range names {
-		r.sees(n, names...)
-		r.holds(n, 1)
-	}
+	r.begin(names...)
 	r.store.put(newsKey, []byte("1000"))
 	r.eventually("it is passed over", func() bool {
 		for _, n := range names {
@@ -363,11 +365,7 @@
 	}
 	t.Cleanup(func() { _ = silent.Close() })
 	peer := netip.MustParseAddrPort(silent.Addr().String())
-	r.store.put(configKey, []byte("1"))
-	for _, n := range names {
-		r.sees(n, names...)
-		r.holds(n, 1)
-	}
+	r.begin(names...)
 	cut := func(n int) membership.Record {
 		return membership.NewRecord(fmt.Sprintf("cut-%d", n), membership.Domain("b"), membership.Pool("other"),
 			membership.Address(peer), membership.Peer(peer), membership.Boot(1), membership.InState(membership.Ready), membership.Target("cut"))
--- a/internal/control/fleet/news.go
+++ b/internal/control/fleet/news.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -70,10 +71,10 @@
 func (f *Fleet) roster() roster {
 	self, _ := f.own()
 	members := f.view.records()
-	if f.view.knows(self.Instance()) {
-		return rosterOf(members, f.allRead)
+	if !slices.ContainsFunc(members, func(r membership.Record) bool { return r.Instance() == self.Instance() }) {
+		members = append(members, self)
 	}
-	return rosterOf(append(members, self), f.allRead)
+	return rosterOf(members, f.allRead)
 }
 
 // reads reports whether this node reads the configuration from the store.
@@ -127,27 +128,21 @@
 // chase fetches the versions that the store tells of from the nodes that read them;
 // to those the watch brings them.
 func (f *Fleet) chase(ctx context.Context, done chan<- error) {
-	tick := f.clk.Subscribe(askPeriod)
-	defer tick.Stop()
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-f.chased:
-			f.chaseOnce(ctx)
-		case <-tick.C():
-			f.chaseOnce(ctx)
-		}
-	}
+	f.regularly(ctx, f.chased, f.chaseOnce)
 	done <- ctx.Err()
 }
 
 func (f *Fleet) chaseOnce(ctx context.Context) {
 	wanted, open := f.wanted()
-	if !open || f.reads() {
+	if !open {
 		return
 	}
 	self, _ := f.own()
-	near, far := f.roster().sources(self)
+	r := f.roster()
+	if r.rank(self.Instance()) >= 0 {
+		return
+	}
+	near, far := r.sources(self)
 	if f.fetch(ctx, near, wanted) || f.clk.Sleep(ctx, chasePause) != nil || f.fetch(ctx, near, wanted) {
 		return
 	}
--- a/internal/control/fleet/roster.go
+++ b/internal/control/fleet/roster.go
@@ -63,7 +63,15 @@
 // sources returns the readers that a node fetches from, those of its own failure
 // domain first and each node beginning with another one.
 func (r roster) sources(self membership.Record) (near, far []membership.Record) {
-	for _, m := range r.readers {
+	near, far = byDomain(r.readers, self)
+	first := xxh3.HashString(self.Instance())
+	return rotated(near, first), rotated(far, first)
+}
+
+// byDomain parts the members but self into those of its failure domain and the
+// others.
+func byDomain(members []membership.Record, self membership.Record) (near, far []membership.Record) {
+	for _, m := range members {
 		switch {
 		case m.Instance() == self.Instance():
 		case m.Domain() == self.Domain():
@@ -72,8 +80,7 @@
 			far = append(far, m)
 		}
 	}
-	first := xxh3.HashString(self.Instance())
-	return rotated(near, first), rotated(far, first)
+	return near, far
 }
 
 func rotated(ms []membership.Record, first uint64) []membership.Record {
--- a/internal/control/fleet/view.go
+++ b/internal/control/fleet/view.go
@@ -135,13 +135,6 @@
 	return out
 }
 
-// knows reports whether an instance is a member.
-func (v *view) knows(instance string) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.members[instance] != nil
-}
-
 // revisionOf returns the revision of an instance's entry, 0 if the store is not
 // known to hold it.
 func (v *view) revisionOf(instance string) uint64 {
