--- a/internal/standin/measure/churn.go
+++ b/internal/standin/measure/churn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -49,14 +48,7 @@
 	if c.nodes < 4 || c.restarts < 1 || c.crashes < 1 {
 		return fmt.Errorf("churn: %w", &SettingError{Text: "-nodes is 4 or more, -restarts and -crashes above 0"})
 	}
-	f, err := c.run(ctx)
-	if err != nil {
-		return fmt.Errorf("churn: %w", err)
-	}
-	if err := json.NewEncoder(out).Encode(f); err != nil {
-		return fmt.Errorf("churn: %w", err)
-	}
-	return nil
+	return report(ctx, out, "churn", c.run)
 }
 
 type churn struct {
@@ -107,15 +99,11 @@
 	defer g.stop()
 	c.clk = timer.New()
 	g.start(c.clk.Run)
-	s, err := startStore(g, c.clk)
-	if err != nil {
+	var err error
+	if c.fl, err = startFleet(ctx, g, c.clk, c.seed, c.nodes, c.domains, restServices); err != nil {
 		return nil, err
 	}
-	c.fl = newFleet(c.clk, s, c.seed, c.nodes, c.domains, restServices)
 	defer func() { c.fl.stop(c.fl.members...) }()
-	if err := c.fl.ready(ctx, restServices); err != nil {
-		return nil, err
-	}
 	if err := c.fl.until(ctx, "nobody is held back", c.fl.known); err != nil {
 		return nil, err
 	}
--- a/internal/standin/measure/converge.go
+++ b/internal/standin/measure/converge.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -46,14 +45,7 @@
 	if c.nodes < 1 || c.changes < 1 || c.services < 1 || c.rest <= 0 {
 		return fmt.Errorf("converge: %w", &SettingError{Text: "-nodes, -changes, -services and -rest are above 0"})
 	}
-	f, err := c.run(ctx)
-	if err != nil {
-		return fmt.Errorf("converge: %w", err)
-	}
-	if err := json.NewEncoder(out).Encode(f); err != nil {
-		return fmt.Errorf("converge: %w", err)
-	}
-	return nil
+	return report(ctx, out, "converge", c.run)
 }
 
 // converge is one run of the measurement.
@@ -128,17 +120,13 @@
 }
 
 func (c *converge) mesh(ctx context.Context, g *group, clk *timer.Service) (*side, func(), error) {
-	s, err := startStore(g, clk)
+	fl, err := startFleet(ctx, g, clk, c.seed, c.nodes, c.domains, c.services)
 	if err != nil {
 		return nil, nil, err
 	}
-	fl := newFleet(clk, s, c.seed, c.nodes, c.domains, c.services)
+	s := fl.stored
 	c.domains = fl.domains
 	stop := func() { fl.stop(fl.members...) }
-	if err := fl.ready(ctx, c.services); err != nil {
-		stop()
-		return nil, nil, err
-	}
 	m := &side{clk: clk, stored: s, wire: fl.moved, prepare: func(context.Context, *snapshot.Snapshot) error { return nil }}
 	for _, member := range fl.members {
 		m.holders = append(m.holders, member.node.Holder())
--- a/internal/standin/measure/fleet.go
+++ b/internal/standin/measure/fleet.go
@@ -50,6 +50,21 @@
 	ends               []chan error
 }
 
+// startFleet starts a store and a fleet and waits until all know all; the fleet is
+// stopped by the one who asked for it.
+func startFleet(ctx context.Context, g *group, clk *timer.Service, seed uint64, nodes, domains, services int) (*fleet, error) {
+	s, err := startStore(g, clk)
+	if err != nil {
+		return nil, err
+	}
+	f := newFleet(clk, s, seed, nodes, domains, services)
+	if err := f.ready(ctx, services); err != nil {
+		f.stop(f.members...)
+		return nil, err
+	}
+	return f, nil
+}
+
 func newFleet(clk *timer.Service, s *stored, seed uint64, nodes, domains, pools int) *fleet {
 	if domains == 0 {
 		domains = max(minDomains, (nodes+fullDomain-1)/fullDomain)
--- a/internal/standin/measure/idle.go
+++ b/internal/standin/measure/idle.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -35,14 +34,7 @@
 	if c.nodes < 1 || c.services < 1 || c.length <= 0 {
 		return fmt.Errorf("idle: %w", &SettingError{Text: "-nodes, -services and -for are above 0"})
 	}
-	f, err := c.run(ctx)
-	if err != nil {
-		return fmt.Errorf("idle: %w", err)
-	}
-	if err := json.NewEncoder(out).Encode(f); err != nil {
-		return fmt.Errorf("idle: %w", err)
-	}
-	return nil
+	return report(ctx, out, "idle", c.run)
 }
 
 type idle struct {
@@ -91,15 +83,11 @@
 	defer g.stop()
 	clk := timer.New()
 	g.start(clk.Run)
-	s, err := startStore(g, clk)
+	fl, err := startFleet(ctx, g, clk, c.seed, c.nodes, c.domains, c.services)
 	if err != nil {
 		return nil, err
 	}
-	fl := newFleet(clk, s, c.seed, c.nodes, c.domains, c.services)
 	defer func() { fl.stop(fl.members...) }()
-	if err := fl.ready(ctx, c.services); err != nil {
-		return nil, err
-	}
 	o, err := startOwn(ctx, fl)
 	if err != nil {
 		return nil, err
--- a/internal/standin/measure/storm.go
+++ b/internal/standin/measure/storm.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -41,14 +40,7 @@
 	if c.nodes < 1 || c.services < 1 {
 		return fmt.Errorf("storm: %w", &SettingError{Text: "-nodes and -services are above 0"})
 	}
-	f, err := c.run(ctx)
-	if err != nil {
-		return fmt.Errorf("storm: %w", err)
-	}
-	if err := json.NewEncoder(out).Encode(f); err != nil {
-		return fmt.Errorf("storm: %w", err)
-	}
-	return nil
+	return report(ctx, out, "storm", c.run)
 }
 
 type storm struct {
@@ -90,15 +82,12 @@
 	defer g.stop()
 	c.clk = timer.New()
 	g.start(c.clk.Run)
-	s, err := startStore(g, c.clk)
-	if err != nil {
+	var err error
+	if c.fl, err = startFleet(ctx, g, c.clk, c.seed, c.nodes, c.domains, c.services); err != nil {
 		return nil, err
 	}
-	c.fl = newFleet(c.clk, s, c.seed, c.nodes, c.domains, c.services)
 	defer func() { c.fl.stop(c.fl.members...) }()
-	if err := c.fl.ready(ctx, c.services); err != nil {
-		return nil, err
-	}
+	s := c.fl.stored
 	d, next, err := s.next(change(0, c.services))
 	if err != nil {
 		return nil, err
