A refusal by a target's node speaks for one call

Cause: a sender left a target alone for 15 ms, for all paying calls, once its node had refused one. The refusal now carries the target's load, which counts in the choice; only trial calls still leave the target alone. Ruled out: silence for calls of the same route only, as such calls differ in what time they have left. Test red before: TestARefusalSpeaksForOneCall.

--- a/internal/policy/balance/pool.go
+++ b/internal/policy/balance/pool.go
@@ -226,6 +226,7 @@
 		t.heed(at, a, r.scope, r.retryAfter)
 	case leaving:
 		t.leaving = true
+	case declined:
 	case cancelled:
 		p.censor(at, t, float64(took))
 	}
--- a/internal/policy/balance/report.go
+++ b/internal/policy/balance/report.go
@@ -21,6 +21,7 @@
 	shed
 	leaving
 	cancelled
+	declined
 )
 
 // Scope says whom a target's refusal is meant for.
@@ -66,6 +67,11 @@
 	return report(Report{kind: shed, scope: s, retryAfter: retryAfter}, opts)
 }
 
+// Declined reports that the target's node had no room for this call. It says
+// nothing about the next one, which may be shorter, more urgent or due later, so
+// the target is not left alone: only the load that was told counts.
+func Declined(opts ...ReportOption) Report { return report(Report{kind: declined}, opts) }
+
 // Leaving reports a refusal because the target drains.
 func Leaving() Report { return Report{kind: leaving} }
 
--- a/internal/traffic/caller/errors.go
+++ b/internal/traffic/caller/errors.go
@@ -110,6 +110,9 @@
 type RefusedError struct {
 	By      string
 	Refusal *http1.Refusal
+	// Load is the target's load as its node told it with the refusal, if Loaded.
+	Load   float64
+	Loaded bool
 }
 
 func (e *RefusedError) Error() string { return fmt.Sprintf("%s: %v", e.By, e.Refusal) }
--- a/internal/traffic/caller/load_test.go
+++ b/internal/traffic/caller/load_test.go
@@ -165,3 +165,36 @@
 		}
 	}
 }
+
+// All slots of the only target are in use. A call that allows 20 ms is refused there
+// at once, rightly; five that allow seconds come in the same instant. They have time
+// to wait for a slot and must be served: a refusal speaks for the call that it
+// was given to, and a sender that took it for all others turned these away
+// unasked.
+func TestARefusalSpeaksForOneCall(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, rigOptions{targets: 1})
+	c := r.browser()
+	var long, short sync.WaitGroup
+	for range 12 {
+		long.Go(func() {
+			if got, text, _ := r.do(r.browser(), r.newRequest("GET", "/long?size=10&sleep=300ms", nil)); got.Status != http.StatusOK {
+				t.Errorf("a long call was told %+v: %s", got, text)
+			}
+		})
+	}
+	r.eventually("all slots are in use", func() bool { return r.targets[0].app.Busy() == 12 })
+	got, text, _ := r.do(c, r.newRequest("GET", "/short?size=10", map[string]string{hop.DeadlineHeader: "20"}))
+	if got.Status != http.StatusServiceUnavailable || got.Outcome != http1.NotRun {
+		t.Errorf("the call in a hurry was told %+v: %s", got, text)
+	}
+	for range 5 {
+		short.Go(func() {
+			if got, text, _ := r.do(r.browser(), r.newRequest("GET", "/read?size=10", nil)); got.Status != http.StatusOK {
+				t.Errorf("a call with time to wait was told %+v: %s", got, text)
+			}
+		})
+	}
+	short.Wait()
+	long.Wait()
+}
--- a/internal/traffic/caller/pick.go
+++ b/internal/traffic/caller/pick.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"banyanlug.example/banyanlug/internal/config/snapshot"
 	"banyanlug.example/banyanlug/internal/policy/balance"
 	"banyanlug.example/banyanlug/internal/policy/membership"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
@@ -110,7 +111,7 @@
 	)
 	switch {
 	case errors.As(err, &refused):
-		return refusalReport(refused)
+		return refusalReport(refused, c.org.Class())
 	case errors.As(err, &dial) && dial.Short:
 		return balance.Cancelled()
 	case errors.As(err, &dial):
@@ -126,20 +127,28 @@
 	}
 }
 
-// fullFor bounds how long a target that has no room is left alone. What it tells
-// callers spreads their return over seconds; its next slot comes free within a
-// service time over its slots, some milliseconds.
+// fullFor bounds how long trial calls leave a target alone that has no room for
+// one. What it tells callers spreads their return over seconds; its next slot
+// comes free within a service time over its slots, some milliseconds.
 const fullFor = 15 * time.Millisecond
 
 // refusalReport tells whom a refusal by the target's node is meant for.
-func refusalReport(e *RefusedError) balance.Report {
+func refusalReport(e *RefusedError, class snapshot.Class) balance.Report {
 	switch e.Refusal.Type {
 	case "draining", "wrong-pool", "wrong-instance":
 		return balance.Leaving()
 	case "displaced":
 		return balance.Shed(balance.ForOrganisation, e.Refusal.RetryAfter)
 	case "queue-full", "too-late", "no-trial-slots":
-		return balance.Shed(balance.ForClass, min(e.Refusal.RetryAfter, fullFor))
+		if class == snapshot.Trial {
+			// A flood of trial calls that each ask would cost the target's node
+			// the time that paying calls need.
+			return balance.Shed(balance.ForClass, min(e.Refusal.RetryAfter, fullFor))
+		}
+		if e.Loaded {
+			return balance.Declined(balance.Load(e.Load))
+		}
+		return balance.Declined()
 	case "target-full":
 		return balance.Shed(balance.ForAll, e.Refusal.RetryAfter)
 	case "connection-closed":
--- a/internal/traffic/caller/send.go
+++ b/internal/traffic/caller/send.go
@@ -124,10 +124,11 @@
 // decided whether the call is sent again.
 func (c *call) receive(a *heldAnswer) (result, error) {
 	if a.answer.Header().Get(http1.OutcomeHeader) != "" {
+		load, loaded := a.answer.Load()
 		refusal, err := hop.ReadRefusal(a.answer)
 		a.answer.Close()
 		if err == nil {
-			err = &RefusedError{By: a.from.Record().Instance(), Refusal: refusal}
+			err = &RefusedError{By: a.from.Record().Instance(), Refusal: refusal, Load: load, Loaded: loaded}
 		}
 		c.report(a.from, a.began, nil, err)
 		return result{}, err
