A target is ejected for failing more than its like

Cause: a run answers 500 when a call that it makes is refused, on all targets of a pool alike while the pool below is full. A cumulative sum test now weighs a target's failures against those of the pool's others; three in a row still eject beside healthy ones. Where all that is left is ejected, a target that fails part of its calls is asked all the same; one that refuses connections gets a probe at a time, as before. Ruled out: taking all 5xx as answers, which gives up on ill targets.

--- a/internal/policy/balance/load_test.go
+++ b/internal/policy/balance/load_test.go
@@ -217,3 +217,41 @@
 	}
 	t.Logf("p99 %v before, %v during, in turn %v; longest line %d", before, during, turnDuring, longest)
 }
+
+// Three calls in ten fail on each of three targets, since a call that their
+// runs make is refused further down. The pool is at four fifths of its slots. No
+// target is worse than the others: with one taken out by its own failures alone,
+// the two others have more than they can do and lines form. One that fails half of
+// its calls beside two that fail one in ten is still taken out.
+func TestFailuresThatAllShareEjectNobody(t *testing.T) {
+	t.Parallel()
+	run := func(first, others float64) *stage {
+		targets := servers(3, "sabana")
+		for i, sv := range targets {
+			rate := others
+			if i == 0 {
+				rate = first
+			}
+			sv.fails = func() float64 { return rate }
+		}
+		s := balance(newStage(domains(4, "sabana"), targets...))
+		s.play(2880/(1-others), whole)
+		return s
+	}
+	alike := run(0.3, 0.3)
+	for i, sv := range alike.servers {
+		// A gate lets two calls a slot wait.
+		if sv.longest > 2*slots {
+			t.Errorf("a line of %d formed at target %d", sv.longest, i)
+		}
+		if share := float64(sv.got) / float64(alike.asked); share < 0.25 {
+			t.Errorf("target %d got %.2f of the calls", i, share)
+		}
+	}
+	ill := run(0.5, 0.1)
+	if share := float64(ill.servers[0].got) / float64(ill.asked); share > 0.1 {
+		t.Errorf("the target that is ill got %.2f of the calls", share)
+	}
+	t.Logf("alike: %d, %d, %d calls, longest lines %d, %d, %d; ill: %d of %d calls", alike.servers[0].got, alike.servers[1].got,
+		alike.servers[2].got, alike.servers[0].longest, alike.servers[1].longest, alike.servers[2].longest, ill.servers[0].got, ill.asked)
+}
--- a/internal/policy/balance/pool.go
+++ b/internal/policy/balance/pool.go
@@ -155,8 +155,9 @@
 	return false
 }
 
-// none says why no target may be picked, unless one is merely ejected and not
-// being asked: a call that would fail anyway may as well probe it.
+// none says why no target may be picked, unless one is merely ejected: a call that
+// would fail anyway may as well probe it. One that refuses connections is probed by
+// one call at a time; one that fails part of its calls still serves the rest.
 func (p *pool) none(at int64, a Ask, tried []Picked) Choice {
 	none := None{reason: NoTargets, retryAfter: firstEjection}
 	soonest := int64(math.MaxInt64)
@@ -173,7 +174,7 @@
 		}
 		until, reason := t.shedUntil(a), AllShed
 		if until <= at {
-			if t.outstanding == 0 && (probe == nil || t.ejectedUntil < probe.ejectedUntil) {
+			if (t.outstanding == 0 || !t.absent) && (probe == nil || t.ejectedUntil < probe.ejectedUntil) {
 				probe = t
 			}
 			until, reason = max(t.ejectedUntil, at+int64(time.Millisecond)), AllEjected
@@ -203,9 +204,11 @@
 	switch r.kind {
 	case answered:
 		p.observe(at, t, float64(took))
-		t.failures -= newestFailure * t.failures
+		t.outcome(0)
+		t.suspicion.answered(p.othersFail(t))
+		t.absent = false
 		if t.ejected && at >= t.ejectedUntil {
-			t.ejected, t.failures = false, 0
+			t.ejected, t.failures, t.suspicion.odds = false, 0, 0
 			t.coldSince = max(t.coldSince, t.ejectedUntil)
 		}
 		if at-t.failedAt > int64(maxEjection) {
@@ -218,7 +221,7 @@
 		// Nothing listens there, so the call has not run and asking again is
 		// sure to fail: no need for three.
 		t.warm = 0
-		t.failures, t.failedAt = 1, at
+		t.failures, t.failedAt, t.absent = 1, at, true
 		if !t.ejected || t.probing(at) {
 			t.eject(at, p.rng)
 		}
@@ -252,14 +255,31 @@
 	}
 }
 
+// othersFail returns the part of their calls that the other targets of the pool
+// usually fail, those that are gone or out left aside.
+func (p *pool) othersFail(t *target) float64 {
+	sum, n := 0.0, 0
+	for _, other := range p.all {
+		if other != t && !other.leaving && !other.ejected {
+			sum += other.suspicion.usual
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
+}
+
 func (p *pool) fail(at int64, t *target) {
-	t.failures += newestFailure * (1 - t.failures)
-	t.failedAt = at
+	t.outcome(1)
+	t.failedAt, t.absent = at, false
+	ill := t.suspicion.failed(p.othersFail(t))
 	if t.probing(at) {
 		t.eject(at, p.rng)
 		return
 	}
-	if t.ejected || t.failures <= ejectAt {
+	if t.ejected || !ill {
 		return
 	}
 	out := 1
--- a/internal/policy/balance/target.go
+++ b/internal/policy/balance/target.go
@@ -23,10 +23,6 @@
 	loadFade = 500 * time.Millisecond
 	// newestFailure is the weight of the newest outcome among failures.
 	newestFailure = 1.0 / 4
-	// ejectAt is the part of failures that ejects: three in a row, or more
-	// than half of late. One or two happen to a healthy target when a call or
-	// a connection breaks.
-	ejectAt = 0.5
 	// waitCost makes a target dearer whose calls wait: with all slots in use each
 	// further call waits for one, while below that it is served at once.
 	waitCost = 4
@@ -73,6 +69,8 @@
 
 	failures     float64
 	failedAt     int64
+	suspicion    suspicion
+	absent       bool // refuses connections
 	ejected      bool
 	ejectedUntil int64
 	ejections    int
@@ -167,6 +165,9 @@
 	}
 }
 
+// outcome takes in whether an answer was a failure.
+func (t *target) outcome(failed float64) { t.failures += newestFailure * (failed - t.failures) }
+
 // eject takes the target out for a while. The jitter differs from caller to
 // caller, so that they do not all return to it in one moment.
 func (t *target) eject(at int64, r *rand.Rand) {
