A stopping node's target serves the others until the last half second

Cause: a node that stops as planned refused all calls of others at once, 2.5 s before it ended, though its target is well. In a pool of three that is a third of the slots at each planned stop. It now takes them for 2 s, then tells the others to stay away, and refuses from 2.5 s on; a drain that the target tells meanwhile still closes its slots before it is acknowledged. Ruled out: taking them to the end of the grace, as what runs then would be cut.

--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -59,6 +59,9 @@
 	mu        sync.Mutex
 	tracker   *lifecycle.Tracker
 	lastCrash string
+	// leaving is set once the other nodes are told to stay away, closed once
+	// their calls are refused.
+	leaving, closed bool
 }
 
 type listeners struct{ callers, mesh, peers, admin net.Listener }
@@ -218,11 +221,12 @@
 	}
 	n.log.Emit(event.TargetChanged, event.F("target", t.ID()), event.F("phase", t.Phase()),
 		event.F("born_ms", t.Born()), event.F("slots", t.Slots()))
-	if n.stopping.Load() {
-		return
+	if !n.closed {
+		n.slots.Beside(t)
+	}
+	if !n.leaving {
+		n.announce(t)
 	}
-	n.slots.Beside(t)
-	n.announce(t)
 }
 
 func (n *Node) announce(t lifecycle.Target) {
@@ -236,15 +240,23 @@
 	n.fleet.Announce(state, t.ID(), t.Slots(), n.lastCrash)
 }
 
-// stop lets the other nodes know that this one takes no further call for its
-// target, and those that wait here go elsewhere.
-func (n *Node) stop() {
+// leave lets the other nodes know that this one is about to take no further call
+// for its target.
+func (n *Node) leave() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.stopping.Store(true)
+	n.leaving = true
 	t := n.tracker.Target()
 	n.fleet.Announce(membership.Draining, t.ID(), t.Slots(), n.lastCrash)
-	n.log.Emit(event.NodeDrains)
+}
+
+// close refuses the calls that wait for the target and all that come from now on;
+// they go elsewhere.
+func (n *Node) close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.closed = true
+	n.slots.Drain()
 }
 
 // registerMetrics adds what is read from the parts when somebody asks.
--- a/internal/process/resident/run.go
+++ b/internal/process/resident/run.go
@@ -14,6 +14,13 @@
 	// after it has said that it is not ready: two questions a second apart go
 	// unanswered before callers stay away, and one more may be on its way.
 	leaveNotice = 2500 * time.Millisecond
+	// leaveWord is how long before the end of that time the other nodes are told
+	// to send this one's target nothing more: a watch hears of it within some ten
+	// milliseconds, and those that it does not reach are refused and go
+	// elsewhere. The target is well while its node stops; if it took no calls for
+	// all of the notice, a pool of three would be without a third of its slots
+	// for 2.5 s at each of its planned stops.
+	leaveWord = 500 * time.Millisecond
 	// lastWord is kept of the time that a stop may take for what follows the
 	// last call: the entry's removal and the process's end.
 	lastWord = 400 * time.Millisecond
@@ -69,10 +76,13 @@
 func (n *Node) drain(ctx context.Context) {
 	ctx, cancel := n.clk.WithTimeout(ctx, n.bounds.Load().Grace-lastWord)
 	defer cancel()
-	n.stop()
+	n.stopping.Store(true)
+	n.log.Emit(event.NodeDrains)
 	n.callers.Close()
-	n.slots.Drain()
-	_ = n.clk.Sleep(ctx, leaveNotice)
+	_ = n.clk.Sleep(ctx, leaveNotice-leaveWord)
+	n.leave()
+	_ = n.clk.Sleep(ctx, leaveWord)
+	n.close()
 	// What a drain cut off is in the log; the stop goes on all the same.
 	_ = n.targets.Drain(ctx)
 	_ = n.callers.Drain(ctx)
