A call on a kept connection is fresh, whatever it allows

Cause: how long a caller has waited was told from the time that it allows alone. Callers that come back open a connection, so a call on one that has carried another is fresh; what fresh calls allow is learnt from those alone. Where nobody keeps connections the estimate is as before. Ruled out: a wider margin for all, which would miss those that came back early. Test red before: TestCallersThatDifferAreToldFromThoseThatCameBack.

--- a/internal/policy/patience/tracker.go
+++ b/internal/policy/patience/tracker.go
@@ -10,10 +10,9 @@
 	// window is how many calls of a route are remembered: a quarter of a second
 	// of the users' busiest routes at one node, and enough to rank them.
 	window = 32
-	// most is which of them, counted from the longest, is taken for what a fresh
-	// call allows. A fresh call allows the most, but one caller in twenty-five
-	// allows more than its like; three in 32 may.
-	most = 3
+	// outliers is how many of them, at either end, are set aside: one caller in
+	// twenty-five allows far more than its like, and three in 32 may.
+	outliers = 3
 	// noise is what a fresh call loses on its way.
 	noise = 20 * time.Millisecond
 )
@@ -24,14 +23,11 @@
 	routes map[string]*route
 }
 
-type route struct {
-	allowed [window]time.Duration
-	next    int
-	seen    int
-	fresh   time.Duration
-}
+// route holds the calls that came on kept connections, which are fresh, and those
+// that came on new ones, of which some have come back.
+type route struct{ kept, opened sample }
 
-// maxRoutes bounds the memory to some 300 KB; beyond it all is learned anew.
+// maxRoutes bounds the memory to some 600 KB; beyond it all is learned anew.
 const maxRoutes = 1024
 
 // NewTracker returns a tracker that knows nothing.
@@ -39,7 +35,12 @@
 
 // Waited takes in a call that allows so long, and returns how long its caller
 // has been waiting: 0 for a fresh call, or while too few are known.
-func (t *Tracker) Waited(name string, allowed time.Duration) time.Duration {
+//
+// A caller that comes back opens a connection, so a call on a kept one is fresh
+// whatever it allows. Callers differ in what they allow; judged by that alone,
+// with a spread of 15 % a third of the fresh calls passed for late ones, were
+// placed behind those and refused without need.
+func (t *Tracker) Waited(name string, allowed time.Duration, kept bool) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.routes[name]
@@ -50,18 +51,45 @@
 		r = &route{}
 		t.routes[name] = r
 	}
-	r.take(allowed)
-	if r.seen < window || r.fresh-allowed <= noise {
+	if kept {
+		r.kept.take(allowed)
+		return 0
+	}
+	r.opened.take(allowed)
+	switch {
+	case r.kept.full():
+		return since(allowed, r.kept.low, r.kept.middle)
+	case r.opened.full():
+		// Nobody keeps connections here. A fresh call allows the most.
+		return since(allowed, r.opened.high, r.opened.high)
+	default:
+		return 0
+	}
+}
+
+// since returns how long a caller has waited that allows so much, where fresh
+// calls allow at least low and usual ones usual.
+func since(allowed, low, usual time.Duration) time.Duration {
+	if low-allowed <= noise {
 		return 0
 	}
-	return r.fresh - allowed
+	return usual - allowed
 }
 
-func (r *route) take(allowed time.Duration) {
-	r.allowed[r.next] = allowed
-	r.next = (r.next + 1) % window
-	r.seen = min(r.seen+1, window)
-	sorted := r.allowed
+// sample is the last calls of one kind, and how much they allow.
+type sample struct {
+	allowed           [window]time.Duration
+	next, seen        int
+	low, middle, high time.Duration
+}
+
+func (s *sample) full() bool { return s.seen == window }
+
+func (s *sample) take(allowed time.Duration) {
+	s.allowed[s.next] = allowed
+	s.next = (s.next + 1) % window
+	s.seen = min(s.seen+1, window)
+	sorted := s.allowed
 	slices.Sort(sorted[:])
-	r.fresh = sorted[window-1-most]
+	s.low, s.middle, s.high = sorted[outliers], sorted[window/2], sorted[window-1-outliers]
 }
--- a/internal/policy/patience/tracker_test.go
+++ b/internal/policy/patience/tracker_test.go
@@ -35,9 +35,9 @@
 			t.Parallel()
 			tr := NewTracker()
 			for i := range 200 {
-				tr.Waited("read", tc.allowed(i))
+				tr.Waited("read", tc.allowed(i), false)
 			}
-			if diff := cmp.Diff(tc.want, tr.Waited("read", tc.asked)); diff != "" {
+			if diff := cmp.Diff(tc.want, tr.Waited("read", tc.asked, false)); diff != "" {
 				t.Error(diff)
 			}
 		})
@@ -50,7 +50,7 @@
 	t.Parallel()
 	tr := NewTracker()
 	for i := range window - 1 {
-		if got := tr.Waited("read", time.Duration(1000-i*10)*ms); got != 0 {
+		if got := tr.Waited("read", time.Duration(1000-i*10)*ms, false); got != 0 {
 			t.Fatalf("call %d has waited %v", i, got)
 		}
 	}
@@ -61,9 +61,39 @@
 	tr := NewTracker()
 	rng := rand.New(rand.NewPCG(1, 2))
 	for range 10 * maxRoutes {
-		tr.Waited(string(rune(rng.IntN(1<<20))), 100*ms)
+		tr.Waited(string(rune(rng.IntN(1<<20))), 100*ms, false)
 	}
 	if len(tr.routes) > maxRoutes {
 		t.Errorf("%d routes are held", len(tr.routes))
 	}
 }
+
+// Callers of one route allow 850 to 1000 ms. Most keep their connections; those
+// that were refused come back on new ones with 600 ms less. By what they allow
+// alone a fresh call of an impatient caller looks like one that came back, would be
+// placed behind the others and refused.
+func TestCallersThatDifferAreToldFromThoseThatCameBack(t *testing.T) {
+	t.Parallel()
+	tr := NewTracker()
+	rng := rand.New(rand.NewPCG(3, 4))
+	allows := func() time.Duration { return time.Duration(850+rng.IntN(150)) * ms }
+	late, missed := 0, 0
+	const calls = 1000
+	for range calls {
+		if tr.Waited("read", allows(), true) > 0 {
+			t.Fatal("a call on a kept connection has waited")
+		}
+		if tr.Waited("read", allows(), false) > 0 {
+			late++
+		}
+		if got := tr.Waited("read", allows()-600*ms, false); got < 500*ms || got > 700*ms {
+			missed++
+		}
+	}
+	if late > calls/10 {
+		t.Errorf("%d of %d fresh calls on new connections pass for ones that came back", late, calls)
+	}
+	if missed > window {
+		t.Errorf("%d of %d that came back are not seen", missed, calls)
+	}
+}
--- a/internal/traffic/caller/route.go
+++ b/internal/traffic/caller/route.go
@@ -5,6 +5,7 @@
 
 	"banyanlug.example/banyanlug/internal/policy/balance"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
+	"banyanlug.example/banyanlug/internal/traffic/http1"
 )
 
 // route finds where the call leads, how deep it is and how long it may take.
@@ -44,7 +45,7 @@
 		return err
 	}
 	if ok && c.rt.TargetLatency() > 0 {
-		c.waited = c.h.patience.Waited(c.rt.Name(), asked)
+		c.waited = c.h.patience.Waited(c.rt.Name(), asked, http1.Kept(c.r.Context()))
 	}
 	if at := c.began.Add(asked); ok && at.Before(c.until) {
 		c.until, c.hurried = at, true
--- a/internal/traffic/http1/conn.go
+++ b/internal/traffic/http1/conn.go
@@ -43,10 +43,19 @@
 	}
 	c.br = bufio.NewReaderSize(c.rwc, usualHead)
 	c.bw = bufio.NewWriter(&patientWriter{c})
-	for c.await() && c.call(ctx) {
+	for first := true; c.await() && c.call(ctx); first = false {
+		if first {
+			ctx = context.WithValue(ctx, keptKey{}, true)
+		}
 	}
 }
 
+// keptKey marks the context of the calls on a connection that has carried one.
+type keptKey struct{}
+
+// Kept reports whether a call's connection has carried another call before it.
+func Kept(ctx context.Context) bool { return ctx.Value(keptKey{}) != nil }
+
 func (c *conn) handshake(ctx context.Context) bool {
 	if c.s.tls == nil {
 		return true
--- a/internal/traffic/http1/server_test.go
+++ b/internal/traffic/http1/server_test.go
@@ -463,3 +463,22 @@
 		}
 	}
 }
+
+// A caller that comes back opens a connection; what comes on one that has carried
+// a call is not such a call, and only the server can tell.
+func TestAllCallsButTheFirstOnAConnectionAreKept(t *testing.T) {
+	t.Parallel()
+	s := serve(t, func(w http.ResponseWriter, r *http.Request) { _, _ = fmt.Fprint(w, Kept(r.Context())) }, nil)
+	for range 2 {
+		p := s.dial()
+		var got []string
+		for range 3 {
+			p.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			_, body, _ := p.answer(http.MethodGet)
+			got = append(got, body)
+		}
+		if diff := cmp.Diff([]string{"false", "true", "true"}, got); diff != "" {
+			t.Error(diff)
+		}
+	}
+}
