A target that turns calls away beside free slots is ill, not full

Cause: each call that a target itself turned away lowered its slots to nine tenths of what ran, and silenced it for 50 ms at its sender. A call that was served lately beside as many others now contradicts such a refusal; the sender counts it as a failure, which ejects a target that does so beside others that don't. What a target rejects has a budget of its own, as it counts as an arrival there; what its node refuses reaches no target, so every such call may ask two others. Ruled out: a floor under the slots, which a target that really takes less would pay.

--- a/internal/policy/admission/gate.go
+++ b/internal/policy/admission/gate.go
@@ -61,6 +61,7 @@
 	// slots, and answers raise it again.
 	open     float64
 	shrunkAt int64
+	proof    proof
 
 	paying, trial         queue
 	runPaying, runTrial   int
@@ -381,6 +382,7 @@
 
 func (g *Gate) start(at int64, c *call) {
 	c.state, c.start = running, at
+	c.level = g.runPaying + g.runTrial + 1
 	c.org.running++
 	n, long := &g.runTrial, &g.longTrial
 	if c.class == snapshot.Paying {
@@ -415,6 +417,7 @@
 			g.short.observe(took)
 		}
 		g.open = min(float64(g.slots), g.open+1/float64(regrow*g.capacity()))
+		g.proof.took(c)
 	case Failed, Cancelled:
 		c.work.censored(took)
 		g.all.censored(took)
@@ -424,7 +427,7 @@
 	case Shed:
 		// Calls that began before the last cut were judged by the target
 		// before it; counting each would close the gate for one event.
-		if c.start >= g.shrunkAt {
+		if c.start >= g.shrunkAt && !g.proof.contradicts(c) {
 			g.open = max(1, float64(g.runPaying+g.runTrial)*shedKeep)
 			g.shrunkAt = at
 		}
--- a/internal/policy/admission/load_test.go
+++ b/internal/policy/admission/load_test.go
@@ -256,6 +256,27 @@
 	t.Logf("slots %d while shedding, %d after; paying %.4f done, trial %.4f", during.Slots(), after.Slots(), p.share(), f.share())
 }
 
+// The target turns away 55 % of its calls for a while, whatever runs: it is ill and
+// not full. It serves the others as before, so its slots must stay: lowered at each
+// such refusal they end at one, and nine calls in ten are refused beside idle slots.
+func TestATargetThatIsIllKeepsItsSlots(t *testing.T) {
+	t.Parallel()
+	s, g := onGate(insurerSlots, 0)
+	ill := play.Rand(5)
+	s.shed = func() bool { return s.Since() < 10*time.Second && ill.Float64() < 0.55 }
+	var during Load
+	s.At(play.Start.Add(9*time.Second), func() { during = g.Load(s.Now()) })
+	p := paying("broker", 2000, 22)
+	s.play(p)
+	if during.Slots() < insurerSlots/2 {
+		t.Errorf("%d slots of %d while calls are turned away", during.Slots(), insurerSlots)
+	}
+	if got := p.share(); got < 0.4 {
+		t.Errorf("%.4f of the calls done, and the target would serve 0.45", got)
+	}
+	t.Logf("%d slots, %.4f done", during.Slots(), p.share())
+}
+
 // Refused calls that keep to the time they were told come back spread out: no
 // ten milliseconds see more of them than the target serves in that time and
 // some.
--- a/internal/policy/admission/request.go
+++ b/internal/policy/admission/request.go
@@ -75,6 +75,7 @@
 	org         *org
 	work        *work
 	start       int64
+	level       int // calls that ran when it began, itself included
 	deadline    int64
 	due         int64
 	rank        int
--- a/internal/policy/retry/budget.go
+++ b/internal/policy/retry/budget.go
@@ -20,8 +20,11 @@
 	// each level's share times the levels it repeats, over eleven.
 	minRepeatShare = 0.01
 	// refusedShare is the part of the calls that may try another target after
-	// a refusal. A refused attempt makes no calls of its own, so these do not
-	// multiply, and 1.132 times 1.05 stays below 1.2.
+	// its node has refused them. Such an attempt reaches no target, so it costs
+	// these nothing; the bound keeps a full pool's refusals from being carried
+	// about. What a target itself rejects has a budget like that of repeats: it
+	// makes no calls of its own, so these do not multiply, and 1.132 times 1.06
+	// stays below 1.2.
 	refusedShare = 0.05
 	// maxTokens is what a quiet service can save up: a handful for the moment
 	// that a target fails, too few to matter to the others.
@@ -67,7 +70,7 @@
 
 // budget is what one service has left, in attempts, and how long its answers
 // take, in nanoseconds, but for the late ones.
-type budget struct{ repeats, refused, late float64 }
+type budget struct{ repeats, rejected, refused, late float64 }
 
 // Option sets one property of budgets.
 type Option func(*Budgets)
@@ -103,6 +106,7 @@
 	left := s.budget(c.service)
 	share, most := b.bounds()
 	left.repeats = min(most, left.repeats+shareAt(share, c.depth))
+	left.rejected = min(most, left.rejected+share)
 	left.refused = min(maxTokens, left.refused+b.refusedShare)
 }
 
@@ -150,7 +154,7 @@
 		c.moves++
 		return 0, c.moves <= maxMoves
 	}
-	if o.kind == refused && c.refusals < c.elsewhere {
+	if (o.kind == refused || o.kind == rejected) && c.refusals < c.elsewhere {
 		c.refusals++
 		return 0, true
 	}
@@ -158,7 +162,7 @@
 		return 0, false
 	}
 	switch o.kind {
-	case refused:
+	case refused, rejected:
 		// Another target is asked, so there is nothing to wait for.
 		return 0, true
 	case nowhere:
@@ -183,6 +187,8 @@
 		return true
 	case refused, nowhere:
 		return take(&left.refused)
+	case rejected:
+		return take(&left.rejected)
 	default:
 		return take(&left.repeats)
 	}
@@ -222,7 +228,7 @@
 func (s *shard) budget(service string) *budget {
 	left := s.services[service]
 	if left == nil {
-		left = &budget{repeats: firstTokens, refused: firstTokens}
+		left = &budget{repeats: firstTokens, rejected: firstTokens, refused: firstTokens}
 		s.services[service] = left
 	}
 	return left
--- a/internal/policy/retry/call.go
+++ b/internal/policy/retry/call.go
@@ -106,6 +106,7 @@
 const (
 	moved kind = iota + 1
 	refused
+	rejected
 	nowhere
 	broken
 	erred
@@ -118,6 +119,8 @@
 		return "moved"
 	case refused:
 		return "refused"
+	case rejected:
+		return "rejected"
 	case nowhere:
 		return "nowhere"
 	case broken:
@@ -131,9 +134,14 @@
 // run, and no sign of load.
 func Moved() Outcome { return Outcome{kind: moved} }
 
-// Refused is an attempt that a target turned away: certified not run.
+// Refused is an attempt that a target's node turned away before it reached the
+// target: certified not run.
 func Refused(retryAfter time.Duration) Outcome { return Outcome{refused, retryAfter} }
 
+// Rejected is an attempt that the target itself turned away: certified not run, but
+// one more arrival at a service that may have no room for it.
+func Rejected(retryAfter time.Duration) Outcome { return Outcome{rejected, retryAfter} }
+
 // Nowhere is an attempt for which there was no target to ask before a time.
 func Nowhere(retryAfter time.Duration) Outcome { return Outcome{nowhere, retryAfter} }
 
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -116,21 +116,21 @@
 	// elsewhere is how many further targets a call asks that found one full: a
 	// third full one tells that the pool is.
 	elsewhere = 2
-	// refusedShare is the part of the calls that may do so. A target that is full
-	// for a moment turns away up to a fifth of a burst's calls, while others have
-	// room; where all are full, more of it would only carry refusals about.
-	refusedShare = 0.2
+	// refusedShare is the part of the calls that may do so: all, as such a refusal
+	// costs a millisecond on the way and reaches no target, while a call that is
+	// not let try loses its worth beside a free slot.
+	refusedShare = 1
 )
 
 const (
-	// repeatPart is the part of the mesh's retry share that first calls use. A
-	// repeated call repeats the calls that it leads to, so that a service one
-	// level down gets about twice as many repeats; a fifth is left for targets
-	// that refuse.
-	repeatPart = 0.4
+	// repeatPart is the part of the mesh's retry share that repeats use, and as
+	// much again the calls that a target has rejected. A repeated call repeats the
+	// calls that it leads to, so that a service one level down gets twice as many
+	// repeats: with what it rejects, nine tenths of the share.
+	repeatPart = 0.3
 	// sparePart is the part of what the mesh may repeat besides that its nodes may
-	// save up between them; the other half is for nodes that start.
-	sparePart = 0.5
+	// save up between them for either; the other half is for nodes that start.
+	sparePart = 0.25
 )
 
 // retryBounds returns this node's part of what the platform lets the mesh repeat.
--- a/internal/traffic/caller/pick.go
+++ b/internal/traffic/caller/pick.go
@@ -132,6 +132,9 @@
 // comes free within a service time over its slots, some milliseconds.
 const fullFor = 15 * time.Millisecond
 
+// targetFull is the refusal of a target that its node had a slot for.
+const targetFull = "target-full"
+
 // refusalReport tells whom a refusal by the target's node is meant for.
 func refusalReport(e *RefusedError, class snapshot.Class) balance.Report {
 	switch e.Refusal.Type {
@@ -149,8 +152,11 @@
 			return balance.Declined(balance.Load(e.Load))
 		}
 		return balance.Declined()
-	case "target-full":
-		return balance.Shed(balance.ForAll, e.Refusal.RetryAfter)
+	case targetFull:
+		// Its node counts its slots, so the target is seldom full. One that turns
+		// calls away beside others that do not is ill; where all do, leaving them
+		// alone for a while would refuse what they still take.
+		return balance.Failed()
 	case "connection-closed":
 		return balance.Cancelled()
 	case "unreachable", "not-of-the-fleet":
--- a/internal/traffic/caller/send.go
+++ b/internal/traffic/caller/send.go
@@ -234,6 +234,8 @@
 		return retry.Nowhere(noTarget.RetryAfter)
 	case !notRun(err):
 		return retry.Broken()
+	case errors.As(err, &refused) && refused.Refusal.Type == targetFull:
+		return retry.Rejected(refused.Refusal.RetryAfter)
 	case errors.As(err, &refused) && refused.load():
 		return retry.Refused(refused.Refusal.RetryAfter)
 	default:
