causes: why calls got no answer, counted from the logs of all nodes

Cause: explain follows one call; to find what binds, on-call engineers need the refusals of a time by pool, route, who decided and why. A call that no target was asked for now tells the balancer's reason in its line. Ruled out: metrics for each route and reason, as routes are many.

--- a/internal/cli/command/app.go
+++ b/internal/cli/command/app.go
@@ -96,7 +96,7 @@
 	}
 	constructors := []Constructor{
 		checkCommand, planCommand, confirmCommand, abandonCommand, restoreCommand, statusCommand, historyCommand, reportCommand,
-		keyCommand, explainCommand, versionCommand,
+		keyCommand, explainCommand, causesCommand, versionCommand,
 	}
 	for _, c := range append(constructors, a.more...) {
 		root.Subcommands = append(root.Subcommands, c(a))
--- a/internal/traffic/caller/answer.go
+++ b/internal/traffic/caller/answer.go
@@ -30,12 +30,12 @@
 func (c *call) finish(res result, err error) {
 	if err == nil {
 		c.h.meters.end(c, res.status, nil)
-		c.tellEnd(res, nil)
+		c.tellEnd(res, nil, nil)
 		return
 	}
 	refusal := refusalOf(err)
 	c.h.meters.end(c, res.status, refusal)
-	c.tellEnd(res, refusal)
+	c.tellEnd(res, refusal, err)
 	if res.began || gone(c.r.Context()) {
 		// What was passed on must not look whole, and no one waits any more.
 		panic(http.ErrAbortHandler)
--- a/internal/traffic/caller/tell.go
+++ b/internal/traffic/caller/tell.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"errors"
 	"time"
 
 	"banyanlug.example/banyanlug/internal/log/event"
@@ -26,8 +27,8 @@
 		event.F("error", err), event.F("not_run", notRun(err)), event.F("next", next), event.F("after_ms", after.Milliseconds()))...)
 }
 
-// tellEnd writes down how the call ended.
-func (c *call) tellEnd(res result, refusal *http1.Refusal) {
+// tellEnd writes down how the call ended; err is what ended it without an answer.
+func (c *call) tellEnd(res result, refusal *http1.Refusal, err error) {
 	switch {
 	case c.h.log == nil:
 	case refusal == nil:
@@ -37,9 +38,14 @@
 	case gone(c.r.Context()):
 		c.h.log.Emit(event.CallLeft, c.identity()...)
 	default:
-		c.h.log.Emit(event.CallFailed, append(c.identity(),
+		fields := append(c.identity(),
 			event.F("status", refusal.Status), event.F("cause", refusal.Type), event.F("outcome", string(refusal.Outcome)),
-			event.F("detail", refusal.Message), event.F("retry_after_ms", refusal.RetryAfter.Milliseconds()))...)
+			event.F("detail", refusal.Message), event.F("retry_after_ms", refusal.RetryAfter.Milliseconds()))
+		var none *NoTargetError
+		if errors.As(err, &none) {
+			fields = append(fields, event.F("no_target", none.Reason))
+		}
+		c.h.log.Emit(event.CallFailed, fields...)
 	}
 }
 
