A short call never counts as late at a gate

Cause: calls of one rank that can no longer be in time go behind those that can. A call of 30 ms made by another call passes its aim of 120 ms while it waits for a slot among calls of 160 ms, goes behind all of these and is lost, and with it the call that waits for it. What is short beside the others now keeps its place. Ruled out: a rank of their own for calls made by runs, as nothing that the node sees tells them from callers' calls: they come from the same address, with a time of their own. Test red before: TestAShortCallIsNotPlacedBehindLongOnesAsLate.

--- a/internal/policy/admission/due_test.go
+++ b/internal/policy/admission/due_test.go
@@ -156,3 +156,28 @@
 		t.Errorf("woken: %v", wakes)
 	}
 }
+
+// Reads of 50 ms hold both slots, one more waits and can still be in time. A lookup
+// of 5 ms comes, of the same rank, made by a call that runs elsewhere; its own aim
+// has passed on the way. Placed behind the read as late it would wait a service time
+// and more, and the call that waits for it would be lost.
+func TestAShortCallIsNotPlacedBehindLongOnesAsLate(t *testing.T) {
+	t.Parallel()
+	g := newDueGate(t)
+	lookup := func() Decision {
+		d, _ := g.gate.Enter(g.now, NewRequest("all", snapshot.Paying, "lookup", g.now.Add(time.Second), Due(g.now.Add(time.Millisecond)), Rank(1)), nil)
+		return d
+	}
+	for range 8 {
+		d := lookup()
+		g.now = g.now.Add(5 * time.Millisecond)
+		g.gate.Leave(g.now, d.(Admitted).Ticket(), Done, nil)
+	}
+	running := g.fill()
+	read, _ := g.enter(time.Second, 180*time.Millisecond, 1)
+	waiting := lookup().(Queued).Ticket()
+	wakes := g.gate.Leave(g.now, running[0], Done, nil)
+	if len(wakes) != 1 || wakes[0].Ticket() != waiting {
+		t.Errorf("woken: %v, want the lookup; the read is %v", wakes, read)
+	}
+}
--- a/internal/policy/admission/gate.go
+++ b/internal/policy/admission/gate.go
@@ -445,7 +445,7 @@
 	c.class, c.org, c.work = r.class, o, w
 	c.long = w.longAmong(&g.all)
 	c.deadline, c.due, c.rank = g.at(r.deadline), g.at(r.due), r.rank
-	c.late = c.due-w.expected(&g.all) < at
+	c.late = !c.short(&g.all) && c.due-w.expected(&g.all) < at
 	c.latestStart = g.latestStart(at, c)
 	return c
 }
@@ -465,13 +465,19 @@
 	if c.due == c.deadline {
 		return c.deadline - expected
 	}
-	if float64(expected) < shortPart*g.all.mean {
+	if c.short(&g.all) {
 		return c.deadline - mostService*expected
 	}
 	refill := int64(refillSlots * g.all.mean / float64(g.capacity()))
 	return min(max(c.due-mostService*expected, at+refill), c.deadline-expected)
 }
 
+// short reports whether a call is short beside the others. It never counts as late:
+// behind calls that take many times as long it would wait until its own caller, a
+// call half done elsewhere, fails and is lost with all its work, while it delays
+// these by next to nothing.
+func (c *call) short(all *work) bool { return float64(c.work.expected(all)) < shortPart*all.mean }
+
 func (g *Gate) release(c *call) {
 	c.gen++
 	c.state = idle
