A holder that stood still gives nobody's records up

A process that wakes from a freeze, or shares its processor with too many, counts time in which it could not ask anyone. It now measures how late its own waits end and leaves that time out. Ruled out: a longer time, which would keep a row closed when a holder has died. Test red before: TestAHolderThatStoodStillGivesNobodyUp.

--- a/internal/control/ledger/node.go
+++ b/internal/control/ledger/node.go
@@ -103,6 +103,7 @@
 		news := n.news
 		n.mu.Unlock()
 		n.upkeep(ctx, i)
+		waits := n.clock.Now()
 		select {
 		case <-ctx.Done():
 		case <-news:
@@ -110,6 +111,7 @@
 		case <-tick.C():
 			i++
 		}
+		n.stood(n.clock.Since(waits) - upkeepEvery)
 	}
 	<-managed
 	n.working.Wait()
@@ -129,7 +131,9 @@
 		n.log.Emit(event.RowBlank, event.F("rows", len(blank)))
 	}
 	var sealing sync.WaitGroup
+	began, within := n.clock.Now(), time.Duration(0)
 	for _, w := range wanted {
+		within = max(within, time.Duration(len(w.From))*askTimeout)
 		// One dead holder must not keep the rows of others waiting.
 		sealing.Go(func() {
 			for _, m := range w.From {
@@ -138,11 +142,23 @@
 		})
 	}
 	sealing.Wait()
+	n.stood(n.clock.Since(began) - within)
 	if none || tick%refreshTicks == 0 {
 		n.refresh(ctx)
 	}
 }
 
+// stood tells the ledger of time that passed beyond what a wait may take: this
+// process did not run then.
+func (n *Node) stood(late time.Duration) {
+	if late <= 0 {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.held.Stood(late)
+}
+
 // seal stops a holder of the epoch before and takes over its records.
 func (n *Node) seal(ctx context.Context, w once.Wanted, m once.Member) {
 	n.mu.Lock()
--- a/internal/policy/once/ledger.go
+++ b/internal/policy/once/ledger.go
@@ -242,6 +242,16 @@
 	return rows
 }
 
+// Stood tells that this process itself has stood still for d. Holders that could
+// not be heard meanwhile are not silent: without this a process that wakes from a
+// freeze, or shares its processor with too many, gives their records up at once and
+// refuses new keys although all of them would have answered.
+func (l *Ledger) Stood(d time.Duration) {
+	for _, h := range l.rows {
+		h.adopted = h.adopted.Add(d)
+	}
+}
+
 // follow goes on to the epoch that waited until this one was served.
 func (l *Ledger) follow(now time.Time, row int, h *held) {
 	if h.serving && h.next.epoch > 0 {
--- a/internal/policy/once/ledger_test.go
+++ b/internal/policy/once/ledger_test.go
@@ -83,6 +83,27 @@
 	}
 }
 
+// d takes over a row and stands still for four seconds before it has asked anyone.
+// When it wakes, a has not answered, as it was never asked: its records are not
+// given up, and a new key waits for them. Three seconds later they are.
+func TestAHolderThatStoodStillGivesNobodyUp(t *testing.T) {
+	t.Parallel()
+	_, _, c, d, next := trio()
+	b2 := NewLedger(member("b", 2))
+	d.Adopt(start, 0, next)
+	handOver(t, d, c, b2)
+	const still = blankAfter + time.Second
+	d.Stood(still)
+	d.Settle(start.Add(still))
+	if got := ask(d, "k", 1, 2); got != Unready {
+		t.Errorf("as it woke: verdict %d, want %d", got, Unready)
+	}
+	d.Settle(start.Add(still + blankAfter))
+	if got := ask(d, "k", 1, 2); got == Unready {
+		t.Error("it still waits for a holder that has been silent for long")
+	}
+}
+
 // d takes over the claims of two sends on one key, one of which may have run. The
 // other gives its claim back; were that to clear the key, a re-send would run.
 func TestOfTwoClaimsTakenOverOneGivenBackDoesNotFreeTheKey(t *testing.T) {
