A far target that is full is not asked only because nothing else is left

Cause: with no target left to pick, a call probed any that had not been tried, although the choice had passed far ones over as full; each such probe was refused and paid for on the way there and back. Only an ejected target that still answers, or one that nobody asks, is probed now.

--- a/internal/policy/balance/pool.go
+++ b/internal/policy/balance/pool.go
@@ -174,7 +174,7 @@
 		}
 		until, reason := t.shedUntil(a), AllShed
 		if until <= at {
-			if (t.outstanding == 0 || !t.absent) && (probe == nil || t.ejectedUntil < probe.ejectedUntil) {
+			if (t.outstanding == 0 || t.ejected && !t.absent) && (probe == nil || t.ejectedUntil < probe.ejectedUntil) {
 				probe = t
 			}
 			until, reason = max(t.ejectedUntil, at+int64(time.Millisecond)), AllEjected
