Nodes that only follow the members call the store less the more there are

Cause: each change of a member answers the watch of every node, and each node looked again after 1 to 4 s without one: the calls grow with the square of the nodes. Beyond 24 nodes those that don't read the configuration leave the store alone for 12 ms a node after changes, at most 750 ms, and watch up to four times as long. The readers, four a failure domain, keep their pace: they find what the store hides and tell of versions. Ruled out: members carried by readers alone, which is another way of distribution and stays open; pauses beyond 750 ms, as the note of a version comes by the same watch.

--- a/internal/control/fleet/follow.go
+++ b/internal/control/fleet/follow.go
@@ -54,7 +54,11 @@
 		if a.err == nil || errors.As(a.err, &gone) {
 			f.heardStore()
 			pause = retryFirst
-			_ = f.clk.Sleep(ctx, m.pause(changes, a))
+			wait := m.pause(changes, a)
+			if changes > 0 {
+				wait = max(wait, f.pace(prefix).pause)
+			}
+			_ = f.clk.Sleep(ctx, wait)
 		} else {
 			f.lostStore(ctx, a.err)
 			_ = f.clk.Sleep(ctx, f.jitter(pause))
@@ -111,7 +115,8 @@
 
 // watch takes in the changes after a revision.
 func (f *Fleet) watch(ctx context.Context, prefix string, after *uint64) (int, answer) {
-	events, at, err := f.store.WatchPrefix(ctx, prefix, *after, f.between(watchLeast, watchMost))
+	wait := time.Duration(float64(f.between(watchLeast, watchMost)) * f.pace(prefix).watch)
+	events, at, err := f.store.WatchPrefix(ctx, prefix, *after, wait)
 	if err != nil {
 		return 0, answer{err: err}
 	}
