--- a/internal/traffic/caller/errors.go
+++ b/internal/traffic/caller/errors.go
@@ -7,6 +7,7 @@
 	"banyanlug.example/banyanlug/internal/policy/balance"
 	"banyanlug.example/banyanlug/internal/policy/limit"
 	"banyanlug.example/banyanlug/internal/policy/retry"
+	"banyanlug.example/banyanlug/internal/traffic/hop"
 	"banyanlug.example/banyanlug/internal/traffic/http1"
 )
 
@@ -124,7 +125,7 @@
 // not there any more.
 func (e *RefusedError) load() bool {
 	switch e.Refusal.Type {
-	case "draining", "wrong-pool", "wrong-instance", "connection-closed", "unreachable", "not-of-the-fleet":
+	case hop.KindDraining, hop.KindWrongPool, hop.KindWrongInstance, hop.KindConnectionClosed, hop.KindUnreachable, hop.KindNotOfTheFleet:
 		return false
 	default:
 		return true
--- a/internal/traffic/caller/pick.go
+++ b/internal/traffic/caller/pick.go
@@ -132,17 +132,14 @@
 // comes free within a service time over its slots, some milliseconds.
 const fullFor = 15 * time.Millisecond
 
-// targetFull is the refusal of a target that its node had a slot for.
-const targetFull = "target-full"
-
 // refusalReport tells whom a refusal by the target's node is meant for.
 func refusalReport(e *RefusedError, class snapshot.Class) balance.Report {
 	switch e.Refusal.Type {
-	case "draining", "wrong-pool", "wrong-instance":
+	case hop.KindDraining, hop.KindWrongPool, hop.KindWrongInstance:
 		return balance.Leaving()
-	case "displaced":
+	case hop.KindDisplaced:
 		return balance.Shed(balance.ForOrganisation, e.Refusal.RetryAfter)
-	case "queue-full", "too-late", "outranked", "no-trial-slots":
+	case hop.KindQueueFull, hop.KindTooLate, hop.KindOutranked, hop.KindNoTrialSlots:
 		if class == snapshot.Trial {
 			// A flood of trial calls that each ask would cost the target's node
 			// the time that paying calls need.
@@ -152,14 +149,14 @@
 			return balance.Declined(balance.Load(e.Load))
 		}
 		return balance.Declined()
-	case targetFull:
+	case hop.KindTargetFull:
 		// Its node counts its slots, so the target is seldom full. One that turns
 		// calls away beside others that do not is ill; where all do, leaving them
 		// alone for a while would refuse what they still take.
 		return balance.Failed()
-	case "connection-closed":
+	case hop.KindConnectionClosed:
 		return balance.Cancelled()
-	case "unreachable", "not-of-the-fleet":
+	case hop.KindUnreachable, hop.KindNotOfTheFleet:
 		return balance.Unreachable()
 	default:
 		return balance.Failed()
--- a/internal/traffic/caller/send.go
+++ b/internal/traffic/caller/send.go
@@ -234,7 +234,7 @@
 		return retry.Nowhere(noTarget.RetryAfter)
 	case !notRun(err):
 		return retry.Broken()
-	case errors.As(err, &refused) && refused.Refusal.Type == targetFull:
+	case errors.As(err, &refused) && refused.Refusal.Type == hop.KindTargetFull:
 		return retry.Rejected(refused.Refusal.RetryAfter)
 	case errors.As(err, &refused) && refused.load():
 		return retry.Refused(refused.Refusal.RetryAfter)
--- a/internal/traffic/hop/relay.go
+++ b/internal/traffic/hop/relay.go
@@ -165,7 +165,7 @@
 	}
 	switch f := f.(type) {
 	case *DialError, *SendError:
-		r.Status, r.Type = http.StatusServiceUnavailable, "unreachable"
+		r.Status, r.Type = http.StatusServiceUnavailable, KindUnreachable
 		if !f.Sent() {
 			r.RetryAfter = unreachableRetry
 		}
--- a/internal/traffic/http1/conn.go
+++ b/internal/traffic/http1/conn.go
@@ -116,7 +116,7 @@
 // 408 is the status by which clients know a connection closed for idleness.
 func (c *conn) bye() {
 	c.refuse(&Refusal{
-		Status: http.StatusRequestTimeout, Type: "connection-closed",
+		Status: http.StatusRequestTimeout, Type: KindConnectionClosed,
 		Message: "this connection is closed, nothing sent on it from here on was run", Outcome: NotRun,
 	})
 }
--- a/internal/traffic/http1/refusal.go
+++ b/internal/traffic/http1/refusal.go
@@ -22,6 +22,14 @@
 	Unknown Outcome = "unknown"
 )
 
+// The types of refusal that a server itself makes.
+const (
+	// KindDraining is a call to a server that stops.
+	KindDraining = "draining"
+	// KindConnectionClosed is what comes on a connection that was being closed.
+	KindConnectionClosed = "connection-closed"
+)
+
 // Refusal is the answer to a call that its target did not answer.
 type Refusal struct {
 	Status     int
--- a/internal/traffic/http1/server.go
+++ b/internal/traffic/http1/server.go
@@ -124,7 +124,7 @@
 		connContext: func(ctx context.Context, _ net.Conn) context.Context { return ctx },
 		onFault:     func(error) {},
 		drainRefuse: &Refusal{
-			Status: http.StatusServiceUnavailable, Type: "draining",
+			Status: http.StatusServiceUnavailable, Type: KindDraining,
 			Message: "this node is stopping", Outcome: NotRun, RetryAfter: time.Second,
 		},
 	}
--- a/internal/traffic/target/admit.go
+++ b/internal/traffic/target/admit.go
@@ -136,13 +136,16 @@
 		return d.Ticket(), nil
 	case admission.Refused:
 		return admission.Ticket{}, &RefusedError{
-			Reason: strings.ReplaceAll(d.Reason().String(), "_", "-"), RetryAfter: d.RetryAfter(),
+			Reason: kindOf(d.Reason()), RetryAfter: d.RetryAfter(),
 		}
 	default:
 		return admission.Ticket{}, &DecisionError{Decision: d}
 	}
 }
 
+// kindOf returns the kind of refusal by which a gate's reason is told.
+func kindOf(r admission.Reason) string { return strings.ReplaceAll(r.String(), "_", "-") }
+
 func (s *Slots) leave(t admission.Ticket, how admission.Outcome) {
 	s.deliver(s.gate.Leave(s.clk.Now(), t, how, nil))
 }
--- a/internal/traffic/target/admit_test.go
+++ b/internal/traffic/target/admit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -118,3 +119,20 @@
 		return ""
 	}
 }
+
+// A sender reads from the kind of a refusal whether the target is full, leaves or
+// is ill. A reason of the gate that it does not know would pass for a failure, and
+// the target would be left out.
+func TestEachReasonOfTheGateIsAKindThatSendersKnow(t *testing.T) {
+	t.Parallel()
+	want := map[admission.Reason]string{
+		admission.TooLate: hop.KindTooLate, admission.QueueFull: hop.KindQueueFull,
+		admission.Displaced: hop.KindDisplaced, admission.Outranked: hop.KindOutranked,
+		admission.Draining: hop.KindDraining, admission.NoTrialSlots: hop.KindNoTrialSlots,
+	}
+	for reason := admission.TooLate; !strings.HasPrefix(reason.String(), "reason_"); reason++ {
+		if got := kindOf(reason); got != want[reason] {
+			t.Errorf("%v: %q, want %q", reason, got, want[reason])
+		}
+	}
+}
--- a/internal/traffic/target/answer.go
+++ b/internal/traffic/target/answer.go
@@ -48,15 +48,15 @@
 	case errors.As(err, &failure):
 		return hop.RefusalOf(failure)
 	case errors.As(err, &stranger):
-		r.Status, r.Type = http.StatusUnauthorized, "not-of-the-fleet"
+		r.Status, r.Type = http.StatusUnauthorized, hop.KindNotOfTheFleet
 	case errors.As(err, &pool):
-		r.Status, r.Type = http.StatusMisdirectedRequest, "wrong-pool"
+		r.Status, r.Type = http.StatusMisdirectedRequest, hop.KindWrongPool
 	case errors.As(err, &instance):
-		r.Status, r.Type = http.StatusMisdirectedRequest, "wrong-instance"
+		r.Status, r.Type = http.StatusMisdirectedRequest, hop.KindWrongInstance
 	case errors.As(err, &own) && own.Status == http.StatusMisdirectedRequest:
-		r.Status, r.Type = http.StatusMisdirectedRequest, "wrong-instance"
+		r.Status, r.Type = http.StatusMisdirectedRequest, hop.KindWrongInstance
 	case errors.As(err, &own):
-		r.Status, r.Type, r.RetryAfter = http.StatusServiceUnavailable, "target-full", targetFullRetry
+		r.Status, r.Type, r.RetryAfter = http.StatusServiceUnavailable, hop.KindTargetFull, targetFullRetry
 	case errors.As(err, &header):
 		r.Status, r.Type = http.StatusBadRequest, "bad-header"
 	case errors.As(err, &refused):
