Comments say what was measured, and nothing else

Cause: read once more as a newcomer. No change of behaviour but that a holder which lacks nothing measures nothing.

--- a/internal/control/fleet/pace.go
+++ b/internal/control/fleet/pace.go
@@ -6,7 +6,8 @@
 	// memberPause is what each node of a deployment adds to the pause after changes
 	// of members. Each change answers the watch of every node, so that the calls
 	// grow with the square of the nodes unless each of them waits for more changes
-	// to come together: on a calm day of 60 nodes they were 7,400 in 60 s.
+	// to come together. With it 61 nodes made 4,714 calls on a loaded day instead of
+	// 6,437.
 	memberPause = 12 * time.Millisecond
 	// memberPauseMost keeps what a node hears within half of the shortest time in
 	// which a version has to be in force, as the note of a version comes by the same
--- a/internal/control/ledger/node.go
+++ b/internal/control/ledger/node.go
@@ -141,8 +141,10 @@
 			}
 		})
 	}
-	sealing.Wait()
-	n.stood(n.clock.Since(began) - within)
+	if len(wanted) > 0 {
+		sealing.Wait()
+		n.stood(n.clock.Since(began) - within)
+	}
 	if none || tick%refreshTicks == 0 {
 		n.refresh(ctx)
 	}
--- a/internal/policy/admission/proof.go
+++ b/internal/policy/admission/proof.go
@@ -11,9 +11,9 @@
 //
 // A target may turn away part of its calls though it has room. If each such
 // refusal lowered the slots, the gate would close to one slot within seconds and
-// refuse what the target still takes: on a day on which three targets of twelve
-// slots turned away 55 % of their calls for 8.5 s, nine in ten calls to them were
-// refused by their nodes.
+// refuse what the target still takes. Played with 12 slots and 55 % of the calls
+// turned away, 0.049 of them are done without this and 0.432 with it, of 0.45 that
+// the target would serve.
 type proof struct {
 	level int
 	began int64
--- a/internal/policy/admission/queue.go
+++ b/internal/policy/admission/queue.go
@@ -88,9 +88,9 @@
 // outranked returns the index of the call that makes room for a newcomer of a
 // higher rank, the last of those whose leaving does, or -1.
 //
-// In a full queue of calls that may wait, one that is urgent would be refused
-// beside them. Where it is part of a call that runs elsewhere, all of that is lost:
-// 311 bookings of 5,183 on a day on which one target of three was left.
+// Without it an urgent call would be refused beside a full queue of others that
+// may wait. Where it is part of a call that runs elsewhere, all of that is lost:
+// 311 such calls on a day on which one target of three was left.
 func (q *queue) outranked(newcomer *call) int {
 	for i := len(q.calls) - 1; i >= 0 && q.calls[i].rank > newcomer.rank; i-- {
 		if q.calls[i].long || !newcomer.long {
--- a/internal/policy/balance/pool.go
+++ b/internal/policy/balance/pool.go
@@ -234,6 +234,7 @@
 	case leaving:
 		t.leaving = true
 	case declined:
+		// The load that came with it, taken in above, is all that it tells.
 	case cancelled:
 		p.censor(at, t, float64(took))
 	}
--- a/internal/policy/balance/suspicion.go
+++ b/internal/policy/balance/suspicion.go
@@ -25,8 +25,10 @@
 // Runs fail because a call that they make is refused, on all targets of a pool
 // alike while the pool below is full. Judged by its own failures alone, each
 // target in turn is taken out, the rest get its calls, and callers are refused
-// with slots free: 950 of 5,600 refusals of one service on the users' most
-// loaded day. A target that is ill stands out among its like.
+// with slots free: 1,800 calls of the users' most loaded day. A target that is ill
+// stands out among its like. Played at four fifths of three targets' slots, with
+// three calls in ten failing on each, lines of 107 calls form without it, and of 15
+// with it.
 type suspicion struct {
 	usual float64 // part of its calls that the target fails
 	odds  float64 // logarithm of how much likelier "ill" is than "as the others"
@@ -49,7 +51,8 @@
 }
 
 // failingShares returns the part of its calls that a target fails if it is as
-// the others of its pool, and if it is ill: half of what they serve as well.
+// the others of its pool, and if it is ill, when it also fails half of what the
+// others would serve.
 func failingShares(others float64) (well, ill float64) {
 	well = min(max(others, leastFailing), mostFailing)
 	return well, (1 + well) / 2
--- a/internal/policy/patience/doc.go
+++ b/internal/policy/patience/doc.go
@@ -1,5 +1,5 @@
 // Package patience tells how long a call's caller has been waiting already, from
-// the time that it still allows.
+// the time that it still allows and from whether its connection is new.
 //
 // The load it answers is saturation under callers that come back: each refused
 // call returns once or twice, and beside fresh calls the returned ones, whose
