A node that is to stop says so when it does, and that it drains when it does

Cause: event 1003 says that new work is refused; since a stopping node's target goes on serving it came 2.5 s too early. 1010 is written at the signal, 1003 when the slots close.

--- a/internal/log/event/process.go
+++ b/internal/log/event/process.go
@@ -10,6 +10,7 @@
 	ServerFault     Code = 1007
 	SettingsRead    Code = 1008
 	SettingsRefused Code = 1009
+	NodeLeaves      Code = 1010
 )
 
 var processEvents = map[Code]Entry{
@@ -19,6 +20,7 @@
 	NodeStopped:     {Info, "node stopped", "nothing"},
 	NodeFailed:      {Error, "node failed", "read the error; the process ends and its slot's supervisor starts it again"},
 	SettingsRead:    {Info, "settings read again", "start the node anew if start_needed is true"},
+	NodeLeaves:      {Info, "node is to stop: it is not ready, and serves what comes until callers have left", "nothing"},
 	SettingsRefused: {Error, "settings can't be used; those in force hold", "read the error and mend the file"},
 	ServerFault:     {Warn, "a connection to the control or operators' address failed before a request", "look at the error: a client without the fleet's certificate, or one that speaks another protocol"},
 }
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -264,6 +264,7 @@
 	defer n.mu.Unlock()
 	n.closed = true
 	n.slots.Drain()
+	n.log.Emit(event.NodeDrains)
 }
 
 // registerMetrics adds what is read from the parts when somebody asks.
--- a/internal/process/resident/run.go
+++ b/internal/process/resident/run.go
@@ -78,7 +78,7 @@
 	ctx, cancel := n.clk.WithTimeout(ctx, n.bounds.Load().Grace-lastWord)
 	defer cancel()
 	n.stopping.Store(true)
-	n.log.Emit(event.NodeDrains)
+	n.log.Emit(event.NodeLeaves)
 	n.callers.Close()
 	_ = n.clk.Sleep(ctx, leaveNotice-leaveWord)
 	n.leave()
--- a/internal/report/explain/explain.go
+++ b/internal/report/explain/explain.go
@@ -55,7 +55,7 @@
 var believed = map[event.Code]string{
 	event.VersionApplied: "", event.StoreUnavailable: "", event.StoreBack: "",
 	event.TargetChanged: "", event.MemberChanged: "instance", event.MemberKept: "instance", event.InstanceLost: "instance",
-	event.NodeDrains: "", event.LeaseLost: "",
+	event.NodeLeaves: "", event.NodeDrains: "", event.LeaseLost: "",
 }
 
 // topic puts events about one thing together, of which the later one holds.
