Revert: nodes that only follow members keep the pace of the readers

With a watch up to four times as long it did not find for seconds that the store had dropped the history in which it was told of the versions; the pause after changes adds to that. Conclusion: reverted; the way on is members carried by the readers.

--- a/internal/control/fleet/follow.go
+++ b/internal/control/fleet/follow.go
@@ -54,11 +54,7 @@
 		if a.err == nil || errors.As(a.err, &gone) {
 			f.heardStore()
 			pause = retryFirst
-			wait := m.pause(changes, a)
-			if changes > 0 {
-				wait = max(wait, f.pace(prefix).pause)
-			}
-			_ = f.clk.Sleep(ctx, wait)
+			_ = f.clk.Sleep(ctx, m.pause(changes, a))
 		} else {
 			f.lostStore(ctx, a.err)
 			_ = f.clk.Sleep(ctx, f.jitter(pause))
@@ -115,8 +111,7 @@
 
 // watch takes in the changes after a revision.
 func (f *Fleet) watch(ctx context.Context, prefix string, after *uint64) (int, answer) {
-	wait := time.Duration(float64(f.between(watchLeast, watchMost)) * f.pace(prefix).watch)
-	events, at, err := f.store.WatchPrefix(ctx, prefix, *after, wait)
+	events, at, err := f.store.WatchPrefix(ctx, prefix, *after, f.between(watchLeast, watchMost))
 	if err != nil {
 		return 0, answer{err: err}
 	}
