A rejection lowers a gate's slots only above what its target takes

Cause: each rejection left nine tenths of the calls that ran at that moment, and what had proved that a target takes more was forgotten after a second from the start of the call that proved it. Calls here take 0.6 s and more, so proofs were old when they came; a pool that turned 55 of 100 calls away beside free slots ended at one slot, refused the short checks of other pools' calls for want of room, these came again, and the slots came back by answers, an answer in eight for each slot, of which there were few.

Now a rejection at or below a level that the target has been seen to take tells of illness; above it, rejections in a row lower the slots once chance is unlikely, to one less than ran; and slots come back by time, all within a second.

Ruled out: a floor of three quarters of the stated slots.

--- a/internal/policy/admission/gate.go
+++ b/internal/policy/admission/gate.go
@@ -14,16 +14,11 @@
 	mu    sync.Mutex
 	epoch time.Time
 
-	slots       int
 	promised    int
 	connections int
 	draining    bool
 
-	// open is what the target takes now; its own refusals lower it below
-	// slots, and answers raise it again.
-	open     float64
-	shrunkAt int64
-	proof    proof
+	room room
 
 	paying, trial         queue
 	runPaying, runTrial   int
@@ -43,7 +38,7 @@
 type Option func(*Gate)
 
 // Slots sets how many calls run at once.
-func Slots(n int) Option { return func(g *Gate) { g.slots = n } }
+func Slots(n int) Option { return func(g *Gate) { g.room.state(n) } }
 
 // Promised sets how many slots trial calls never take.
 func Promised(n int) Option { return func(g *Gate) { g.promised = n } }
@@ -59,13 +54,13 @@
 // options say otherwise.
 func NewGate(now time.Time, opts ...Option) *Gate {
 	g := &Gate{
-		epoch: now, slots: 1, connections: math.MaxInt,
+		epoch: now, connections: math.MaxInt,
 		orgs: map[string]*org{}, works: map[string]*work{}, all: *newWork(), short: *newWork(),
 	}
+	g.room.state(1)
 	for _, opt := range opts {
 		opt(g)
 	}
-	g.open = float64(g.slots)
 	return g
 }
 
@@ -74,13 +69,9 @@
 func (g *Gate) Configure(now time.Time, wakes []Wake, opts ...Option) []Wake {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	before := g.slots
 	for _, opt := range opts {
 		opt(g)
 	}
-	if g.slots != before {
-		g.open = float64(g.slots)
-	}
 	return g.dispatch(g.advance(now), wakes)
 }
 
@@ -127,7 +118,7 @@
 	switch {
 	case g.draining:
 		return Draining
-	case c.class == snapshot.Trial && g.slots <= g.promised:
+	case c.class == snapshot.Trial && g.room.stated <= g.promised:
 		return NoTrialSlots
 	case c.deadline <= at:
 		return TooLate
--- a/internal/policy/admission/slots.go
+++ b/internal/policy/admission/slots.go
@@ -11,7 +11,7 @@
 const shortShare = 4
 
 // capacity returns how many calls may run now.
-func (g *Gate) capacity() int { return max(1, min(int(g.open), g.slots, g.connections)) }
+func (g *Gate) capacity() int { return max(1, min(g.room.open, g.connections)) }
 
 // trialSlots returns how many trial calls may run now: none on a promised
 // slot, and none where paying calls lately ran. The promise binds first: when
@@ -24,8 +24,12 @@
 
 // may reports whether c can run at once.
 func (g *Gate) may(at int64, c *call) bool {
+	running := g.runPaying + g.runTrial
+	if running >= g.room.open {
+		g.room.grow(at)
+	}
 	slots := g.capacity()
-	if g.runPaying+g.runTrial >= slots {
+	if running >= slots {
 		return false
 	}
 	if c.class == snapshot.Paying {
