One node of a failure domain reads the store; the others pull from one another

Beyond 24 nodes four of each failure domain read the configuration and wrote a note of its version, which the others' watches brought; on six failure domains of five nodes that is nearly all of them.

Now a node reads the members once, ranks them by the tree's hash (policy/tree, which the product's own distribution uses), and pulls from the nodes above it by long poll. The root of a failure domain reads the store as before, all keys by one watch, so that versions do not depend on the pace of members. The readers hear of versions from other failure domains. A node that nobody above answers, or none with fresh word of the store, reads the store itself if the store answers it. The note in the store, its chase and the roster of readers are gone; small deployments have no way of their own.

Ruled out: members by a stale read each second, which costs a tenth of a call but grows with the nodes in bytes; a watch of the configuration beside one of the members, for which an empty answer would not show that the store dropped history.

--- a/internal/control/fleet/ask.go
+++ b/internal/control/fleet/ask.go
@@ -17,16 +17,16 @@
 	// often entries that the store dropped are looked at.
 	askPeriod = 500 * time.Millisecond
 	// askTimeout bounds one question; across failure domains an answer takes a
-	// few milliseconds. fetchTimeout bounds one for a configuration: on a link of
-	// 5 Mbit/s its 35 KB may wait behind 460 KB that the store sends, 0.8 s.
+	// few milliseconds. fetchTimeout bounds one for a configuration, which may
+	// wait on a narrow link behind what the store sends.
 	askTimeout   = 500 * time.Millisecond
 	fetchTimeout = 1200 * time.Millisecond
 	// storeSilence is how long the store has to be silent before others are
 	// asked in its place: one lost answer is no outage.
 	storeSilence = time.Second
-	// hintPause gives the store's own watch the time to bring what a hint tells
-	// of, which it does after each pause of its own: without it a row of changes
-	// had each node fetch each version twice.
+	// hintPause gives the store's own watch, or the nodes above, the time to bring
+	// what a hint tells of: without it a row of changes has each node fetch each
+	// version twice.
 	hintPause = 400 * time.Millisecond
 	// missingGrace is how long an entry may be missing before its node is asked,
 	// and missingAgain how often it is asked while it stays missing. A node that
@@ -48,7 +48,7 @@
 		case hinted := <-f.hints:
 			f.askHinted(ctx, hinted)
 		case <-tick.C():
-			if f.StoreAge() > storeSilence && !f.storeOK.Load() {
+			if f.StoreAge() > storeSilence && !f.storeOK.Load() && (f.position().Root() || f.alone.Load()) {
 				f.askAny(ctx)
 			}
 		}
@@ -56,22 +56,13 @@
 	done <- ctx.Err()
 }
 
-// askHinted learns of a newer configuration that another node holds. Where all
-// read, the store is asked first: it is the source, and what it sends crosses no
-// failure domain. Where few do, near ones are: a node that lags may lag because what
-// the store sends it is too long for its link.
+// askHinted learns of a newer configuration that another node holds, from the nodes
+// above if they have it, as what comes from them crosses no failure domain.
 func (f *Fleet) askHinted(ctx context.Context, hinted hint) {
 	if f.clk.Sleep(ctx, hintPause) != nil || f.Current().Version() >= hinted.version {
 		return
 	}
-	self, _ := f.own()
-	if r := f.roster(); r.others {
-		near, _ := r.sources(self)
-		f.fetch(ctx, near, hinted.version)
-	} else {
-		f.getConfiguration(ctx)
-	}
-	if f.Current().Version() < hinted.version {
+	if !f.fetch(ctx, f.position().Parents(), hinted.version) {
 		f.askPeer(ctx, hinted.peer, false)
 	}
 }
@@ -127,12 +118,8 @@
 		f.log.Emit(event.RecordRefused, event.F("error", err), event.F("from", peer))
 		return
 	}
-	self, _ := f.own()
-	if r.Instance() != self.Instance() && r.State() != membership.Gone {
-		if r.Crash() != "" {
-			f.onCrash(r.Crash())
-		}
-		f.view.put(r, 0)
+	if !f.isOwn(r) && r.State() != membership.Gone {
+		f.put(r, 0)
 	}
 }
 
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -29,25 +29,29 @@
 	log       *event.Logger
 	configKey string
 	decode    Decoder
-	allRead   int // up to how many nodes all read the configuration
 	rng       *rand.Rand
-	http      *http.Client
+	http      *http.Client // for single questions
+	kept      *http.Client // for pulls, which follow one another
 	onCrash   func(text string)
+	epoch     uint64 // of the view's changes, another one for each process
 
 	view    *view
+	place   place
+	age     age
 	config  atomic.Pointer[held]
 	synced  atomic.Bool
 	storeOK atomic.Bool
+	alone   atomic.Bool  // nobody above this node answers
 	heard   atomic.Int64 // when the store last answered, in Unix nanoseconds
 	hints   chan hint
+	entered chan struct{} // closed once the node knows its place
+	turned  chan struct{} // the node may have to read the store now, or no longer
 
-	mu     sync.Mutex
-	self   membership.Record
-	told   bool // self has been announced
-	news   news
-	change chan struct{}
-	fresh  chan struct{} // the store brought a newer version
-	chased chan struct{} // the store tells of a newer version
+	mu      sync.Mutex
+	self    membership.Record
+	told    bool // self has been announced
+	change  chan struct{}
+	applied chan struct{} // closed when the next version is in force
 
 	asks int // questions to other nodes; only ask uses it
 }
@@ -85,15 +89,17 @@
 // store holds the configuration.
 func New(store platform.Prefixes, clk *timer.Service, self membership.Record, configKey string, decode Decoder, opts ...Option) *Fleet {
 	f := &Fleet{
-		store: store, clk: clk, log: event.Discard(), configKey: configKey, decode: decode, allRead: allRead,
+		store: store, clk: clk, log: event.Discard(), configKey: configKey, decode: decode,
 		rng: rand.New(rand.NewPCG(1, 1)), view: newView(), self: self,
 		onCrash: func(string) {}, hints: make(chan hint, 1), change: make(chan struct{}, 1),
-		fresh: make(chan struct{}, 1), chased: make(chan struct{}, 1),
+		entered: make(chan struct{}), turned: make(chan struct{}, 1), applied: make(chan struct{}),
 		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		kept: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
 	}
 	for _, opt := range opts {
 		opt(f)
 	}
+	f.epoch = f.rng.Uint64()
 	f.config.Store(&held{snap: snapshot.Empty(), since: clk.Now()})
 	return f
 }
@@ -156,7 +162,9 @@
 // Run follows the store and keeps the node's own entry there until ctx ends,
 // then removes the entry and reports on done.
 func (f *Fleet) Run(ctx context.Context, done chan<- error) {
-	parts := []func(context.Context, chan<- error){f.follow, f.keep, f.ask, f.vouch, f.tell, f.chase}
+	parts := []func(context.Context, chan<- error){
+		f.enter, f.afterEntry(f.follow), f.afterEntry(f.pull), f.afterEntry(f.cross), f.keep, f.ask, f.vouch,
+	}
 	ended := make(chan error, len(parts))
 	for _, part := range parts {
 		go part(ctx, ended)
@@ -165,6 +173,7 @@
 		<-ended
 	}
 	f.http.CloseIdleConnections()
+	f.kept.CloseIdleConnections()
 	done <- ctx.Err()
 }
 
@@ -196,9 +205,10 @@
 		if f.config.CompareAndSwap(now, &held{snap: snap, since: f.clk.Now(), squeezed: sync.OnceValue(func() []byte { return squeeze(b) })}) {
 			f.log.Emit(event.VersionApplied, event.F("version", snap.Version()),
 				event.F("before", now.snap.Version()), event.F("from", from), event.F("bytes", len(b)))
-			if from == fromStore {
-				f.wake(f.fresh)
-			}
+			f.mu.Lock()
+			close(f.applied)
+			f.applied = make(chan struct{})
+			f.mu.Unlock()
 			return
 		}
 	}
--- a/internal/control/fleet/fleetpb/fleet.twirp.go
+++ b/internal/control/fleet/fleetpb/fleet.twirp.go
@@ -31,9 +31,13 @@
 // Fleet Interface
 // ===============
 
-// Fleet is what nodes ask of each other where the platform's store is slow to
-// tell it, or does not.
+// Fleet is what nodes ask of each other, so that few of them have to ask the
+// platform's store.
 type Fleet interface {
+	// Pull is a long poll: it tells what the node holds and is answered once there
+	// is news or the wait is over.
+	Pull(context.Context, *PullRequest) (*PullResponse, error)
+
 	// View returns what the node holds.
 	View(context.Context, *ViewRequest) (*ViewResponse, error)
 }
@@ -44,7 +48,7 @@
 
 type fleetProtobufClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [2]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -72,7 +76,8 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "banyanlug.fleet.v1", "Fleet")
-	urls := [1]string{
+	urls := [2]string{
+		serviceURL + "Pull",
 		serviceURL + "View",
 	}
 
@@ -84,6 +89,52 @@
 	}
 }
 
+func (c *fleetProtobufClient) Pull(ctx context.Context, in *PullRequest) (*PullResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "banyanlug.fleet.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
+	ctx = ctxsetters.WithMethodName(ctx, "Pull")
+	caller := c.callPull
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *PullRequest) (*PullResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PullRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PullRequest) when calling interceptor")
+					}
+					return c.callPull(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PullResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PullResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *fleetProtobufClient) callPull(ctx context.Context, in *PullRequest) (*PullResponse, error) {
+	out := new(PullResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *fleetProtobufClient) View(ctx context.Context, in *ViewRequest) (*ViewResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "banyanlug.fleet.v1")
 	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
@@ -115,7 +166,7 @@
 
 func (c *fleetProtobufClient) callView(ctx context.Context, in *ViewRequest) (*ViewResponse, error) {
 	out := new(ViewResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -136,7 +187,7 @@
 
 type fleetJSONClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [2]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -164,7 +215,8 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "banyanlug.fleet.v1", "Fleet")
-	urls := [1]string{
+	urls := [2]string{
+		serviceURL + "Pull",
 		serviceURL + "View",
 	}
 
@@ -176,6 +228,52 @@
 	}
 }
 
+func (c *fleetJSONClient) Pull(ctx context.Context, in *PullRequest) (*PullResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "banyanlug.fleet.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
+	ctx = ctxsetters.WithMethodName(ctx, "Pull")
+	caller := c.callPull
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *PullRequest) (*PullResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PullRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PullRequest) when calling interceptor")
+					}
+					return c.callPull(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PullResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PullResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *fleetJSONClient) callPull(ctx context.Context, in *PullRequest) (*PullResponse, error) {
+	out := new(PullResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *fleetJSONClient) View(ctx context.Context, in *ViewRequest) (*ViewResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "banyanlug.fleet.v1")
 	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
@@ -207,7 +305,7 @@
 
 func (c *fleetJSONClient) callView(ctx context.Context, in *ViewRequest) (*ViewResponse, error) {
 	out := new(ViewResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -319,6 +417,9 @@
 	}
 
 	switch method {
+	case "Pull":
+		s.servePull(ctx, resp, req)
+		return
 	case "View":
 		s.serveView(ctx, resp, req)
 		return
@@ -329,6 +430,186 @@
 	}
 }
 
+func (s *fleetServer) servePull(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.servePullJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.servePullProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *fleetServer) servePullJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Pull")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(PullRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Fleet.Pull
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *PullRequest) (*PullResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PullRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PullRequest) when calling interceptor")
+					}
+					return s.Fleet.Pull(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PullResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PullResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *PullResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *PullResponse and nil error while calling Pull. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *fleetServer) servePullProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Pull")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(PullRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Fleet.Pull
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *PullRequest) (*PullResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PullRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PullRequest) when calling interceptor")
+					}
+					return s.Fleet.Pull(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PullResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PullResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *PullResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *PullResponse and nil error while calling Pull. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *fleetServer) serveView(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
@@ -1090,21 +1371,30 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 243 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xe2, 0xd2, 0xca, 0xcc, 0x2b, 0x49,
-	0x2d, 0xca, 0x4b, 0xcc, 0xd1, 0x4f, 0xce, 0xcf, 0x2b, 0x29, 0xca, 0xcf, 0xd1, 0x4f, 0xcb, 0x49,
-	0x4d, 0x2d, 0x81, 0x90, 0x05, 0x49, 0x10, 0x5a, 0xaf, 0xa0, 0x28, 0xbf, 0x24, 0x5f, 0x48, 0x28,
-	0x29, 0x31, 0xaf, 0x32, 0x31, 0x2f, 0xa7, 0x34, 0x5d, 0x0f, 0x22, 0x5c, 0x66, 0xa8, 0xe4, 0xc8,
-	0xc5, 0x1d, 0x96, 0x99, 0x5a, 0x1e, 0x94, 0x5a, 0x58, 0x9a, 0x5a, 0x5c, 0x22, 0x24, 0xc1, 0xc5,
-	0x5e, 0x96, 0x5a, 0x54, 0x9c, 0x99, 0x9f, 0x27, 0xc1, 0xa8, 0xc0, 0xa8, 0xc1, 0x12, 0x04, 0xe3,
-	0x82, 0x64, 0x72, 0x53, 0x73, 0x93, 0x52, 0x8b, 0x8a, 0x25, 0x98, 0x14, 0x18, 0x35, 0x38, 0x82,
-	0x60, 0x5c, 0xa5, 0x3a, 0x2e, 0x1e, 0x88, 0x11, 0xc5, 0x05, 0xf9, 0x79, 0xc5, 0xa9, 0x42, 0x22,
-	0x5c, 0xac, 0xa9, 0x79, 0x25, 0x45, 0x95, 0x60, 0x13, 0x78, 0x82, 0x20, 0x1c, 0x64, 0x93, 0x99,
-	0x50, 0x4d, 0x56, 0xe1, 0xe2, 0x4d, 0xce, 0xcf, 0x4b, 0xcb, 0x4c, 0x2f, 0x2d, 0x4a, 0x2c, 0x01,
-	0xc9, 0x33, 0x83, 0xf5, 0xa1, 0x0a, 0x22, 0xdb, 0xcf, 0xa2, 0xc0, 0xac, 0xc1, 0x03, 0xb7, 0xdf,
-	0x28, 0x88, 0x8b, 0xd5, 0x0d, 0xe4, 0x1d, 0x21, 0x4f, 0x2e, 0x16, 0x90, 0x43, 0x84, 0xe4, 0xf5,
-	0x30, 0x3d, 0xaa, 0x87, 0xe4, 0x4b, 0x29, 0x05, 0xdc, 0x0a, 0x20, 0x7e, 0x70, 0xb2, 0x89, 0xb2,
-	0x42, 0x28, 0x49, 0xad, 0x48, 0xcc, 0x2d, 0xc8, 0x49, 0xd5, 0x87, 0x8b, 0xe8, 0xe3, 0x0f, 0xf4,
-	0x24, 0x36, 0x70, 0x78, 0x1b, 0x03, 0x02, 0x00, 0x00, 0xff, 0xff, 0x60, 0x16, 0x3c, 0x54, 0x9d,
-	0x01, 0x00, 0x00,
+	// 395 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x53, 0x3d, 0x6f, 0xd4, 0x30,
+	0x18, 0x96, 0xef, 0x72, 0x69, 0xf5, 0x5e, 0xba, 0x58, 0x7c, 0x44, 0xb7, 0x10, 0x45, 0x0c, 0x11,
+	0x43, 0x22, 0x0a, 0x53, 0xc5, 0x02, 0x03, 0x52, 0x87, 0x93, 0x50, 0x06, 0x06, 0x16, 0xe4, 0x44,
+	0x6f, 0xd3, 0x48, 0x8e, 0x1d, 0x6c, 0xe7, 0x8e, 0x2e, 0xcc, 0xfc, 0x09, 0x7e, 0x08, 0xff, 0x0e,
+	0xd9, 0x4e, 0xd3, 0x9c, 0x08, 0xb0, 0xb0, 0x24, 0x7a, 0x9c, 0xd7, 0xcf, 0x97, 0x63, 0x78, 0xd1,
+	0x0a, 0x83, 0x4a, 0x30, 0x5e, 0xd4, 0x52, 0x18, 0x25, 0x79, 0x71, 0xc3, 0x11, 0x8d, 0x7f, 0xf6,
+	0x95, 0x7f, 0xe7, 0xbd, 0x92, 0x46, 0x52, 0x5a, 0x31, 0x71, 0xc7, 0x04, 0x1f, 0x9a, 0xdc, 0x2f,
+	0x1f, 0x5e, 0xa6, 0xdf, 0x09, 0x6c, 0x3f, 0x0c, 0x9c, 0x97, 0xf8, 0x65, 0x40, 0x6d, 0x68, 0x0c,
+	0x67, 0x07, 0x54, 0xba, 0x95, 0x22, 0x26, 0x09, 0xc9, 0x82, 0xf2, 0x1e, 0xd2, 0x47, 0xb0, 0xc1,
+	0x5e, 0xd6, 0xb7, 0xf1, 0x2a, 0x21, 0x59, 0x58, 0x7a, 0x40, 0x9f, 0x40, 0x58, 0x0f, 0x4a, 0x4b,
+	0x15, 0xaf, 0xdd, 0xf8, 0x88, 0xe8, 0x53, 0x38, 0x3b, 0xb2, 0xd6, 0x7c, 0xee, 0x74, 0x1c, 0x24,
+	0x24, 0xbb, 0x28, 0x43, 0x0b, 0xf7, 0xda, 0x0a, 0x74, 0xd8, 0x55, 0xa8, 0x74, 0xbc, 0x49, 0x48,
+	0x76, 0x5e, 0xde, 0xc3, 0xf4, 0x27, 0x81, 0xc8, 0x5b, 0xd1, 0xbd, 0x14, 0x1a, 0xff, 0x9b, 0x97,
+	0xd7, 0x0f, 0x92, 0x41, 0xb2, 0xce, 0xb6, 0x97, 0xbb, 0xfc, 0xf7, 0x26, 0xf2, 0xbd, 0x1b, 0x99,
+	0xec, 0x58, 0x8d, 0xe3, 0xad, 0xe4, 0x38, 0xda, 0xf4, 0x80, 0x3e, 0x86, 0x90, 0x35, 0x68, 0x63,
+	0x85, 0x2e, 0xd6, 0x86, 0x35, 0xb8, 0xd7, 0xe9, 0x15, 0x84, 0x7e, 0xbf, 0xb3, 0x26, 0x8c, 0xba,
+	0x73, 0x96, 0xa3, 0xd2, 0x03, 0xba, 0x83, 0x73, 0x85, 0x87, 0xd6, 0x65, 0x59, 0x39, 0x73, 0x13,
+	0x4e, 0xdf, 0xc2, 0xf6, 0x63, 0x8b, 0xc7, 0x7f, 0x9f, 0xc0, 0xac, 0xba, 0xd5, 0x69, 0x75, 0xdf,
+	0x20, 0xf2, 0x14, 0x63, 0x73, 0xcb, 0x26, 0x66, 0xcc, 0xab, 0x53, 0xe6, 0xe7, 0x70, 0x51, 0x4b,
+	0x71, 0xd3, 0x36, 0x83, 0x62, 0xc6, 0x7e, 0x5f, 0xbb, 0x7d, 0xa7, 0x8b, 0x73, 0x7d, 0xdb, 0x63,
+	0x34, 0xe9, 0x5f, 0xfe, 0x20, 0xb0, 0x79, 0x6f, 0x8b, 0xa4, 0xd7, 0x10, 0xd8, 0x33, 0xa4, 0xcf,
+	0x96, 0x2a, 0x9e, 0xfd, 0x68, 0xbb, 0xe4, 0xcf, 0x03, 0x63, 0x88, 0x6b, 0x08, 0x6c, 0xa8, 0x65,
+	0xaa, 0x59, 0x63, 0xcb, 0x54, 0xf3, 0x3e, 0xde, 0xbd, 0xf9, 0x74, 0xf5, 0x30, 0x82, 0x5f, 0x59,
+	0xd7, 0x73, 0x2c, 0xa6, 0x95, 0xe2, 0xef, 0x77, 0xa8, 0x0a, 0xdd, 0xf5, 0x79, 0xf5, 0x2b, 0x00,
+	0x00, 0xff, 0xff, 0xb4, 0x6b, 0x09, 0x1d, 0x6c, 0x03, 0x00, 0x00,
 }
--- a/internal/control/fleet/follow.go
+++ b/internal/control/fleet/follow.go
@@ -38,18 +38,24 @@
 // everything is the prefix of all keys.
 const everything = ""
 
-// follow keeps the view and the configuration at what the store holds.
-func (f *Fleet) follow(ctx context.Context, done chan<- error) {
-	m, after, prefix := reading, uint64(0), everything
+// follow keeps the view and the configuration at what the store holds, while the
+// node reads it for its failure domain.
+func (f *Fleet) follow(ctx context.Context) {
+	m, after := reading, uint64(0)
 	pause := retryFirst
 	for ctx.Err() == nil {
-		if reads := f.reads(); reads && prefix != everything {
-			m, prefix = reading, everything
-		} else if !reads {
-			prefix = ownPrefix
+		changed := f.view.changes()
+		if !f.reads() {
+			m = reading
+			select {
+			case <-ctx.Done():
+			case <-f.turned:
+			case <-changed:
+			}
+			continue
 		}
 		began := f.clk.Now()
-		changes, a := f.get(ctx, m, prefix, &after)
+		changes, a := f.get(ctx, m, &after)
 		var gone *platform.CompactedError
 		if a.err == nil || errors.As(a.err, &gone) {
 			f.heardStore()
@@ -68,16 +74,15 @@
 			m = next
 		}
 	}
-	done <- ctx.Err()
 }
 
 // get makes one call as the mode has it and returns how many changes it brought.
-func (f *Fleet) get(ctx context.Context, m mode, prefix string, after *uint64) (changes int, a answer) {
+func (f *Fleet) get(ctx context.Context, m mode, after *uint64) (changes int, a answer) {
 	if m == watching {
-		return f.watch(ctx, prefix, after)
+		return f.watch(ctx, after)
 	}
 	before := f.Current().Version()
-	at, err := f.read(ctx, prefix)
+	at, err := f.read(ctx, everything)
 	if err != nil {
 		return 0, answer{err: err}
 	}
@@ -110,15 +115,14 @@
 }
 
 // watch takes in the changes after a revision.
-func (f *Fleet) watch(ctx context.Context, prefix string, after *uint64) (int, answer) {
-	events, at, err := f.store.WatchPrefix(ctx, prefix, *after, f.between(watchLeast, watchMost))
+func (f *Fleet) watch(ctx context.Context, after *uint64) (int, answer) {
+	events, at, err := f.store.WatchPrefix(ctx, everything, *after, f.between(watchLeast, watchMost))
 	if err != nil {
 		return 0, answer{err: err}
 	}
 	if len(events) == 0 && at > *after {
 		// Every change of the store is under the prefix, so some were kept from
-		// the watch. Without the configuration that is not certain until the note
-		// of a version is written; looking in vain costs a call.
+		// the watch.
 		return 0, answer{err: &platform.CompactedError{After: *after}}
 	}
 	*after = max(at, *after)
@@ -156,10 +160,6 @@
 		f.take(v.Data(), fromStore)
 		return
 	}
-	if v.Key() == newsKey {
-		f.heardNews(v)
-		return
-	}
 	if !strings.HasPrefix(v.Key(), MembersPrefix) {
 		return
 	}
@@ -169,15 +169,23 @@
 		return
 	}
 	if f.isOwn(r) {
-		f.ownEntry(r, v.Revision())
+		f.outliveEarlier(r)
+		self, _ := f.own()
+		f.view.revise(self, v.Revision())
 		return
 	}
+	f.put(r, v.Revision())
+}
+
+// put takes in another node's entry; revision is 0 where the store is not known to
+// hold it.
+func (f *Fleet) put(r membership.Record, revision uint64) {
 	if r.Crash() != "" {
 		f.onCrash(r.Crash())
 	}
-	if f.view.put(r, v.Revision()) {
+	if f.view.put(r, revision) {
 		f.log.Emit(event.MemberChanged, event.F("instance", r.Instance()), event.F("state", r.State()),
-			event.F("target", r.Target()), event.F("pool", r.Pool()), event.F("revision", v.Revision()))
+			event.F("target", r.Target()), event.F("pool", r.Pool()), event.F("revision", revision))
 	}
 }
 
@@ -186,10 +194,10 @@
 	return r.Instance() == self.Instance()
 }
 
-// ownEntry takes in the entry that stands under the node's own name. One that
-// would win over the node's own is of a process before it, whose clock was ahead:
-// the node takes a later boot, or the others would go on with what has ended.
-func (f *Fleet) ownEntry(r membership.Record, revision uint64) {
+// outliveEarlier takes in an entry under the node's own name. One that would win
+// over the node's own is of a process before it, whose clock was ahead: the node
+// takes a later boot, or the others would go on with what has ended.
+func (f *Fleet) outliveEarlier(r membership.Record) {
 	f.mu.Lock()
 	if r.Newer(f.self) {
 		f.self = f.self.Rebooted(r.Boot() + 1)
@@ -197,7 +205,6 @@
 	}
 	self := f.self
 	f.mu.Unlock()
-	f.view.revise(self, revision)
 	f.view.put(self, 0)
 	f.nudge()
 }
--- a/internal/control/fleet/view.go
+++ b/internal/control/fleet/view.go
@@ -16,8 +16,25 @@
 	members map[string]*member
 	pools   atomic.Pointer[map[string][]membership.Record]
 	size    atomic.Int64
+
+	change  uint64 // counts the changes of members
+	changed chan struct{}
+	// buried are the members that have gone, oldest first; of those before
+	// forgotten it is not known any more.
+	buried    []burial
+	forgotten uint64
+}
+
+// burial is a member that went with a change.
+type burial struct {
+	record membership.Record
+	change uint64
 }
 
+// maxBuried bounds what is remembered of members that have gone: those who have
+// followed less closely get the whole list.
+const maxBuried = 256
+
 // member is one node as this one knows it.
 type member struct {
 	record   membership.Record
@@ -26,10 +43,11 @@
 	// said that it leaves; zero while it stands there.
 	missing time.Time
 	asked   time.Time
+	change  uint64 // the last one of its record
 }
 
 func newView() *view {
-	v := &view{members: map[string]*member{}}
+	v := &view{members: map[string]*member{}, changed: make(chan struct{})}
 	v.pools.Store(&map[string][]membership.Record{})
 	return v
 }
@@ -57,10 +75,75 @@
 		return false
 	}
 	m.record = r
+	v.touch(m)
 	v.arrange()
 	return true
 }
 
+// touch notes that a member has changed; the caller holds the lock.
+func (v *view) touch(m *member) {
+	v.change++
+	m.change = v.change
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// remove takes a member out; the caller holds the lock.
+func (v *view) remove(m *member) {
+	delete(v.members, m.record.Instance())
+	v.touch(m)
+	v.buried = append(v.buried, burial{m.record.Departed(), m.change})
+	if len(v.buried) > maxBuried {
+		v.forgotten = v.buried[0].change
+		v.buried = slices.Delete(v.buried, 0, 1)
+	}
+	v.arrange()
+}
+
+// bury takes in another node's word that a member has gone.
+func (v *view) bury(gone membership.Record) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if m := v.members[gone.Instance()]; m != nil && gone.Newer(m.record) {
+		v.remove(m)
+	}
+}
+
+// changes returns a channel that is closed at the next change of members.
+func (v *view) changes() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+// changeSet is what has changed among the members up to a change.
+type changeSet struct {
+	members []listed
+	whole   bool // members are all there are
+	until   uint64
+}
+
+// changesSince returns what has changed after a change, all members for 0.
+func (v *view) changesSince(after uint64) changeSet {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	set := changeSet{whole: after == 0 || after < v.forgotten || after > v.change, until: v.change}
+	for _, m := range v.members {
+		if set.whole || m.change > after {
+			set.members = append(set.members, listed{m.record, m.revision})
+		}
+	}
+	if set.whole {
+		return set
+	}
+	for _, b := range v.buried {
+		if b.change > after && v.members[b.record.Instance()] == nil {
+			set.members = append(set.members, listed{record: b.record})
+		}
+	}
+	return set
+}
+
 // drop takes in that an entry has gone from the store.
 func (v *view) drop(instance string, now time.Time) {
 	v.mu.Lock()
@@ -71,8 +154,7 @@
 	}
 	m.revision = 0
 	if m.record.State() != membership.Ready {
-		delete(v.members, instance)
-		v.arrange()
+		v.remove(m)
 		return
 	}
 	if m.missing.IsZero() {
@@ -103,8 +185,7 @@
 	if m == nil || m.missing.IsZero() || m.record != r {
 		return false
 	}
-	delete(v.members, r.Instance())
-	v.arrange()
+	v.remove(m)
 	return true
 }
 
@@ -128,6 +209,21 @@
 func (v *view) records() []membership.Record {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	return v.list()
+}
+
+// newRecords returns all members and the last change if there was one after a
+// change, else none.
+func (v *view) newRecords(after uint64) ([]membership.Record, uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.change == after {
+		return nil, after
+	}
+	return v.list(), v.change
+}
+
+func (v *view) list() []membership.Record {
 	var out []membership.Record
 	for _, name := range slices.Sorted(maps.Keys(v.members)) {
 		out = append(out, v.members[name].record)
@@ -175,6 +271,7 @@
 	if m == nil {
 		m = &member{record: r}
 		v.members[r.Instance()] = m
+		v.touch(m)
 		v.arrange()
 	}
 	m.revision = revision
--- a/internal/log/event/distribution.go
+++ b/internal/log/event/distribution.go
@@ -15,7 +15,6 @@
 	MemberChanged  Code = 1211
 	MemberKept     Code = 1212
 	BootRaised     Code = 1213
-	VersionTold    Code = 1214
 )
 
 var distributionEvents = map[Code]Entry{
@@ -29,7 +28,6 @@
 	EntryWritten:   {Info, "node wrote its own entry to the store", "nothing"},
 	LeaseLost:      {Warn, "the lease of the node's entry had ended; it is written again", "look at the store if it repeats"},
 	MemberChanged:  {Info, "another node told of its target", "nothing"},
-	VersionTold:    {Info, "node told the nodes that don't read the configuration of a newer version", "nothing"},
 	BootRaised:     {Warn, "the entry that a process before this one left has a later boot; this one takes a later one still", "nothing; the machine's clock was set back"},
 	MemberKept:     {Warn, "a member whose entry the store has dropped answers and is kept", "look at the store, or at the member's way to it, if it goes on"},
 	QuotaSeatLost:  {Warn, "node gave up the whole fleet's ledger of limits; another relay takes it", "look at the store if it goes on; failure domains keep their last shares for 15 min"},
--- a/internal/policy/membership/record.go
+++ b/internal/policy/membership/record.go
@@ -136,6 +136,12 @@
 	return r
 }
 
+// Departed returns the record of an instance that has gone since.
+func (r Record) Departed() Record {
+	r.state = Gone
+	return r
+}
+
 // Crash returns what the instance tells of the last crash of its target, or "".
 func (r Record) Crash() string { return r.crash }
 
--- a/internal/policy/tree/selector.go
+++ b/internal/policy/tree/selector.go
@@ -39,8 +39,24 @@
 	failing, stalled time.Time
 	// patience is how long all may stay stale.
 	patience time.Duration
+
+	staleAfter, holdDown, aloneAfter time.Duration
 }
 
+// SelectorOption sets one property of a selector.
+type SelectorOption func(*Selector)
+
+// StaleAfter sets from which age a parent's word from the root is too old.
+func StaleAfter(d time.Duration) SelectorOption { return func(s *Selector) { s.staleAfter = d } }
+
+// HoldDown sets how long a parent that failed or stalled is avoided, up to twice
+// as long.
+func HoldDown(d time.Duration) SelectorOption { return func(s *Selector) { s.holdDown = d } }
+
+// AloneAfter sets how long all parents must have failed before a node acts as a
+// root itself.
+func AloneAfter(d time.Duration) SelectorOption { return func(s *Selector) { s.aloneAfter = d } }
+
 // try is what the node saw of one parent.
 type try struct {
 	backoff *Backoff
@@ -52,11 +68,15 @@
 }
 
 // NewSelector returns a selector that draws its jitter from r.
-func NewSelector(r *rand.Rand) *Selector {
+func NewSelector(r *rand.Rand, opts ...SelectorOption) *Selector {
+	s := &Selector{rand: r, tries: map[string]*try{}, staleAfter: staleAfter, holdDown: holdDown, aloneAfter: aloneAfter}
+	for _, opt := range opts {
+		opt(s)
+	}
 	// In a part of the tree that is cut off from the root, drawn patience lets
 	// one node lose it first; its word then reaches those below in time.
-	patience := staleAfter + time.Duration(r.Int64N(int64(staleAfter)))
-	return &Selector{rand: r, tries: map[string]*try{}, patience: patience}
+	s.patience = s.staleAfter + time.Duration(r.Int64N(int64(s.staleAfter)))
+	return s
 }
 
 // Update takes over the parents of a new position.
@@ -72,11 +92,11 @@
 // Next returns the parent to pull from, or how long to wait before asking
 // again; both are zero where the position has no parent.
 func (s *Selector) Next(now time.Time) (membership.Record, time.Duration) {
-	if wait := left(s.pause, now); wait > 0 {
+	if wait := s.left(s.pause, now); wait > 0 {
 		return membership.Record{}, wait
 	}
 	for _, r := range s.parents {
-		if t := s.tries[r.Instance()]; t == nil || left(t.avoid, now) == 0 {
+		if t := s.tries[r.Instance()]; t == nil || s.left(t.avoid, now) == 0 {
 			return r, 0
 		}
 	}
@@ -106,7 +126,7 @@
 func (s *Selector) soonest(now time.Time) (membership.Record, time.Duration) {
 	var wait time.Duration
 	for _, r := range s.parents {
-		l := left(s.tries[r.Instance()].retry, now)
+		l := s.left(s.tries[r.Instance()].retry, now)
 		if l == 0 {
 			return r, 0
 		}
@@ -149,7 +169,7 @@
 	t := s.try(instance)
 	t.backoff.Reset()
 	t.retry, t.avoid = time.Time{}, time.Time{}
-	t.age, t.stale = age, age >= staleAfter
+	t.age, t.stale = age, age >= s.staleAfter
 	switch {
 	case !t.stale:
 		s.stalled = time.Time{}
@@ -167,14 +187,14 @@
 // each other.
 func (s *Selector) Alone(now time.Time) bool {
 	return len(s.parents) == 0 ||
-		!s.failing.IsZero() && now.Sub(s.failing) >= aloneAfter ||
+		!s.failing.IsZero() && now.Sub(s.failing) >= s.aloneAfter ||
 		!s.stalled.IsZero() && now.Sub(s.stalled) >= s.patience
 }
 
 // hold draws a hold-down, so that those who left a parent together do not
 // return to it together.
 func (s *Selector) hold() time.Duration {
-	return holdDown + time.Duration(s.rand.Int64N(int64(holdDown)))
+	return s.holdDown + time.Duration(s.rand.Int64N(int64(s.holdDown)))
 }
 
 func (s *Selector) try(instance string) *try {
@@ -188,9 +208,11 @@
 
 // left returns how long it is until t. A clock that went back may not make the
 // wait longer than any that is ever set.
-func left(t, now time.Time) time.Duration {
+func (s *Selector) left(t, now time.Time) time.Duration { return left(t, now, 2*s.holdDown) }
+
+func left(t, now time.Time, most time.Duration) time.Duration {
 	if t.IsZero() {
 		return 0
 	}
-	return min(max(t.Sub(now), 0), 2*holdDown)
+	return min(max(t.Sub(now), 0), most)
 }
