Targets' nodes tell how long calls run there; long work goes to faster ones

A sender weighed targets by the latency of its own calls, one of which varies more than targets do, which it sees seldom and forgot in 5 s, and took the better of two at random, so that the fastest quarter got four calls in ten.

Now an answer tells, beside the load, the mean time of its route's calls at the target (over 64 calls, by its node); senders keep the ratio to the pool's usual with a half-life of 20 s, square it, take the cheapest of up to four, and weigh a utilisation under 1 by its root: with free slots a call is served at once.

--- a/internal/policy/admission/mesh_test.go
+++ b/internal/policy/admission/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -29,17 +30,25 @@
 	senders []*sender
 	pools   map[string][]*place
 	kinds   []*kind
+	// domains is over how many failure domains senders and targets are spread.
+	domains int
+	// choose picks the target of an attempt in the balancer's place.
+	choose func(k *kind, tried []*place) *place
+	// mute keeps targets from telling how long calls run there.
+	mute bool
 }
 
 type sender struct {
 	balancer *balance.Balancer
 	budgets  *retry.Budgets
+	domain   string
 }
 
 // place is a target with its gate.
 type place struct {
 	name   string
 	pool   string
+	domain string
 	gate   *admission.Gate
 	sender *sender
 	slow   float64
@@ -52,9 +61,11 @@
 // kind is one kind of calls and what became of them, by the second of their first
 // attempt.
 type kind struct {
-	name, pool     string
-	rate           float64
-	work           time.Duration
+	name, pool string
+	rate       float64
+	work       time.Duration
+	// spread is the deviation of the logarithm of the work; exponential for 0.
+	spread         float64
 	aim, patience  time.Duration
 	idempotent     bool
 	returns        int
@@ -74,6 +85,14 @@
 	return float64(answered) / float64(max(1, asked)), float64(in) / float64(max(1, asked))
 }
 
+// draw returns how long a call's work takes at a target of usual speed.
+func (k *kind) draw(rng *rand.Rand) time.Duration {
+	if k.spread == 0 {
+		return play.Exp(rng, k.work)
+	}
+	return time.Duration(float64(k.work) * math.Exp(k.spread*rng.NormFloat64()-k.spread*k.spread/2))
+}
+
 // bounds are the platform's bounds on repeats: a share of the calls and some
 // besides for all senders together.
 const (
@@ -81,8 +100,10 @@
 	spare                  = 100
 )
 
-func newMesh(senders int, kinds ...*kind) *mesh {
-	m := &mesh{Play: play.New(), rng: play.Rand(41), pools: map[string][]*place{}, kinds: kinds}
+func newMesh(senders int, kinds ...*kind) *mesh { return newMeshOver(1, senders, kinds...) }
+
+func newMeshOver(domains, senders int, kinds ...*kind) *mesh {
+	m := &mesh{Play: play.New(), rng: play.Rand(41), pools: map[string][]*place{}, kinds: kinds, domains: domains}
 	for i := range senders {
 		m.senders = append(m.senders, m.newSender(uint64(i), senders))
 	}
@@ -93,19 +114,23 @@
 }
 
 func (m *mesh) newSender(i uint64, of int) *sender {
+	domain := m.domain(int(i))
 	return &sender{
-		balancer: balance.New(m.Now(), play.Rand(100+i), balance.Domain("a")),
+		domain:   domain,
+		balancer: balance.New(m.Now(), play.Rand(100+i), balance.Domain(domain)),
 		budgets: retry.NewBudgets(play.Rand(500+i), retry.RefusedShare(1), retry.Bounded(func() retry.Bounds {
 			return retry.Bounds{Repeated: repeatPart, Rejected: rejectPart, Saved: max(1, spare/float64(of))}
 		})),
 	}
 }
 
+func (m *mesh) domain(i int) string { return string(rune('a' + i%m.domains)) }
+
 // pool adds targets of a pool, whose speeds differ.
 func (m *mesh) pool(name string, n, slots int, speeds ...float64) []*place {
 	for i := range n {
 		m.pools[name] = append(m.pools[name], &place{
-			name: fmt.Sprintf("%s-%d", name, i), pool: name, slow: speeds[i%len(speeds)],
+			name: fmt.Sprintf("%s-%d", name, i), pool: name, slow: speeds[i/m.domains%len(speeds)], domain: m.domain(i),
 			gate:   admission.NewGate(m.Now(), admission.Slots(slots)),
 			sender: m.senders[i%len(m.senders)], turnsAway: func() bool { return false },
 			waiting: map[admission.Ticket]func(admission.Decision){},
@@ -113,7 +138,7 @@
 	}
 	var records []membership.Record
 	for _, p := range m.pools[name] {
-		records = append(records, membership.NewRecord(p.name, membership.Domain("a"), membership.Pool(name),
+		records = append(records, membership.NewRecord(p.name, membership.Domain(p.domain), membership.Pool(name),
 			membership.Address(netip.MustParseAddrPort("127.0.0.1:1")), membership.Boot(1), membership.Seq(1),
 			membership.InState(membership.Ready), membership.Slots(slots)))
 	}
@@ -177,8 +202,9 @@
 	}
 	c := retry.NewCall(k.pool, deadline, opts...)
 	s.budgets.Fresh(&c)
-	ask := balance.NewAsk("all", snapshot.Paying)
+	ask := balance.NewAsk("all", snapshot.Paying).On(k.name)
 	var tried []balance.Picked
+	var asked []*place
 	var attempt func()
 	next := func(o retry.Outcome) {
 		switch d := s.budgets.After(m.Now(), &c, o).(type) {
@@ -189,6 +215,20 @@
 		}
 	}
 	attempt = func() {
+		if m.choose != nil {
+			t := m.choose(k, asked)
+			asked = append(asked, t)
+			m.After(oneWay, func() {
+				m.enter(t, k, began, deadline, func(o *retry.Outcome, _ balance.Report) {
+					if o != nil {
+						next(*o)
+						return
+					}
+					done(true, 0)
+				})
+			})
+			return
+		}
 		switch choice := s.balancer.Pick(m.Now(), k.pool, ask, tried).(type) {
 		case balance.None:
 			next(retry.Nowhere(choice.RetryAfter()))
@@ -268,10 +308,14 @@
 		})
 		return
 	}
-	work := time.Duration(float64(play.Exp(m.rng, k.work)) * t.slow)
+	work := time.Duration(float64(k.draw(m.rng)) * t.slow)
 	finish := func() {
 		m.After(work, func() {
-			leave(admission.Done, nil, balance.Answered(balance.Load(t.load(m.Now()))))
+			told := t.gate.ServiceOf(k.name)
+			if m.mute {
+				told = 0
+			}
+			leave(admission.Done, nil, balance.Answered(balance.Load(t.load(m.Now())), balance.Service(told)))
 		})
 	}
 	if k.inner == nil || m.rng.Float64() >= k.innerShare {
--- a/internal/policy/balance/pool.go
+++ b/internal/policy/balance/pool.go
@@ -22,6 +22,10 @@
 	// fails, the cause is seldom the targets, and leaving them all would turn
 	// one fault into an outage.
 	maxEjected = 0.5
+	// leastChoices and mostChoices are of how many random targets the cheapest is
+	// taken, all but one of a small tier. With two of many the fastest quarter of a
+	// pool gets four calls in ten at the most.
+	leastChoices, mostChoices = 2, 4
 	// draws is how often a free target is drawn blindly before all are looked
 	// at in turn; with half of a pool out, one in 256 picks gets there.
 	draws = 8
@@ -39,6 +43,8 @@
 	all     []*target
 	tiers   [][]*target
 	latency float64
+	// services is made with the first word of a target's pace.
+	services services
 }
 
 // usual returns the pool's usual latency.
@@ -55,7 +61,7 @@
 	best, bestCost := (*target)(nil), math.Inf(1)
 	near := false
 	for i, tier := range p.tiers {
-		t, cost := p.two(at, tier, a, tried)
+		t, cost := p.few(at, tier, a, tried)
 		if i > 0 {
 			if near && t != nil && t.utilisation(at) > spillAt {
 				// Full there too: it would only carry the refusal about.
@@ -93,29 +99,32 @@
 	return false
 }
 
-// two draws two targets and returns the cheaper. One that is always the
+// few draws some targets and returns the cheapest. One that is always the
 // cheapest of all by lagging knowledge would get every caller's calls at once;
-// the cheaper of two random ones gets at most twice its share. A target to probe
-// is taken when it is drawn, or its old failures would keep it out for good.
-func (p *pool) two(at int64, tier []*target, a Ask, tried []Picked) (*target, float64) {
-	first := p.draw(at, tier, a, tried, nil)
-	if first == nil {
-		return nil, math.Inf(1)
-	}
-	cost := first.cost(at, p.usual())
-	if first.probing(at) {
-		return first, cost
-	}
-	second := p.draw(at, tier, a, tried, first)
-	if second == nil {
-		return first, cost
-	}
-	if c := second.cost(at, p.usual()); c < cost || second.probing(at) {
-		return second, c
+// the cheapest of a few random ones gets a few times its share at most. A target to
+// probe is taken when it is drawn, or its old failures would keep it out for good.
+func (p *pool) few(at int64, tier []*target, a Ask, tried []Picked) (*target, float64) {
+	var best *target
+	cost := math.Inf(1)
+	for range choices(tier) {
+		t := p.draw(at, tier, a, tried, best)
+		if t == nil {
+			break
+		}
+		c := t.cost(at, p.usual())
+		if t.probing(at) {
+			return t, c
+		}
+		if c < cost {
+			best, cost = t, c
+		}
 	}
-	return first, cost
+	return best, cost
 }
 
+// choices returns how many targets of a tier are drawn for a pick.
+func choices(tier []*target) int { return min(max(leastChoices, len(tier)-1), mostChoices) }
+
 // draw returns a random target that may be picked, a cold one more rarely, or
 // nil.
 func (p *pool) draw(at int64, tier []*target, a Ask, tried []Picked, not *target) *target {
@@ -125,7 +134,7 @@
 	}
 	for range draws {
 		t := tier[p.rng.IntN(n)]
-		if t != not && usable(at, t, a, tried) && p.warmEnough(at, t) {
+		if t != not && usable(at, t, a, tried) && p.warmEnough(at, t, choices(tier)) {
 			return t
 		}
 	}
@@ -138,12 +147,15 @@
 	return nil
 }
 
-func (p *pool) warmEnough(at int64, t *target) bool {
+// warmEnough reports whether a target stays in one of a pick's draws: a cold one gets
+// its share however many these are.
+func (p *pool) warmEnough(at int64, t *target, draws int) bool {
+	share := float64(leastChoices) / float64(draws)
 	if t.probing(at) {
-		return p.rng.Float64() < coldShare
+		return p.rng.Float64() < coldShare*share
 	}
 	c := t.cold(at)
-	return c == 1 || p.rng.Float64() < c
+	return c == 1 || p.rng.Float64() < c*share
 }
 
 func usable(at int64, t *target, a Ask, tried []Picked) bool {
@@ -205,6 +217,12 @@
 	if r.loaded {
 		t.load, t.loadAt = r.load, at
 	}
+	if r.service > 0 {
+		if p.services == nil {
+			p.services = services{}
+		}
+		t.pace.heard(at, p.services.ratio(a.route, r.service))
+	}
 	switch r.kind {
 	case answered:
 		p.observe(at, t, float64(took))
--- a/internal/policy/balance/report.go
+++ b/internal/policy/balance/report.go
@@ -9,6 +9,7 @@
 	retryAfter time.Duration
 	load       float64
 	loaded     bool
+	service    time.Duration
 	kept       bool
 }
 
@@ -40,15 +41,20 @@
 // ReportOption adds what an answer told besides. It is a value and no function,
 // since a function would cost each call an allocation.
 type ReportOption struct {
-	load   float64
-	loaded bool
-	kept   bool
+	load    float64
+	loaded  bool
+	service time.Duration
+	kept    bool
 }
 
 // Load tells the calls that ran and waited at the target's node, over its
 // slots, as its answer said.
 func Load(l float64) ReportOption { return ReportOption{load: l, loaded: true} }
 
+// Service tells how long calls of this one's route usually run at the target, as its
+// node has seen it.
+func Service(d time.Duration) ReportOption { return ReportOption{service: d} }
+
 // Kept tells that the connection stays open for another call.
 func Kept() ReportOption { return ReportOption{kept: true} }
 
@@ -83,6 +89,7 @@
 		if opt.loaded {
 			r.load, r.loaded = opt.load, true
 		}
+		r.service = max(r.service, opt.service)
 		r.kept = r.kept || opt.kept
 	}
 	return r
--- a/internal/policy/balance/target.go
+++ b/internal/policy/balance/target.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -26,6 +27,9 @@
 	// waitCost makes a target dearer whose calls wait: with all slots in use each
 	// further call waits for one, while below that it is served at once.
 	waitCost = 4
+	// muchSlower is how many times longer than its node tells a target's calls
+	// take here before that is believed instead.
+	muchSlower = 4
 	// failureCost makes a target that fails part of its calls dearer before it
 	// is ejected: failing fast, it would look idle.
 	failureCost = 4
@@ -63,6 +67,7 @@
 
 	latency float64
 	seenAt  int64
+	pace    pace
 
 	load   float64
 	loadAt int64
@@ -117,13 +122,19 @@
 	return max(own, t.load*fade(at-t.loadAt, loadFade)) + 1/t.slots
 }
 
-// cost orders targets: the time a call takes, times the work before it.
-func (t *target) cost(at int64, usual float64) float64 {
-	u := t.utilisation(at)
+// busy weighs a utilisation. While slots are free a call is served at once, so that
+// it counts for little there: just so much that many senders, each of which knows
+// the loads of some time ago, don't all take the same one.
+func busy(u float64) float64 {
 	if u > 1 {
-		u += waitCost * (u - 1)
+		return u + waitCost*(u-1)
 	}
-	c := t.latencyNow(at, usual) * u
+	return math.Sqrt(u)
+}
+
+// cost orders targets: the time a call takes, weighed by the work before it.
+func (t *target) cost(at int64, usual float64) float64 {
+	c := t.expected(at, usual) * busy(t.utilisation(at))
 	c *= 1 + failureCost*t.failures*fade(at-t.failedAt, latencyFade)
 	if t.warm == 0 && t.cold(at) == 1 {
 		// A cold target has no connection yet and must get its few calls all
@@ -133,6 +144,21 @@
 	return c
 }
 
+// expected returns how a call's time there counts: by its node's word of the target's
+// pace, squared, as what is late is mostly long work at slow targets; unless the calls
+// made from here take far longer, as over a bad way or by a node that stands still.
+func (t *target) expected(at int64, usual float64) float64 {
+	measured := t.latencyNow(at, usual)
+	if t.pace.ratio == 0 {
+		return measured
+	}
+	told := usual * t.pace.now(at)
+	if measured > muchSlower*told {
+		return measured
+	}
+	return told * t.pace.now(at)
+}
+
 // shedUntil returns until when the target has asked these callers to wait.
 func (t *target) shedUntil(a Ask) int64 {
 	until := max(t.shedAll, t.shedClass[a.class&1])
--- a/internal/traffic/caller/pick.go
+++ b/internal/traffic/caller/pick.go
@@ -84,12 +84,13 @@
 	if err != nil {
 		return c.failureReport(err)
 	}
-	var opts [2]balance.ReportOption
+	var opts [3]balance.ReportOption
 	if a.Kept() {
 		opts[0] = balance.Kept()
 	}
 	if load, ok := a.Load(); ok {
 		opts[1] = balance.Load(load)
+		opts[2] = balance.Service(a.Service())
 	}
 	switch status := a.Status(); {
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
--- a/internal/traffic/caller/route.go
+++ b/internal/traffic/caller/route.go
@@ -30,7 +30,7 @@
 		return err
 	}
 	c.h.dialect.Strip(c.r.Header)
-	c.ask = balance.NewAsk(c.org.Name(), c.org.Class())
+	c.ask = balance.NewAsk(c.org.Name(), c.org.Class()).On(c.rt.Name())
 	c.meta = hop.NewMeta(hop.Depth(depth), hop.For(c.org.Name(), c.org.Class()), hop.By(c.rt), hop.From(c.h.origin))
 	return nil
 }
--- a/internal/traffic/hop/answer.go
+++ b/internal/traffic/hop/answer.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
+	"time"
 )
 
 // Answer is a call's answer; its body is read with Read, and Close must be
@@ -49,10 +51,35 @@
 // Load returns the calls that run and wait at the target over its slots, if
 // the far node told.
 func (a *Answer) Load() (float64, bool) {
-	load, err := strconv.ParseFloat(a.load, 64)
+	text, _, _ := strings.Cut(a.load, loadSeparator)
+	load, err := strconv.ParseFloat(text, 64)
 	return load, err == nil && load >= 0
 }
 
+// Service returns how long calls of this one's route usually run at the target, or 0
+// if its node did not tell.
+func (a *Answer) Service() time.Duration {
+	_, text, _ := strings.Cut(a.load, loadSeparator)
+	us, err := strconv.ParseUint(text, 10, 32)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(us) * time.Microsecond
+}
+
+// loadSeparator stands in a LoadHeader between the load and the service time.
+const loadSeparator = " "
+
+// FormatLoad returns a LoadHeader for a load and, unless it is 0, a service time.
+func FormatLoad(load float64, service time.Duration) string {
+	b := strconv.AppendFloat(nil, load, 'f', 2, 64)
+	if service > 0 {
+		b = append(b, loadSeparator...)
+		b = strconv.AppendInt(b, service.Microseconds(), 10)
+	}
+	return string(b)
+}
+
 // Version returns the version of the configuration that the far node holds, or 0
 // if it did not tell.
 func (a *Answer) Version() uint64 { return a.version }
--- a/internal/traffic/hop/header.go
+++ b/internal/traffic/hop/header.go
@@ -20,7 +20,8 @@
 	// header, since each costs its reader as much as the rest of a small head.
 	MetaHeader = "Bl-Call"
 	// LoadHeader holds, on answers, the calls that run and wait at the target's
-	// node over its slots.
+	// node over its slots, and how many microseconds calls of the route usually run
+	// there.
 	LoadHeader = "Bl-Load"
 	// VersionHeader holds, on answers, the version of the configuration that the
 	// answering node holds.
--- a/internal/traffic/target/admit.go
+++ b/internal/traffic/target/admit.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -64,11 +63,12 @@
 // Load returns what runs and waits now.
 func (s *Slots) Load() admission.Load { return s.gate.Load(s.clk.Now()) }
 
-// load returns the calls that run and wait over the slots, as answers tell it.
-func (s *Slots) load() string {
+// load returns the calls that run and wait over the slots, and how long those of a
+// route usually run, as answers tell it.
+func (s *Slots) load(route string) string {
 	l := s.Load()
 	n := l.Running(snapshot.Paying) + l.Running(snapshot.Trial) + l.Waiting(snapshot.Paying) + l.Waiting(snapshot.Trial)
-	return strconv.FormatFloat(float64(n)/float64(max(1, l.Slots())), 'f', 2, 64)
+	return hop.FormatLoad(float64(n)/float64(max(1, l.Slots())), s.gate.ServiceOf(route))
 }
 
 // Drain refuses the calls that wait, and all that come from now on.
--- a/internal/traffic/target/answer.go
+++ b/internal/traffic/target/answer.go
@@ -21,7 +21,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	c.h.meters.refused(refusal)
-	c.w.Header()[hop.LoadHeader] = []string{c.h.slots.load()}
+	c.w.Header()[hop.LoadHeader] = []string{c.h.slots.load(c.meta.Route())}
 	http1.Refuse(c.w, refusal)
 }
 
--- a/internal/traffic/target/forward.go
+++ b/internal/traffic/target/forward.go
@@ -33,7 +33,7 @@
 	if !c.h.dialect.Signed(answer) {
 		return false, 0, &hop.BadAnswerError{To: c.h.local, Reason: "a success without the target's signature"}
 	}
-	c.w.Header()[hop.LoadHeader] = []string{c.h.slots.load()}
+	c.w.Header()[hop.LoadHeader] = []string{c.h.slots.load(c.meta.Route())}
 	c.tellVersion()
 	relayed, err := hop.Relay(c.w, answer, false)
 	if err == nil {
