--- a/internal/policy/admission/mesh_test.go
+++ b/internal/policy/admission/mesh_test.go
@@ -34,6 +34,9 @@
 	domains int
 	// choose picks the target of an attempt in the balancer's place.
 	choose func(k *kind, tried []*place) *place
+	// skewed is the part of the calls that come in the first failure domain besides
+	// its share.
+	skewed float64
 	// mute keeps targets from telling how long calls run there.
 	mute bool
 }
@@ -72,7 +75,7 @@
 	inner          *kind
 	innerShare     float64
 	asked, in, got map[int]int
-	sends          int
+	sends, far     int
 }
 
 // share returns which part of the calls that began in a span of seconds got an
@@ -96,7 +99,7 @@
 // bounds are the platform's bounds on repeats: a share of the calls and some
 // besides for all senders together.
 const (
-	repeatPart, rejectPart = 0.06, 0.06
+	repeatPart, rejectPart = 0.04, 0.11
 	spare                  = 100
 )
 
@@ -175,7 +178,7 @@
 	returns := k.returns
 	var try func()
 	try = func() {
-		m.call(m.senders[m.rng.IntN(len(m.senders))], k, began, deadline, func(ok bool, after time.Duration) {
+		m.call(m.sender(), k, began, deadline, func(ok bool, after time.Duration) {
 			left := deadline.Sub(m.Now())
 			switch {
 			case ok:
@@ -192,6 +195,15 @@
 	try()
 }
 
+// sender returns the node at which a caller calls.
+func (m *mesh) sender() *sender {
+	i := m.rng.IntN(len(m.senders))
+	if m.rng.Float64() < m.skewed {
+		i -= i % m.domains
+	}
+	return m.senders[i]
+}
+
 func (m *mesh) rngUpTo(d time.Duration) time.Duration { return time.Duration(m.rng.Int64N(int64(d))) }
 
 // call carries a call as a node does: it picks, sends, and decides what follows.
@@ -238,6 +250,9 @@
 			t := m.place(k.pool, choice)
 			k.sends++
 			m.After(oneWay, func() {
+				if t.domain != s.domain {
+					k.far++
+				}
 				m.enter(t, k, began, deadline, func(o *retry.Outcome, r balance.Report) {
 					m.After(oneWay, func() {
 						s.balancer.Done(m.Now(), choice, ask, m.Now().Sub(sent), r)
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -124,13 +124,12 @@
 
 const (
 	// repeatPart and rejectPart are the parts of the mesh's retry share that
-	// repeats use, and calls that a target has rejected. A repeated call repeats
-	// the calls that it leads to, so that a service one level down gets twice as
-	// many repeats: with what it rejects, nine tenths of the share. Played with 0.2
-	// and 0.55 a day on which targets reject half of their calls served less, as
-	// fewer of the reads whose own calls had failed were repeated.
-	repeatPart = 0.3
-	rejectPart = 0.3
+	// repeats use, and calls that a target has rejected. The latter get the most: a
+	// rejection has cost nothing yet, and sending that call elsewhere may save a
+	// longer one that waits for it, while a repeat also repeats the calls that it
+	// leads to, which count one level down as well.
+	repeatPart = 0.2
+	rejectPart = 0.55
 	// sparePart is the part of what the mesh may repeat besides that its nodes may
 	// save up between them for either; the other half is for nodes that start.
 	sparePart = 0.25
