A stopping node reads the first call of a new connection and says when to come back

Cause: a node that drains answered each connection without a call in hand by 408 at once, also one that its caller had just opened.

Now such a connection's first call is read, for 200 ms at most, and refused by 503 with the time to come back. Connections that carried calls end by 408 as before, as what comes on them crosses their end. The test asked for either status; it asks for 503 now and failed before.

--- a/internal/traffic/http1/conn.go
+++ b/internal/traffic/http1/conn.go
@@ -27,11 +27,12 @@
 
 	mu     sync.Mutex
 	idle   bool
+	fresh  bool // has carried no call yet
 	cancel context.CancelCauseFunc
 }
 
 func newConn(s *Server, sh *shard, rwc net.Conn) *conn {
-	return &conn{s: s, shard: sh, rwc: rwc, remote: rwc.RemoteAddr().String(), done: make(chan struct{})}
+	return &conn{s: s, shard: sh, rwc: rwc, remote: rwc.RemoteAddr().String(), done: make(chan struct{}), fresh: true}
 }
 
 func (c *conn) run(ctx context.Context) {
@@ -80,7 +81,7 @@
 	// sees the other.
 	until := c.s.clk.Now().Add(c.s.idle)
 	if c.s.draining.Load() {
-		until = longAgo
+		until = c.lastCall()
 	}
 	_ = c.rwc.SetReadDeadline(until)
 	c.mu.Unlock()
@@ -88,7 +89,7 @@
 	_, err := c.br.Peek(1)
 
 	c.mu.Lock()
-	c.idle = false
+	c.idle, c.fresh = false, false
 	c.mu.Unlock()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.bye()
@@ -98,12 +99,27 @@
 
 var longAgo = time.Unix(1, 0)
 
+// firstCall is how long a server that stops waits for the first call of a
+// connection.
+const firstCall = 200 * time.Millisecond
+
+// lastCall returns until when a call may come on an idle connection of a server that
+// stops. Who has just opened one is about to send a call: told only that the
+// connection is closed it would try again at once, and be told the same; read and
+// refused, it is told when to come back.
+func (c *conn) lastCall() time.Time {
+	if c.fresh {
+		return c.s.clk.Now().Add(firstCall)
+	}
+	return longAgo
+}
+
 // wake makes an idle connection end.
 func (c *conn) wake() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle {
-		_ = c.rwc.SetReadDeadline(longAgo)
+		_ = c.rwc.SetReadDeadline(c.lastCall())
 	}
 }
 
--- a/internal/traffic/http1/server_test.go
+++ b/internal/traffic/http1/server_test.go
@@ -358,7 +358,7 @@
 	idle.wantEnd()
 	late := s.dial()
 	late.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-	if status, _, outcome := late.answer("GET"); status != http.StatusServiceUnavailable && status != http.StatusRequestTimeout || outcome != NotRun {
+	if status, _, outcome := late.answer("GET"); status != http.StatusServiceUnavailable || outcome != NotRun {
 		t.Errorf("new call gets %d %s", status, outcome)
 	}
 	close(release)
