--- a/internal/control/fleet/follow.go
+++ b/internal/control/fleet/follow.go
@@ -14,10 +14,9 @@
 const (
 	// watchLeast and watchMost bound how long one watch waits for news, drawn
 	// anew each time. A store that drops its history, or a connection that has
-	// gone silent, hides changes until the watch ends, on all nodes at once; with
-	// waits drawn apart one node of a dozen finds out within about a second and
-	// the others learn from its answers. Each end costs a call: 2.5 s on average
-	// are 16 calls in 40 s a node.
+	// gone silent, hides changes until the watch ends, on all readers at once; with
+	// waits drawn apart one of a few finds out within about a second and the others
+	// learn from its answers. Each end costs a call.
 	watchLeast = time.Second
 	watchMost  = 4 * time.Second
 	// watchPause follows each answer with changes, so that a row of changes
@@ -25,12 +24,11 @@
 	// time in which a version has to be in force.
 	watchPause = 250 * time.Millisecond
 	// versionPause follows a version that came alone. What is written meanwhile
-	// comes in one answer, at most two versions of a row in which one comes every
-	// 60 ms, which tells that it is one.
+	// comes in one answer, by which a row of versions is known.
 	versionPause = 100 * time.Millisecond
 	// retryFirst and retryMost bound the pause before a call to the store is
-	// made again: a store that is back is noticed within half a second, and one
-	// that is out is asked twice a second a node.
+	// made again: a store that is back is noticed soon, and one that is out is asked
+	// about twice a second by each reader.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 500 * time.Millisecond
 )
--- a/internal/control/fleet/keep.go
+++ b/internal/control/fleet/keep.go
@@ -15,9 +15,8 @@
 	// find it out at once, this only tidies up. Four renewals may be lost.
 	leaseTTL = 6 * time.Second
 	// renewEvery also finds a connection to the store that has gone silent, as
-	// a renewal that gets no answer ends all connections. Each 3 s would save 18
-	// store calls of 746 on a calm day of 13 nodes, and find a silence of the store
-	// that lasts 4 s too late for the bound on a version.
+	// a renewal that gets no answer ends all connections, in time for the bound on a
+	// version; and it is by which a node knows whether the store would answer it.
 	renewEvery = 1500 * time.Millisecond
 	// goodbye bounds the removal of the entry at a stop.
 	goodbye = 300 * time.Millisecond
--- a/internal/control/fleet/mode.go
+++ b/internal/control/fleet/mode.go
@@ -17,11 +17,10 @@
 	watching
 	// catching takes in all that the store holds until it finds no newer version.
 	//
-	// A watch brings each version of a row of changes whole. 300 routes are 120 KB
-	// in the store's text, 0.2 s on a link of 5 Mbit/s, and versions come as often
-	// as every 60 ms: each answer takes longer than the one before, until one
-	// outlasts its watch and the next one starts from the same change. A node on
-	// such a link came to its version 2.7 s late; reading brings just the newest.
+	// A watch brings each version of a row of changes whole. Where they come faster
+	// than a narrow link carries them, each answer takes longer than the one before,
+	// until one outlasts its watch and the next one starts from the same change, and
+	// the node is seconds late; reading brings just the newest.
 	catching
 )
 
@@ -34,8 +33,8 @@
 }
 
 // rowVersions is how many versions in one answer of a watch are taken for a row
-// of changes: one alone is a usual change, and reading it would cost a call and
-// 120 KB more a node.
+// of changes: one alone is a usual change, and reading it would cost one more call
+// and all of the configuration.
 const rowVersions = 2
 
 // next returns the mode that follows an answer.
--- a/internal/control/peer/follow.go
+++ b/internal/control/peer/follow.go
@@ -17,8 +17,8 @@
 	pollWait = membership.Heartbeat
 	// relayWait is the same for a node that others pull from. Their heartbeats
 	// wait for its next poll, at up to three relays on the way to the root; at a
-	// whole heartbeat each, a living member would be heard of only after 16 s
-	// and be claimed silent at 10 s, over and over.
+	// whole heartbeat each, a living member would be claimed silent before it is
+	// heard of, over and over.
 	relayWait = membership.Heartbeat / 3
 	// rejoinEvery is how often a node that nobody is above looks for others of
 	// its domain that it does not know: two that started apart must meet.
--- a/internal/log/event/budget.go
+++ b/internal/log/event/budget.go
@@ -8,17 +8,15 @@
 )
 
 const (
-	// linesASecond is what each kind of event may write: a node of the users'
-	// deployments refuses some 25 calls a second when it is saturated, and twice
-	// that is 15 KB/s.
+	// linesASecond is what each kind of event may write: more than a saturated node
+	// refuses calls, and little beside what its log may take.
 	linesASecond = 50
 	// linesAtOnce is what may come in one moment, as when a target ends with all
 	// its calls.
 	linesAtOnce = 200
 	// endsASecond and endsAtOnce are for the line that tells how a call ended
 	// without an answer: it is what an engineer who has the call's id looks for, so
-	// that it is left out last. On the most loaded days a node ends some 70 a
-	// second in the worst seconds; 300 are 120 KB/s and 2 ms of a processor.
+	// that it is left out last.
 	endsASecond = 300
 	endsAtOnce  = 2000
 )
--- a/internal/policy/admission/queue.go
+++ b/internal/policy/admission/queue.go
@@ -89,8 +89,7 @@
 // higher rank, the last of those whose leaving does, or -1.
 //
 // Without it an urgent call would be refused beside a full queue of others that
-// may wait. Where it is part of a call that runs elsewhere, all of that is lost:
-// 311 such calls on a day on which one target of three was left.
+// may wait. Where it is part of a call that runs elsewhere, all of that is lost.
 func (q *queue) outranked(newcomer *call) int {
 	for i := len(q.calls) - 1; i >= 0 && q.calls[i].rank > newcomer.rank; i-- {
 		if q.calls[i].long || !newcomer.long {
--- a/internal/policy/admission/wait.go
+++ b/internal/policy/admission/wait.go
@@ -9,14 +9,13 @@
 	queuePerSlot = 2
 	// maxQueue bounds the scan for the next call on a target with many slots.
 	maxQueue = 256
-	// mostService is how many times its mean a service time is for nine in ten
-	// calls, where they vary as the users' do (log-normal, a spread of 0.8).
+	// mostService is how many times its mean a service time is at most for nine in
+	// ten calls, where they vary by about as much as the mean.
 	mostService = 2
 	// shortPart is up to which part of the usual service time a call is short.
 	shortPart = 2.0 / 3
 	// refillSlots is how many slots a waiting call may outlast: with one call for
-	// each of the next two, a target with a dozen slots is idle for under 1% of
-	// its time when it is saturated.
+	// each of the next two, a saturated target is hardly ever idle.
 	refillSlots = 2
 )
 
--- a/internal/policy/balance/pool.go
+++ b/internal/policy/balance/pool.go
@@ -11,9 +11,7 @@
 	// spillAt is the utilisation of the better of two near targets beyond
 	// which farther ones are looked at too: half as many calls wait as run. Less
 	// than that is gone within half a service time, and its node refuses whom it
-	// would make late, who then go far. At 1.0, where the first call waits, mean
-	// worth of eight loaded days was 0.625 beside 0.631, as more calls paid the way
-	// between failure domains for a wait of some milliseconds.
+	// would make late, who then go far.
 	spillAt = 1.5
 	// farCost is how many times a farther target's cost counts, for the bytes on
 	// the way.
--- a/internal/policy/balance/suspicion.go
+++ b/internal/policy/balance/suspicion.go
@@ -13,9 +13,9 @@
 	// mostFailing keeps the test decided where all of a pool fails.
 	mostFailing = 0.9
 	// ejectOdds is how many times likelier it must be that the target is ill than
-	// that it fails as its pool does: a healthy one is then ejected about once in
-	// a thousand calls that fail, and an ill one beside healthy ones after three
-	// failures in a row, as two are 25.5 * 25.5 = 650 times likelier.
+	// that it fails as its pool does: a healthy one is then ejected about once in so
+	// many calls that fail, and an ill one beside healthy ones after three failures
+	// in a row.
 	ejectOdds = 1000
 )
 
@@ -25,10 +25,7 @@
 // Runs fail because a call that they make is refused, on all targets of a pool
 // alike while the pool below is full. Judged by its own failures alone, each
 // target in turn is taken out, the rest get its calls, and callers are refused
-// with slots free: 1,800 calls of the users' most loaded day. A target that is ill
-// stands out among its like. Played at four fifths of three targets' slots, with
-// three calls in ten failing on each, lines of 107 calls form without it, and of 15
-// with it.
+// with slots free. A target that is ill stands out among its like.
 type suspicion struct {
 	usual float64 // part of its calls that the target fails
 	odds  float64 // logarithm of how much likelier "ill" is than "as the others"
--- a/internal/policy/patience/tracker.go
+++ b/internal/policy/patience/tracker.go
@@ -7,11 +7,10 @@
 )
 
 const (
-	// window is how many calls of a route are remembered: a quarter of a second
-	// of the users' busiest routes at one node, and enough to rank them.
+	// window is how many calls of a route are remembered, enough to rank them.
 	window = 32
-	// outliers is how many of them, at either end, are set aside: one caller in
-	// twenty-five allows far more than its like, and three in 32 may.
+	// outliers is how many of them, at either end, are set aside: a few callers
+	// allow far more than their like.
 	outliers = 3
 	// noise is what a fresh call loses on its way.
 	noise = 20 * time.Millisecond
@@ -27,7 +26,7 @@
 // that came on new ones, of which some have come back.
 type route struct{ kept, opened sample }
 
-// maxRoutes bounds the memory to some 600 KB; beyond it all is learned anew.
+// maxRoutes bounds the memory; beyond it all is learned anew.
 const maxRoutes = 1024
 
 // NewTracker returns a tracker that knows nothing.
@@ -37,9 +36,9 @@
 // has been waiting: 0 for a fresh call, or while too few are known.
 //
 // A caller that comes back opens a connection, so a call on a kept one is fresh
-// whatever it allows. Callers differ in what they allow; judged by that alone,
-// with a spread of 15 % a third of the fresh calls passed for late ones, were
-// placed behind those and refused without need.
+// whatever it allows. Callers differ in what they allow; judged by that alone, many
+// fresh calls would pass for late ones, be placed behind those and refused without
+// need.
 func (t *Tracker) Waited(name string, allowed time.Duration, kept bool) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/process/resident/run.go
+++ b/internal/process/resident/run.go
@@ -15,12 +15,10 @@
 	// unanswered before callers stay away, and one more may be on its way.
 	leaveNotice = 2500 * time.Millisecond
 	// leaveWord is how long before the end of that time the other nodes are told
-	// to send this one's target nothing more: a watch that waits hears of it within
-	// some ten milliseconds, and those that have not heard are refused and go
-	// elsewhere. The target is well while its node stops; if it took no calls for
-	// all of the notice, a pool of three would be without a third of its slots
-	// for 2.5 s at each of its planned stops. Over ten loaded days mean worth rose
-	// from 0.565 to 0.577 with half a second here.
+	// to send this one's target nothing more; those that have not heard by then are
+	// refused and go elsewhere. The target is well while its node stops: if it took
+	// no calls for all of the notice, a small pool would be without much of its
+	// slots at each planned stop.
 	leaveWord = 100 * time.Millisecond
 	// lastWord is kept of the time that a stop may take for what follows the
 	// last call: the entry's removal and the process's end.
--- a/internal/traffic/http1/server.go
+++ b/internal/traffic/http1/server.go
@@ -18,9 +18,8 @@
 	// common servers take.
 	maxHeadBytes = 16 << 10
 	// usualHead is the buffer that a connection begins with, and goes on with
-	// until a head does not fit in. Heads are some 300 bytes long; of a node whose
-	// callers open a connection for each try, 16 KiB for each were a third of
-	// its memory on a loaded day.
+	// until a head does not fit in. Callers open a connection for each try, and
+	// the longest head for each would be much of a small node's memory.
 	usualHead = 2 << 10
 	// headTimeout is for a head to come whole once it has begun; ample for a
 	// client 150 ms away that loses a packet twice.
@@ -35,10 +34,8 @@
 	// defaultMaxBody bounds one request body. Bodies are streamed, so it is no
 	// matter of memory but of how long one call may hold a slot.
 	defaultMaxBody = 64 << 20
-	// watchPeriod is how soon a peer's leaving is noticed. A tick costs a
-	// process that has slept about 100 us, so 20 a second stay at a fifth of a
-	// percent of a core; a call that its caller has left holds its slot for two
-	// periods at most.
+	// watchPeriod is how soon a peer's leaving is noticed, at little processor time;
+	// a call that its caller has left holds its slot for two periods at most.
 	watchPeriod = 50 * time.Millisecond
 	// lingerTimeout is how long a closed connection takes what its peer had
 	// already sent. Closing with bytes unread makes the kernel send a reset,
