--- a/internal/control/peer/children.go
+++ b/internal/control/peer/children.go
@@ -144,10 +144,14 @@
 		return
 	}
 	n.log.Emit(event.InstanceLost, event.F("instance", instance))
-	claim := membership.NewRecord(r.Instance(), membership.Domain(r.Domain()), membership.Pool(r.Pool()),
-		membership.Address(r.Address()), membership.Peer(r.Peer()), membership.Boot(r.Boot()),
-		membership.Seq(r.Seq()), membership.InState(membership.Suspect))
 	// The claim is this node's word: as the instance's own it would not be sent
 	// to the instance, which could then not refute it.
-	n.mergeFrom(claim, n.Self().Instance())
+	n.mergeFrom(suspected(r), n.Self().Instance())
+}
+
+// suspected returns the claim that an instance has fallen silent since an announcement.
+func suspected(r membership.Record) membership.Record {
+	return membership.NewRecord(r.Instance(), membership.Domain(r.Domain()), membership.Pool(r.Pool()),
+		membership.Address(r.Address()), membership.Peer(r.Peer()), membership.Boot(r.Boot()),
+		membership.Seq(r.Seq()), membership.InState(membership.Suspect))
 }
--- a/internal/control/peer/follow.go
+++ b/internal/control/peer/follow.go
@@ -151,7 +151,7 @@
 			continue
 		}
 		if s.at.domain == n.view.Domain() {
-			n.sendUp(ctx, s.at, []membership.Record{n.Self()})
+			n.sendUp(ctx, s.at, n.introduction(s.at))
 		} else if own {
 			// A seed of another domain helps, but does not speak for this one.
 			continue
@@ -161,6 +161,18 @@
 	return false
 }
 
+// introduction returns what a node that joins tells who answered: itself, and that it
+// holds the other for silent if it does. Nobody may follow this node, and then the
+// other would never hear of the claim and could not refute it: this node would go on
+// as the root of a failure domain of one.
+func (n *Node) introduction(to parent) []membership.Record {
+	records := []membership.Record{n.Self()}
+	if held, ok := n.view.Record(to.domain, to.name); ok && held.State() == membership.Suspect {
+		records = append(records, held)
+	}
+	return records
+}
+
 // knows reports whether a listed node is a live member already.
 func (n *Node) knows(p parent) bool {
 	if p.name == "" {
