--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -307,6 +307,18 @@
 	r.sees("n1", "n1", "n2")
 }
 
+func TestAnEntryIsReadAsItWasWritten(t *testing.T) {
+	t.Parallel()
+	here := netip.MustParseAddrPort("127.0.0.1:7600")
+	want := membership.NewRecord("n1", membership.Domain("a"), membership.Pool("quotes"), membership.Boot(900), membership.Seq(9),
+		membership.Address(here), membership.Peer(here), membership.InState(membership.Ready), membership.Target("n1-target"),
+		membership.Slots(11), membership.Crash("a crash"), membership.Link(100))
+	got, err := decode(MembersPrefix+"n1", encode(want))
+	if err != nil || got != want {
+		t.Errorf("%+v is read as %+v, %v", want, got, err)
+	}
+}
+
 func TestEntriesOfOthersAreNoEntries(t *testing.T) {
 	t.Parallel()
 	for _, text := range []string{
--- a/internal/policy/balance/pool.go
+++ b/internal/policy/balance/pool.go
@@ -59,7 +59,7 @@
 	best, bestCost := (*target)(nil), math.Inf(1)
 	near := false
 	for i, tier := range p.tiers {
-		t, cost := p.few(at, tier, a, tried)
+		t, cost := p.cheapest(at, tier, a, tried)
 		if i > 0 {
 			if near && t != nil && t.utilisation(at) > spillAt {
 				// Full there too: it would only carry the refusal about.
@@ -97,11 +97,11 @@
 	return false
 }
 
-// few draws some targets and returns the cheapest. One that is always the
+// cheapest draws some targets and returns the cheapest. One that is always the
 // cheapest of all by lagging knowledge would get every caller's calls at once;
 // the cheapest of a few random ones gets a few times its share at most. A target to
 // probe is taken when it is drawn, or its old failures would keep it out for good.
-func (p *pool) few(at int64, tier []*target, a Ask, tried []Picked) (*target, float64) {
+func (p *pool) cheapest(at int64, tier []*target, a Ask, tried []Picked) (*target, float64) {
 	var best *target
 	cost := math.Inf(1)
 	for range choices(tier) {
