--- a/internal/control/fleet/doc.go
+++ b/internal/control/fleet/doc.go
@@ -7,11 +7,11 @@
 // them, by long poll: what the store is asked grows with failure domains and
 // changes, and not with nodes times changes.
 //
-// There is no election. The root is who ranks first by hash among the members that
-// a node knows, as package tree has it; if nobody above a node answers, or none
-// with fresh word of the store, it reads the store itself. Two that read at once
-// cost calls and nothing else, as only greater versions and later entries are ever
-// taken over, whichever way they come.
+// There is no election. The root is who ranks first among the members that a node
+// knows, as package tree has it; if nobody above a node answers, or none with fresh
+// word of the store, it reads the store itself. Two that read at once cost calls and
+// nothing else, as only greater versions and later entries are ever taken over,
+// whichever way they come.
 //
 // What the store can't tell in time, the nodes tell each other: the readers of a
 // failure domain hear of versions from others too, a root whose store is out asks
