Readers look at the store by turns, versions also travel up, parents are asked side by side

A version was in force late on every failure domain while the store dropped its history: the watches that waited then heard nothing until they ended, on the readers of all domains at once, and each waited for a time drawn from one to four seconds. A newcomer that read a later version ranked first by what it knew, so it followed nobody and nobody knew it. Parents that stood still cost a whole time-out each, one after the other.

- rhythm: a reader ends its watch at its domain's turn, so that some reader of the fleet looks once a second, and every 0.6 s in a row of versions.
- A pull tells where its sender answers; who is asked by one that holds more fetches it.
- The next parent is asked beside one that is 0.2 s late, three at the most.
- A node whose second reading of the members fails enters if it has heard of others; it waited for the store for good.

--- a/internal/control/fleet/ask.go
+++ b/internal/control/fleet/ask.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -56,15 +57,16 @@
 	done <- ctx.Err()
 }
 
-// askHinted learns of a newer configuration that another node holds, from the nodes
-// above if they have it, as what comes from them crosses no failure domain.
+// askHinted learns of a newer configuration that another node holds, from the node
+// above if it has it, as what comes from there crosses no failure domain.
 func (f *Fleet) askHinted(ctx context.Context, hinted hint) {
 	if f.clk.Sleep(ctx, hintPause) != nil || f.Current().Version() >= hinted.version {
 		return
 	}
-	if !f.fetch(ctx, f.position().Parents(), hinted.version) {
-		f.askPeer(ctx, hinted.peer, false)
-	}
+	from := peersOf(f.position().Parents())
+	// Those further up may stand still, and each costs a wait.
+	at := min(len(from), 1)
+	f.fetch(ctx, slices.Insert(from, at, hinted.peer), hinted.version)
 }
 
 // askAny asks one other node, another one each time.
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -54,6 +54,8 @@
 	change  chan struct{}
 	applied chan struct{} // closed when the next version is in force
 
+	rhythm rhythm // only follow uses it
+
 	asks int // questions to other nodes; only ask uses it
 }
 
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -105,6 +105,15 @@
 
 // startIn starts one of a failure domain, with the store as it reaches it.
 func (r *rig) startIn(domain, name string, boot uint64, store platform.Prefixes) *spot {
+	return r.startLinked(domain, name, boot, store, 0)
+}
+
+// startWide starts one whose link is wider than the others', so that it ranks first.
+func (r *rig) startWide(domain, name string, boot uint64, store platform.Prefixes) *spot {
+	return r.startLinked(domain, name, boot, store, 1000)
+}
+
+func (r *rig) startLinked(domain, name string, boot uint64, store platform.Prefixes, link int) *spot {
 	r.t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -112,7 +121,7 @@
 	}
 	peer := netip.MustParseAddrPort(ln.Addr().String())
 	self := membership.NewRecord(name, membership.Domain(domain), membership.Pool("quotes"),
-		membership.Address(peer), membership.Peer(peer), membership.Boot(boot))
+		membership.Address(peer), membership.Peer(peer), membership.Boot(boot), membership.Link(link))
 	f := New(store, r.clk, self, configKey, decodeNumber, WithSeed(boot))
 	s := &spot{Fleet: f}
 	answers := f.Handler()
--- a/internal/control/fleet/follow.go
+++ b/internal/control/fleet/follow.go
@@ -12,13 +12,6 @@
 )
 
 const (
-	// watchLeast and watchMost bound how long one watch waits for news, drawn
-	// anew each time. A store that drops its history, or a connection that has
-	// gone silent, hides changes until the watch ends, on all readers at once; with
-	// waits drawn apart one of a few finds out within about a second and the others
-	// learn from its answers. Each end costs a call.
-	watchLeast = time.Second
-	watchMost  = 4 * time.Second
 	// watchPause follows each answer with changes, so that a row of changes
 	// costs each node four calls a second at most; an eighth of the shortest
 	// time in which a version has to be in force.
@@ -86,6 +79,7 @@
 	}
 	*after = at
 	if f.Current().Version() > before {
+		f.rhythm.version(f.clk.Now())
 		return 1, answer{versions: 1}
 	}
 	return 0, answer{}
@@ -114,7 +108,7 @@
 
 // watch takes in the changes after a revision.
 func (f *Fleet) watch(ctx context.Context, after *uint64) (int, answer) {
-	events, at, err := f.store.WatchPrefix(ctx, everything, *after, f.between(watchLeast, watchMost))
+	events, at, err := f.store.WatchPrefix(ctx, everything, *after, f.watchWait())
 	if err != nil {
 		return 0, answer{err: err}
 	}
@@ -127,6 +121,13 @@
 	return len(events), answer{versions: f.changes(events)}
 }
 
+// watchWait returns how long the next watch waits.
+func (f *Fleet) watchWait() time.Duration {
+	self, _ := f.own()
+	index, domains := f.view.domain(self.Domain())
+	return f.rhythm.wait(f.clk.Now(), index, domains)
+}
+
 // changes takes in changes and returns how many versions they held; of several
 // only the last one is read, as each holds all of the configuration.
 func (f *Fleet) changes(events []platform.Event) int {
@@ -148,6 +149,7 @@
 	}
 	if last >= 0 {
 		f.value(events[last].Value())
+		f.rhythm.version(f.clk.Now())
 	}
 	return versions
 }
--- a/internal/control/fleet/place.go
+++ b/internal/control/fleet/place.go
@@ -61,6 +61,12 @@
 		_, err := f.read(ctx, MembersPrefix)
 		if err != nil {
 			f.lostStore(ctx, err)
+			// Who is known by now came from the nodes themselves, and can be followed
+			// while the store is out.
+			if again && f.knowsOthers() {
+				close(f.entered)
+				break
+			}
 			_ = f.clk.Sleep(ctx, f.jitter(retryFirst))
 			continue
 		}
--- a/internal/control/fleet/pull.go
+++ b/internal/control/fleet/pull.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
+	"banyanlug.example/banyanlug/internal/clock/timer"
 	"banyanlug.example/banyanlug/internal/control/fleet/fleetpb"
 	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/policy/membership"
@@ -18,6 +20,10 @@
 	// after both, well within the time in which a version has to be in force.
 	pullWait  = 800 * time.Millisecond
 	pullSlack = 400 * time.Millisecond
+	// pullLate is how much longer than it is held a pull may take before another
+	// node is asked beside, of at most maxAsked.
+	pullLate = 200 * time.Millisecond
+	maxAsked = 3
 	// pullPause follows news of members, so that a row of changes goes down the
 	// tree in few answers; a level more costs a version this much.
 	pullPause = 50 * time.Millisecond
@@ -72,27 +78,22 @@
 		f.idle(ctx, changed, wait)
 		return
 	}
-	if p.at.instance != from.Instance() {
-		p.at = cursor{instance: from.Instance()}
-	}
-	resp, err := f.pullFrom(ctx, from, p.at, true)
-	now := f.clk.Now()
-	switch {
-	case ctx.Err() != nil:
-		return
-	case err != nil:
-		f.log.Emit(event.PeerLost, event.F("peer", from.Instance()), event.F("error", err))
-		p.selector.Failed(now, from.Instance())
+	a := p.ask(ctx, from)
+	if a.err != nil {
 		p.at = cursor{}
 		return
 	}
+	from, resp, now := a.from, a.resp, f.clk.Now()
+	if p.at.instance != from.Instance() {
+		p.at = cursor{instance: from.Instance()}
+	}
 	age := time.Duration(resp.GetAgeMs()) * time.Millisecond
 	f.age.note(now, age)
 	p.selector.Answered(now, from.Instance(), age)
 	p.at.epoch, p.at.change = resp.GetEpoch(), resp.GetCursor()
 	f.members(resp, from)
 	told := resp.GetVersion()
-	if told > f.Current().Version() && !f.fetch(ctx, append([]membership.Record{from}, position.Parents()...), told) {
+	if told > f.Current().Version() && !f.fetch(ctx, append([]netip.AddrPort{from.Peer()}, peersOf(position.Parents())...), told) {
 		// Asked again at once, who can't hand out what it tells of is asked without end.
 		_ = f.clk.Sleep(ctx, fetchPause)
 	}
@@ -101,6 +102,71 @@
 	}
 }
 
+// pulled is what came of one pull.
+type pulled struct {
+	from membership.Record
+	resp *fleetpb.PullResponse
+	err  error
+}
+
+// ask pulls from a parent, and from further ones beside it while none answers: of
+// several that stand still each would else cost a whole time-out, in a row. It
+// returns the first answer, or a failure if no parent has any.
+func (p *puller) ask(ctx context.Context, first membership.Record) pulled {
+	f := p.f
+	answers := make(chan pulled, maxAsked)
+	var asked sync.WaitGroup
+	defer asked.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	pending := map[string]bool{}
+	start := func(from membership.Record) *timer.Subscription {
+		at := cursor{}
+		if p.at.instance == from.Instance() {
+			at = p.at
+		}
+		pending[from.Instance()] = true
+		asked.Go(func() {
+			resp, err := f.pullFrom(ctx, from, at, true)
+			answers <- pulled{from, resp, err}
+		})
+		return f.clk.After(patience(at))
+	}
+	late, last := start(first), first
+	for {
+		select {
+		case a := <-answers:
+			if a.err == nil || ctx.Err() != nil {
+				late.Stop()
+				return a
+			}
+			f.log.Emit(event.PeerLost, event.F("peer", a.from.Instance()), event.F("error", a.err))
+			p.selector.Failed(f.clk.Now(), a.from.Instance())
+			delete(pending, a.from.Instance())
+			if len(pending) == 0 {
+				late.Stop()
+				return a
+			}
+		case <-late.C():
+			p.selector.Failed(f.clk.Now(), last.Instance())
+			next, _ := p.selector.Next(f.clk.Now())
+			if next.Instance() == "" || pending[next.Instance()] || len(pending) == maxAsked {
+				continue
+			}
+			late, last = start(next), next
+		}
+	}
+}
+
+// patience returns how long a pull may go without an answer before another node is
+// asked beside. One from the start of the changes is answered at once.
+func patience(at cursor) time.Duration {
+	if at.epoch == 0 {
+		return pullLate
+	}
+	return pullWait + pullLate
+}
+
 // idle waits for a change of the members, or for a time if there is one.
 func (f *Fleet) idle(ctx context.Context, changed <-chan struct{}, wait time.Duration) {
 	if wait <= 0 {
@@ -123,10 +189,11 @@
 func (f *Fleet) pullFrom(ctx context.Context, from membership.Record, at cursor, members bool) (*fleetpb.PullResponse, error) {
 	ctx, cancel := f.clk.WithTimeout(ctx, pullWait+pullSlack)
 	defer cancel()
+	self, _ := f.own()
 	client := fleetpb.NewFleetProtobufClient("http://"+from.Peer().String(), f.kept)
 	return client.Pull(ctx, &fleetpb.PullRequest{
 		Version: f.Current().Version(), Epoch: at.epoch, Cursor: at.change,
-		WaitMs: uint32(pullWait.Milliseconds()), Members: members,
+		WaitMs: uint32(pullWait.Milliseconds()), Members: members, Peer: self.Peer().String(),
 	})
 }
 
@@ -161,17 +228,26 @@
 	}
 }
 
+// peersOf returns where nodes answer others.
+func peersOf(records []membership.Record) []netip.AddrPort {
+	out := make([]netip.AddrPort, len(records))
+	for i, r := range records {
+		out[i] = r.Peer()
+	}
+	return out
+}
+
 // fetch asks nodes for a version and reports whether it is there. The next one is
 // asked as soon as one has answered without it, or is late.
-func (f *Fleet) fetch(ctx context.Context, from []membership.Record, wanted uint64) bool {
+func (f *Fleet) fetch(ctx context.Context, from []netip.AddrPort, wanted uint64) bool {
 	var asked sync.WaitGroup
 	defer asked.Wait()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	for _, r := range from {
+	for _, peer := range from {
 		answered := make(chan struct{})
 		asked.Go(func() {
-			f.askPeer(ctx, r.Peer(), false)
+			f.askPeer(ctx, peer, false)
 			close(answered)
 		})
 		late := f.clk.After(fetchLate)
--- a/internal/control/fleet/relay.go
+++ b/internal/control/fleet/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -19,6 +20,7 @@
 	if !f.synced.Load() || !f.informed() {
 		return nil, twirp.NewError(twirp.Unavailable, "this node has just started")
 	}
+	f.hearOf(r)
 	wait := f.clk.After(min(time.Duration(r.GetWaitMs())*time.Millisecond, maxPullWait))
 	defer wait.Stop()
 	for {
@@ -39,6 +41,18 @@
 	}
 }
 
+// hearOf takes in which version the asking node holds. One that has just read the
+// store may rank first by what it knows while nobody knows it yet: it follows no
+// one, and no one it, and what it read reaches the others by its own pulls alone.
+func (f *Fleet) hearOf(r *fleetpb.PullRequest) {
+	if r.GetVersion() <= f.Current().Version() {
+		return
+	}
+	if peer, err := netip.ParseAddrPort(r.GetPeer()); err == nil {
+		f.Hint(peer, r.GetVersion())
+	}
+}
+
 // informed reports whether the node has heard from those above it or reads the store
 // itself. One that has just started would else hold its first followers up, or tell
 // them that it knows nothing, while others could serve them.
--- a/internal/control/fleet/tree_test.go
+++ b/internal/control/fleet/tree_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"banyanlug.example/banyanlug/internal/control/fleet/fleetpb"
 	"banyanlug.example/banyanlug/internal/control/platform"
 	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/policy/tree"
 )
 
 var (
@@ -212,6 +214,25 @@
 	}
 }
 
+// Guards against a node that waits for the store for good, though another one has told
+// of itself: the store went out between its two readings of the members.
+func TestANodeThatHearsOfAnotherEntersWithoutTheStore(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, "n1")
+	f := r.nodes["n1"].Fleet
+	r.eventually("it has read the store", f.synced.Load)
+	r.store.set(func() { r.store.out = true })
+	f.put(membership.NewRecord("n2", membership.Domain("a"), membership.Boot(1)), 0)
+	r.eventually("it knows its place", func() bool {
+		select {
+		case <-f.entered:
+			return true
+		default:
+			return false
+		}
+	})
+}
+
 // A node that starts tells nobody of members before it knows them: its first
 // followers would take all the others for gone.
 func TestANodeThatKnowsNobodyIsNotFollowed(t *testing.T) {
@@ -225,3 +246,45 @@
 }
 
 var _ platform.Prefixes = (*reaching)(nil)
+
+// Guards against a version that only a newcomer has read: it ranks first by what it
+// knows, so it follows nobody, and the others don't know it yet.
+func TestAVersionThatOnlyAnUnknownNewcomerHasReadReachesAll(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	old := &reaching{fakeStore: r.store}
+	for i, n := range seven {
+		r.startIn("a", n, uint64(i+1), old)
+	}
+	r.begin(seven...)
+	r.reader(seven...)
+	old.cut.Store(true)
+	r.store.put(configKey, []byte("2"))
+	r.startWide("a", "n8", 8, r.store)
+	r.allHold(2, append(append([]string(nil), seven...), "n8")...)
+}
+
+// Guards against waiting for one parent after the other, each for a whole time-out:
+// two of them stand still, and the first answer has to be another one's.
+func TestParentsAreAskedSideBySide(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, seven...)
+	r.begin(seven...)
+	r.reader(seven...)
+	var f *Fleet
+	for _, n := range seven {
+		if n := r.nodes[n].Fleet; f == nil || n.position().Rank() > f.position().Rank() {
+			f = n
+		}
+	}
+	parents := f.position().Parents()
+	p := &puller{f: f, selector: tree.NewSelector(rand.New(rand.NewPCG(1, 1)))}
+	p.selector.Update(f.position())
+	for _, parent := range parents[:2] {
+		r.nodes[parent.Instance()].still.Store(true)
+	}
+	a := p.ask(t.Context(), parents[0])
+	if a.err != nil || a.from.Instance() == parents[0].Instance() || a.from.Instance() == parents[1].Instance() {
+		t.Errorf("one of the others is to answer, got %s: %v", a.from.Instance(), a.err)
+	}
+}
--- a/internal/control/fleet/view.go
+++ b/internal/control/fleet/view.go
@@ -223,6 +223,19 @@
 	return v.list(), v.change
 }
 
+// domain returns the index of a failure domain among those of the members, in the
+// order of their names, and how many there are.
+func (v *view) domain(name string) (index, domains int) {
+	known := map[string]bool{name: true}
+	v.mu.Lock()
+	for _, m := range v.members {
+		known[m.record.Domain()] = true
+	}
+	v.mu.Unlock()
+	index, _ = slices.BinarySearch(slices.Sorted(maps.Keys(known)), name)
+	return index, len(known)
+}
+
 func (v *view) list() []membership.Record {
 	var out []membership.Record
 	for _, name := range slices.Sorted(maps.Keys(v.members)) {
