--- a/internal/policy/membership/record.go
+++ b/internal/policy/membership/record.go
@@ -53,6 +53,7 @@
 	slots    int
 	crash    string
 	link     int
+	version  string
 }
 
 // RecordOption sets one property of a record.
@@ -94,6 +95,9 @@
 // Link sets the bandwidth of the instance's own link in Mbit/s, where it is known.
 func Link(mbps int) RecordOption { return func(r *Record) { r.link = mbps } }
 
+// Version sets the version of the target's software, where it tells one.
+func Version(v string) RecordOption { return func(r *Record) { r.version = v } }
+
 // NewRecord returns an announcement by an instance.
 func NewRecord(instance string, opts ...RecordOption) Record {
 	r := Record{instance: instance, state: Starting}
@@ -137,6 +141,9 @@
 // Link returns the bandwidth of the instance's own link in Mbit/s, or 0.
 func (r Record) Link() int { return r.link }
 
+// Version returns the version of the target's software, or "".
+func (r Record) Version() string { return r.version }
+
 // Rebooted returns the record as a later boot of the instance announces it.
 func (r Record) Rebooted(boot uint64) Record {
 	r.boot = boot
--- /dev/null
+++ b/internal/policy/rollout/rollout.go
@@ -0,0 +1,230 @@
+package rollout
+
+import (
+	"slices"
+	"time"
+)
+
+// Order is an operator's order to move a pool to targets of another version.
+type Order struct {
+	pool, version string
+	duration      time.Duration
+	revision      uint64
+}
+
+// NewOrder returns an order that the store holds at a revision; the pool is to be
+// moved within a duration.
+func NewOrder(pool, version string, duration time.Duration, revision uint64) Order {
+	return Order{pool: pool, version: version, duration: duration, revision: revision}
+}
+
+// Pool returns the pool to be moved.
+func (o Order) Pool() string { return o.pool }
+
+// Version returns the version that the pool is to be moved to.
+func (o Order) Version() string { return o.version }
+
+// Duration returns how long the move may take.
+func (o Order) Duration() time.Duration { return o.duration }
+
+// Revision returns the store's revision of the order, 0 for none.
+func (o Order) Revision() uint64 { return o.revision }
+
+// State is what operators are told of a rollout.
+type State uint8
+
+// The states; Completed and RolledBack are final.
+const (
+	Pending State = iota
+	Running
+	Completed
+	RolledBack
+)
+
+// Final reports whether the rollout has been decided.
+func (s State) Final() bool { return s == Completed || s == RolledBack }
+
+// String returns the state's name in logs.
+func (s State) String() string {
+	switch s {
+	case Running:
+		return "running"
+	case Completed:
+		return "completed"
+	case RolledBack:
+		return "rolled-back"
+	default:
+		return "pending"
+	}
+}
+
+// Status is what operators have been told, of which version.
+type Status struct {
+	state    State
+	version  string
+	revision uint64
+}
+
+// NewStatus returns a status that the store holds at a revision.
+func NewStatus(state State, version string, revision uint64) Status {
+	return Status{state: state, version: version, revision: revision}
+}
+
+// State returns the state told.
+func (s Status) State() State { return s.state }
+
+// Version returns the version that it was told of.
+func (s Status) Version() string { return s.version }
+
+// Revision returns the store's revision of the status, 0 for none.
+func (s Status) Revision() uint64 { return s.revision }
+
+// Progress is what nodes keep in the store of an order that they carry out.
+type Progress struct {
+	order          uint64
+	began, shifted time.Time
+	barred         []string
+	revision       uint64
+}
+
+// NewProgress returns the progress of the order with a revision, which began and, if
+// not zero, was shifted to the new version at a time of day. The barred versions were
+// ordered before and have not come into force.
+func NewProgress(order uint64, began, shifted time.Time, barred []string, revision uint64) Progress {
+	return Progress{order: order, began: began, shifted: shifted, barred: barred, revision: revision}
+}
+
+// Order returns the revision of the order.
+func (p Progress) Order() uint64 { return p.order }
+
+// Began returns when the order was first seen.
+func (p Progress) Began() time.Time { return p.began }
+
+// Shifted returns when the shift to the new version began, or zero.
+func (p Progress) Shifted() time.Time { return p.shifted }
+
+// Barred returns the versions that were ordered before and have not come into force.
+func (p Progress) Barred() []string { return p.barred }
+
+// Revision returns the store's revision of the progress, 0 for none.
+func (p Progress) Revision() uint64 { return p.revision }
+
+// Rollout is what a node knows of the last order for a pool. It is a value: a change
+// makes another one.
+type Rollout struct {
+	order    Order
+	status   Status
+	progress Progress
+	halted   uint64 // the revision of an order whose version was found faulty
+}
+
+// Order returns the last order.
+func (r Rollout) Order() Order { return r.order }
+
+// Status returns what operators were told last.
+func (r Rollout) Status() Status { return r.status }
+
+// Progress returns how far the last order that nodes took on has come.
+func (r Rollout) Progress() Progress { return r.progress }
+
+// Halted returns the revision of the order whose version was found faulty, 0 for none.
+func (r Rollout) Halted() uint64 { return r.halted }
+
+// WithOrder returns the rollout after an order. The version of one that it replaces
+// undecided is barred.
+func (r Rollout) WithOrder(o Order) Rollout {
+	if o.revision <= r.order.revision {
+		return r
+	}
+	if before := r.order.version; before != "" && before != o.version && r.Stage() != StageCompleted {
+		r.progress.barred = withVersion(r.progress.barred, before)
+	}
+	r.order = o
+	return r
+}
+
+// WithStatus returns the rollout after a status.
+func (r Rollout) WithStatus(s Status) Rollout {
+	if s.revision > r.status.revision {
+		r.status = s
+	}
+	return r
+}
+
+// WithProgress returns the rollout after a progress. Versions barred once stay so.
+func (r Rollout) WithProgress(p Progress) Rollout {
+	if p.revision <= r.progress.revision {
+		return r
+	}
+	barred := p.barred
+	for _, v := range r.progress.barred {
+		barred = withVersion(barred, v)
+	}
+	r.progress = p
+	r.progress.barred = barred
+	return r
+}
+
+// WithHalt returns the rollout after the version of an order was found faulty.
+func (r Rollout) WithHalt(order uint64) Rollout {
+	r.halted = max(r.halted, order)
+	return r
+}
+
+// Merge returns what is known from both.
+func (r Rollout) Merge(other Rollout) Rollout {
+	return r.WithOrder(other.order).WithStatus(other.status).WithProgress(other.progress).WithHalt(other.halted)
+}
+
+// Covers reports whether merging other would change nothing.
+func (r Rollout) Covers(other Rollout) bool {
+	return r.order.revision >= other.order.revision && r.status.revision >= other.status.revision &&
+		r.progress.revision >= other.progress.revision && r.halted >= other.halted
+}
+
+// Stage is how far a rollout has come.
+type Stage uint8
+
+// The stages.
+const (
+	// StageNone is that of a pool without an order.
+	StageNone Stage = iota
+	// StageCanary lets a small share of the calls to the new version.
+	StageCanary
+	// StageShift lets a growing share there, up to all.
+	StageShift
+	// StageCompleted lets all calls to the new version.
+	StageCompleted
+	// StageRolledBack lets no call to it.
+	StageRolledBack
+)
+
+// Stage returns how far the rollout has come.
+func (r Rollout) Stage() Stage {
+	decided := r.status.state.Final() && r.status.version == r.order.version
+	switch {
+	case r.order.revision == 0:
+		return StageNone
+	case decided && r.status.state == Completed:
+		return StageCompleted
+	case decided, r.halted == r.order.revision, slices.Contains(r.progress.barred, r.order.version):
+		return StageRolledBack
+	case r.progress.order == r.order.revision && !r.progress.shifted.IsZero():
+		return StageShift
+	default:
+		return StageCanary
+	}
+}
+
+// Decided reports whether operators have been told the end.
+func (r Rollout) Decided() bool {
+	return r.order.revision > 0 && r.status.state.Final() && r.status.version == r.order.version
+}
+
+// withVersion returns versions with one more, in a slice of its own.
+func withVersion(versions []string, version string) []string {
+	if slices.Contains(versions, version) {
+		return versions
+	}
+	return append(slices.Clone(versions), version)
+}
