Rollouts are carried out: versions in heartbeats and entries, orders, reports, decisions

A target's version was not read from its heartbeat, so a new one got its full share of calls. A call that fails at the new version is sent again to the one in force, never to the new one twice.

No order, no cost: marks, reports and groups are empty, and one flag is read a call.

--- a/internal/control/fleet/ask.go
+++ b/internal/control/fleet/ask.go
@@ -108,6 +108,7 @@
 		}
 		f.take(b, peer.String())
 	}
+	f.rollouts(resp.GetRollouts())
 	for _, b := range append(resp.GetMembers(), resp.GetEntry()) {
 		f.second(b, peer)
 	}
--- a/internal/control/fleet/cross.go
+++ b/internal/control/fleet/cross.go
@@ -46,10 +46,11 @@
 
 // crossing is a row of pulls from the readers of one other failure domain.
 type crossing struct {
-	f       *Fleet
-	members atomic.Pointer[[]membership.Record]
-	cancel  context.CancelFunc
-	done    chan error
+	f        *Fleet
+	members  atomic.Pointer[[]membership.Record]
+	reporter reporter
+	cancel   context.CancelFunc
+	done     chan error
 }
 
 func (f *Fleet) startCrossing(ctx context.Context, members []membership.Record) *crossing {
@@ -70,7 +71,8 @@
 	for fails := 0; ctx.Err() == nil; {
 		members := *c.members.Load()
 		from := members[fails%len(members)]
-		resp, err := f.pullFrom(ctx, from, cursor{}, false)
+		resp, err := f.pullFrom(ctx, from, cursor{}, false, &c.reporter)
+		f.rollouts(resp.GetRollouts())
 		switch {
 		case err != nil:
 			fails++
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -54,6 +54,8 @@
 	change  chan struct{}
 	applied chan struct{} // closed when the next version is in force
 
+	deliveries *deliveries
+
 	rhythm rhythm // only follow uses it
 
 	asks int // questions to other nodes; only ask uses it
@@ -101,7 +103,9 @@
 		rng: rand.New(rand.NewPCG(1, 1)), view: newView(), self: self,
 		onCrash: func(string) {}, hints: make(chan hint, 1), change: make(chan struct{}, 1),
 		entered: make(chan struct{}), turned: make(chan struct{}, 1), applied: make(chan struct{}),
+		deliveries: newDeliveries(),
 	}
+	f.view.group = f.deliveries.groups
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
 	f.http = &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
 	f.kept = &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1}}
@@ -109,6 +113,7 @@
 		opt(f)
 	}
 	f.epoch = f.rng.Uint64()
+	f.deliveries.rng = rand.New(rand.NewPCG(f.rng.Uint64(), 3))
 	f.config.Store(&held{snap: snapshot.Empty(), since: clk.Now()})
 	return f
 }
@@ -144,14 +149,15 @@
 }
 
 // Announce changes what the node tells of itself; the entry is written by Run.
-// crash tells of the target's last crash, if there was one.
-func (f *Fleet) Announce(state membership.State, target string, slots int, crash string) {
+// crash tells of the target's last crash, if there was one; opts add what else is told.
+func (f *Fleet) Announce(state membership.State, target string, slots int, crash string, opts ...membership.RecordOption) {
 	f.mu.Lock()
 	r := f.self
-	f.self = membership.NewRecord(r.Instance(),
+	f.self = membership.NewRecord(r.Instance(), append([]membership.RecordOption{
 		membership.Domain(r.Domain()), membership.Pool(r.Pool()), membership.Address(r.Address()), membership.Peer(r.Peer()),
-		membership.Boot(r.Boot()), membership.Seq(r.Seq()+1), membership.InState(state),
-		membership.Target(target), membership.Slots(slots), membership.Crash(crash), membership.Link(r.Link()))
+		membership.Boot(r.Boot()), membership.Seq(r.Seq() + 1), membership.InState(state),
+		membership.Target(target), membership.Slots(slots), membership.Crash(crash), membership.Link(r.Link()),
+	}, opts...)...)
 	f.told = true
 	self := f.self
 	f.mu.Unlock()
@@ -172,7 +178,7 @@
 // then removes the entry and reports on done.
 func (f *Fleet) Run(ctx context.Context, done chan<- error) {
 	parts := []func(context.Context, chan<- error){
-		f.enter, f.afterEntry(f.follow), f.afterEntry(f.pull), f.afterEntry(f.cross), f.keep, f.ask, f.vouch,
+		f.enter, f.afterEntry(f.follow), f.afterEntry(f.pull), f.afterEntry(f.cross), f.afterEntry(f.steer), f.keep, f.ask, f.vouch,
 	}
 	ended := make(chan error, len(parts))
 	for _, part := range parts {
@@ -226,7 +232,7 @@
 // View implements fleetpb.Fleet.
 func (f *Fleet) View(_ context.Context, r *fleetpb.ViewRequest) (*fleetpb.ViewResponse, error) {
 	self, _ := f.own()
-	out := &fleetpb.ViewResponse{Entry: encode(self)}
+	out := &fleetpb.ViewResponse{Entry: encode(self), Rollouts: f.deliveries.unknownTo(nil)}
 	if r.GetMembers() {
 		for _, m := range f.view.records() {
 			out.Members = append(out.Members, encode(m))
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -122,7 +122,8 @@
 	peer := netip.MustParseAddrPort(ln.Addr().String())
 	self := membership.NewRecord(name, membership.Domain(domain), membership.Pool("quotes"),
 		membership.Address(peer), membership.Peer(peer), membership.Boot(boot), membership.Link(link))
-	f := New(store, r.clk, self, configKey, decodeNumber, WithSeed(boot))
+	f := New(store, r.clk, self, configKey, decodeNumber, WithSeed(boot),
+		WithRollouts(plainOrders{}, func() float64 { return 0.1 }))
 	s := &spot{Fleet: f}
 	answers := f.Handler()
 	srv := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
--- a/internal/control/fleet/follow.go
+++ b/internal/control/fleet/follow.go
@@ -160,7 +160,7 @@
 		f.take(v.Data(), fromStore)
 		return
 	}
-	if !strings.HasPrefix(v.Key(), MembersPrefix) {
+	if f.rolloutValue(v) || !strings.HasPrefix(v.Key(), MembersPrefix) {
 		return
 	}
 	r, err := decode(v.Key(), v.Data())
--- a/internal/control/fleet/pull.go
+++ b/internal/control/fleet/pull.go
@@ -47,6 +47,7 @@
 	f        *Fleet
 	selector *tree.Selector
 	at       cursor
+	reporter reporter
 }
 
 // cursor is a place in another node's changes of members.
@@ -91,6 +92,7 @@
 	f.age.note(now, age)
 	p.selector.Answered(now, from.Instance(), age)
 	p.at.epoch, p.at.change = resp.GetEpoch(), resp.GetCursor()
+	f.rollouts(resp.GetRollouts())
 	f.members(resp, from)
 	told := resp.GetVersion()
 	if told > f.Current().Version() && !f.fetch(ctx, append([]netip.AddrPort{from.Peer()}, peersOf(position.Parents())...), told) {
@@ -127,7 +129,7 @@
 		}
 		pending[from.Instance()] = true
 		asked.Go(func() {
-			resp, err := f.pullFrom(ctx, from, at, true)
+			resp, err := f.pullFrom(ctx, from, at, true, &p.reporter)
 			answers <- pulled{from, resp, err}
 		})
 		return f.clk.After(patience(at))
@@ -186,15 +188,30 @@
 }
 
 // pullFrom makes one pull.
-func (f *Fleet) pullFrom(ctx context.Context, from membership.Record, at cursor, members bool) (*fleetpb.PullResponse, error) {
+func (f *Fleet) pullFrom(ctx context.Context, from membership.Record, at cursor, members bool, reported *reporter) (*fleetpb.PullResponse, error) {
 	ctx, cancel := f.clk.WithTimeout(ctx, pullWait+pullSlack)
 	defer cancel()
 	self, _ := f.own()
 	client := fleetpb.NewFleetProtobufClient("http://"+from.Peer().String(), f.kept)
-	return client.Pull(ctx, &fleetpb.PullRequest{
+	reports, numbers := f.reports(reported, from.Instance())
+	resp, err := client.Pull(ctx, &fleetpb.PullRequest{
 		Version: f.Current().Version(), Epoch: at.epoch, Cursor: at.change,
-		WaitMs: uint32(pullWait.Milliseconds()), Members: members, Peer: self.Peer().String(),
+		WaitMs: uint32(f.hold().Milliseconds()), Members: members, Peer: self.Peer().String(),
+		Rollouts: f.deliveries.marks(), Reports: reports,
 	})
+	if err == nil {
+		reported.delivered(from.Instance(), numbers)
+	}
+	return resp, err
+}
+
+// hold returns how long a node above may hold a pull, which also carries the reports of
+// rollouts up.
+func (f *Fleet) hold() time.Duration {
+	if len(f.deliveries.undecided()) > 0 {
+		return steerEvery
+	}
+	return pullWait
 }
 
 // members takes in the members that an answer brings.
--- a/internal/control/fleet/relay.go
+++ b/internal/control/fleet/relay.go
@@ -21,10 +21,11 @@
 		return nil, twirp.NewError(twirp.Unavailable, "this node has just started")
 	}
 	f.hearOf(r)
+	f.deliveries.hear(r.GetReports())
 	wait := f.clk.After(min(time.Duration(r.GetWaitMs())*time.Millisecond, maxPullWait))
 	defer wait.Stop()
 	for {
-		changed, applied := f.view.changes(), f.applications()
+		changed, applied, learnt := f.view.changes(), f.applications(), f.deliveries.changes()
 		resp, news := f.answerPull(r)
 		if news {
 			return resp, nil
@@ -37,6 +38,7 @@
 			return resp, nil
 		case <-changed:
 		case <-applied:
+		case <-learnt:
 		}
 	}
 }
@@ -62,9 +64,10 @@
 func (f *Fleet) answerPull(r *fleetpb.PullRequest) (*fleetpb.PullResponse, bool) {
 	resp := &fleetpb.PullResponse{
 		Version: f.Current().Version(), AgeMs: uint32(f.knowledgeAge().Milliseconds()),
+		Rollouts: f.deliveries.unknownTo(r.GetRollouts()),
 	}
 	if !r.GetMembers() {
-		return resp, resp.Version > r.GetVersion()
+		return resp, resp.Version > r.GetVersion() || len(resp.Rollouts) > 0
 	}
 	after := r.GetCursor()
 	if r.GetEpoch() != f.epoch {
@@ -75,7 +78,7 @@
 	for _, m := range changes.members {
 		resp.Members = append(resp.Members, &fleetpb.Member{Entry: encode(m.record), Revision: m.revision})
 	}
-	return resp, changes.whole || len(changes.members) > 0 || resp.Version > r.GetVersion()
+	return resp, changes.whole || len(changes.members) > 0 || resp.Version > r.GetVersion() || len(resp.Rollouts) > 0
 }
 
 // applications returns a channel that is closed when the next version is in force.
--- a/internal/control/fleet/view.go
+++ b/internal/control/fleet/view.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/policy/rollout"
 )
 
 // view is what a node knows of the members.
@@ -15,7 +16,10 @@
 	mu      sync.Mutex
 	members map[string]*member
 	pools   atomic.Pointer[map[string][]membership.Record]
-	size    atomic.Int64
+	grouped atomic.Pointer[map[string]rollout.Groups]
+	// group parts the ready targets of a pool by the versions that they run.
+	group func(pool string, records []membership.Record) rollout.Groups
+	size  atomic.Int64
 
 	change  uint64 // counts the changes of members
 	changed chan struct{}
@@ -48,6 +52,8 @@
 
 func newView() *view {
 	v := &view{members: map[string]*member{}, changed: make(chan struct{})}
+	v.group = func(_ string, records []membership.Record) rollout.Groups { return rollout.Ungrouped(records) }
+	v.grouped.Store(&map[string]rollout.Groups{})
 	v.pools.Store(&map[string][]membership.Record{})
 	return v
 }
@@ -264,7 +270,14 @@
 		}
 	}
 	old := *v.pools.Load()
+	grouped := map[string]rollout.Groups{}
 	for pool, records := range pools {
+		g := v.group(pool, records)
+		if len(g.Candidates()) > 0 {
+			grouped[pool] = g
+		}
+		records = g.Current()
+		pools[pool] = records
 		// A pool that is the same keeps its slice, so that the balancer is not
 		// told of it again.
 		if slices.Equal(old[pool], records) {
@@ -272,9 +285,20 @@
 		}
 	}
 	v.pools.Store(&pools)
+	v.grouped.Store(&grouped)
 	v.size.Store(int64(len(v.members)))
 }
 
+// regroup parts the targets anew, as what is known of rollouts has changed.
+func (v *view) regroup() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.arrange()
+}
+
+// groups returns the groups of a pool under a rollout, none of any other.
+func (v *view) groups(pool string) rollout.Groups { return (*v.grouped.Load())[pool] }
+
 // revise takes in that the store holds an instance's entry at a revision, or
 // not at all for 0.
 func (v *view) revise(r membership.Record, revision uint64) {
--- a/internal/log/event/distribution.go
+++ b/internal/log/event/distribution.go
@@ -15,6 +15,9 @@
 	MemberChanged  Code = 1211
 	MemberKept     Code = 1212
 	BootRaised     Code = 1213
+	RolloutChanged Code = 1214
+	RolloutHalted  Code = 1215
+	RolloutTold    Code = 1216
 )
 
 var distributionEvents = map[Code]Entry{
@@ -30,5 +33,8 @@
 	MemberChanged:  {Info, "another node told of its target", "nothing"},
 	BootRaised:     {Warn, "the entry that a process before this one left has a later boot; this one takes a later one still", "nothing; the machine's clock was set back"},
 	MemberKept:     {Warn, "a member whose entry the store has dropped answers and is kept", "look at the store, or at the member's way to it, if it goes on"},
+	RolloutChanged: {Info, "the node learnt of a rollout's order or of what became of it", "nothing"},
+	RolloutHalted:  {Warn, "a rollout is rolled back, as the reason says", "see docs/operators/rollouts.md"},
+	RolloutTold:    {Info, "operators were told the state of a rollout", "nothing"},
 	QuotaSeatLost:  {Warn, "node gave up the whole fleet's ledger of limits; another relay takes it", "look at the store if it goes on; failure domains keep their last shares for 15 min"},
 }
--- a/internal/policy/lifecycle/tracker.go
+++ b/internal/policy/lifecycle/tracker.go
@@ -38,6 +38,8 @@
 	sequence uint64
 	draining bool
 	slots    int
+	version  string
+	warming  bool
 }
 
 // HeartbeatOption sets one property of a heartbeat.
@@ -55,6 +57,12 @@
 // Slots sets how many calls the target runs at once.
 func Slots(n int) HeartbeatOption { return func(h *Heartbeat) { h.slots = n } }
 
+// Version sets the version of the target's software.
+func Version(v string) HeartbeatOption { return func(h *Heartbeat) { h.version = v } }
+
+// Warming tells that the target is still slow after its start.
+func Warming() HeartbeatOption { return func(h *Heartbeat) { h.warming = true } }
+
 // NewHeartbeat returns a heartbeat of the process with an id.
 func NewHeartbeat(id string, opts ...HeartbeatOption) Heartbeat {
 	h := Heartbeat{id: id, slots: 1}
@@ -73,6 +81,8 @@
 	born  uint64
 	phase Phase
 	slots int
+	// version is that of its software, "" if it tells none.
+	version string
 }
 
 // ID returns the name of the process, or "" before the first heartbeat.
@@ -87,6 +97,9 @@
 // Slots returns how many calls it runs at once.
 func (t Target) Slots() int { return t.slots }
 
+// Version returns the version of its software, or "".
+func (t Target) Version() string { return t.version }
+
 // Open reports whether the target takes calls.
 func (t Target) Open() bool { return t.phase == Serving }
 
@@ -95,6 +108,7 @@
 type Tracker struct {
 	now      Target
 	sequence uint64
+	warming  bool
 	// left are the processes that have said goodbye, by their start; a delayed
 	// heartbeat of one must not bring it back.
 	left map[string]uint64
@@ -110,14 +124,18 @@
 // Target returns what is believed now.
 func (t *Tracker) Target() Target { return t.now }
 
+// Warming reports whether the target has said last that it is still slow after its
+// start.
+func (t *Tracker) Warming() bool { return t.warming }
+
 // Hear takes in a heartbeat and reports whether it changes what is believed.
 func (t *Tracker) Hear(h Heartbeat) bool {
 	if !t.supersedes(h) {
 		return false
 	}
 	before := t.now
-	t.sequence = h.sequence
-	t.now.id, t.now.born, t.now.slots = h.id, h.born, max(1, h.slots)
+	t.sequence, t.warming = h.sequence, h.warming
+	t.now.id, t.now.born, t.now.slots, t.now.version = h.id, h.born, max(1, h.slots), h.version
 	t.now.phase = Serving
 	if h.draining {
 		t.leave()
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -56,12 +56,15 @@
 
 	bounds    atomic.Pointer[Bounds]
 	stopping  atomic.Bool
+	warming   atomic.Bool // the target says that it is still slow after its start
 	mu        sync.Mutex
 	tracker   *lifecycle.Tracker
 	lastCrash string
 	// leaving is set once the other nodes are told to stay away, closed once
 	// their calls are refused.
 	leaving, closed bool
+
+	fleetOptions []fleet.Option
 }
 
 type listeners struct{ callers, mesh, peers, admin net.Listener }
@@ -72,6 +75,14 @@
 // WithDialect sets the headers in which callers and the target speak.
 func WithDialect(d hop.Dialect) Option { return func(n *Node) { n.dialect = d } }
 
+// WithOrders makes the node carry out orders of rollouts.
+func WithOrders(o fleet.Orders) Option {
+	return func(n *Node) {
+		share := func() float64 { return n.bounds.Load().CanaryShare }
+		n.fleetOptions = append(n.fleetOptions, fleet.WithRollouts(o, share))
+	}
+}
+
 // New opens the node's addresses and wires its parts; Run starts them.
 func New(cfg *Settings, clk *timer.Service, out io.Writer, store platform.Prefixes, configKey string, decode fleet.Decoder, opts ...Option) (*Node, error) {
 	if err := cfg.Check(); err != nil {
@@ -155,7 +166,9 @@
 		membership.Address(mesh), membership.Peer(peers), membership.Boot(uint64(n.clk.Now().UnixMilli())), membership.Link(n.cfg.Link))
 	n.calls = &register{clk: n.clk, log: n.log, calls: poison.NewRegister()}
 	n.fleet = fleet.New(store, n.clk, self, configKey, decode,
-		fleet.WithLog(n.log), fleet.WithSeed(seed), fleet.OnCrash(n.calls.crashed))
+		append([]fleet.Option{
+			fleet.WithLog(n.log), fleet.WithSeed(seed), fleet.OnCrash(n.calls.crashed), fleet.WithRunning(n.runningCalls),
+		}, n.fleetOptions...)...)
 	n.budgets = retry.NewBudgets(rand.New(rand.NewPCG(seed, 4)), retry.RefusedShare(refusedShare), retry.Bounded(n.retryBounds))
 	n.hop = hop.NewClient(n.clk, hop.AskFirst(), hop.DialWithin(dialWithin))
 	n.local = hop.NewClient(n.clk, hop.UntilClosed(), hop.WithIdle(targetIdle))
@@ -170,11 +183,26 @@
 	n.slots.Beside(n.tracker.Target())
 	n.target = target.New(n.slots, local, n.local, nil, nil, n.clk,
 		target.WithLog(n.log), target.WithMetrics(n.metrics), target.WithDialect(n.dialect),
-		target.OnRefused(n.refused), target.WithVersion(n.version), target.WithDecisions(n.log))
+		target.OnRefused(n.refused), target.WithVersion(n.version), target.WithDecisions(n.log),
+		target.WithRollout(n.fleet.Admits, n.observe))
 	n.targets = target.NewServer(n.target, n.clk)
 	n.registerMetrics()
 }
 
+// Members returns how many nodes are known, this one included.
+func (n *Node) Members() int { return n.fleet.Size() }
+
+// runningCalls returns how many calls the target beside this node runs.
+func (n *Node) runningCalls() int {
+	l := n.slots.Load()
+	return l.Running(snapshot.Paying) + l.Running(snapshot.Trial)
+}
+
+// observe takes in an answer of the target beside this node.
+func (n *Node) observe(route string, took time.Duration, failed bool) {
+	n.fleet.Observe(route, took, failed, !n.warming.Load())
+}
+
 func (n *Node) version() uint64 { return n.fleet.Current().Version() }
 
 // Reload takes over settings that have changed: the bounds at once, while
@@ -204,7 +232,11 @@
 // Hear takes in a heartbeat of the target. Once it returns, no call is passed
 // on to a target that has said that it drains.
 func (n *Node) Hear(h lifecycle.Heartbeat) {
-	n.follow(func() bool { return n.tracker.Hear(h) })
+	n.follow(func() bool {
+		changed := n.tracker.Hear(h)
+		n.warming.Store(n.tracker.Warming())
+		return changed
+	})
 }
 
 // Goodbye takes in that a target's process leaves.
@@ -243,7 +275,7 @@
 	case lifecycle.Leaving:
 		state = membership.Draining
 	}
-	n.fleet.Announce(state, t.ID(), t.Slots(), n.lastCrash)
+	n.fleet.Announce(state, t.ID(), t.Slots(), n.lastCrash, membership.Version(t.Version()))
 }
 
 // leave lets the other nodes know that this one is about to take no further call
@@ -253,7 +285,7 @@
 	defer n.mu.Unlock()
 	n.leaving = true
 	t := n.tracker.Target()
-	n.fleet.Announce(membership.Draining, t.ID(), t.Slots(), n.lastCrash)
+	n.fleet.Announce(membership.Draining, t.ID(), t.Slots(), n.lastCrash, membership.Version(t.Version()))
 }
 
 // close refuses the calls that wait for the target and all that come from now on;
--- a/internal/process/resident/settings.go
+++ b/internal/process/resident/settings.go
@@ -33,6 +33,9 @@
 	// share of the calls of a service, from 0 to 1, and some besides.
 	RetryShare float64
 	RetrySpare int
+	// CanaryShare bounds the share of a pool's calls that go to a version which is
+	// rolled out before it has proved itself; 0 leaves orders of rollouts alone.
+	CanaryShare float64
 }
 
 // Check returns the first setting that can't be used as a SettingError.
--- a/internal/traffic/caller/errors.go
+++ b/internal/traffic/caller/errors.go
@@ -125,7 +125,7 @@
 // not there any more.
 func (e *RefusedError) load() bool {
 	switch e.Refusal.Type {
-	case hop.KindDraining, hop.KindWrongPool, hop.KindWrongInstance, hop.KindConnectionClosed, hop.KindUnreachable, hop.KindNotOfTheFleet:
+	case hop.KindDraining, hop.KindSuperseded, hop.KindWrongPool, hop.KindWrongInstance, hop.KindConnectionClosed, hop.KindUnreachable, hop.KindNotOfTheFleet:
 		return false
 	default:
 		return true
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -40,6 +40,16 @@
 	Fallback(pool string) []membership.Record
 }
 
+// Staged is a Directory of pools whose next version is rolled out.
+type Staged interface {
+	Directory
+	// Candidates returns the targets of the next version if the next call goes there,
+	// and a name that tells them from the pool's other targets.
+	Candidates(pool string) (name string, targets []membership.Record)
+	// Reached notes that a call reached a target of the pool.
+	Reached(pool string)
+}
+
 // DefaultMaxDepth is the deepest that the users' services call each other.
 const DefaultMaxDepth = 11
 
--- a/internal/traffic/caller/pick.go
+++ b/internal/traffic/caller/pick.go
@@ -16,6 +16,9 @@
 // pick chooses the target of the next attempt.
 func (c *call) pick() (balance.Picked, error) {
 	pool, _ := c.snap.Pool(c.rt.Pool())
+	if p, ok := c.pickCandidate(pool); ok {
+		return p, nil
+	}
 	p, err := c.pickFrom(pool.Name(), pool.Slots(), c.h.directory.Targets(pool.Name()))
 	if last, ok := c.h.directory.(Fallback); ok && err != nil {
 		if others := last.Fallback(pool.Name()); len(others) > 0 {
@@ -25,6 +28,22 @@
 	return p, err
 }
 
+// pickCandidate chooses a target of a version that is rolled out, if the call is one of
+// those that go there. What fails there is sent to the version in force, and not again
+// to one that is not proved yet.
+func (c *call) pickCandidate(pool snapshot.Pool) (balance.Picked, bool) {
+	staged, ok := c.h.directory.(Staged)
+	if !ok || len(c.tried) > 0 {
+		return balance.Picked{}, false
+	}
+	name, targets := staged.Candidates(pool.Name())
+	if len(targets) == 0 {
+		return balance.Picked{}, false
+	}
+	p, err := c.pickFrom(name, pool.Slots(), targets)
+	return p, err == nil
+}
+
 // fallbackSuffix keeps what the balancer knows of a pool's fallback apart; no
 // pool's name holds a space.
 const fallbackSuffix = " fallback"
@@ -138,6 +157,9 @@
 	switch e.Refusal.Type {
 	case hop.KindDraining, hop.KindWrongPool, hop.KindWrongInstance:
 		return balance.Leaving()
+	case hop.KindSuperseded:
+		// A rollback may bring it back into force.
+		return balance.Cancelled()
 	case hop.KindDisplaced:
 		return balance.Shed(balance.ForOrganisation, e.Refusal.RetryAfter)
 	case hop.KindQueueFull, hop.KindTooLate, hop.KindOutranked, hop.KindNoTrialSlots:
--- a/internal/traffic/caller/send.go
+++ b/internal/traffic/caller/send.go
@@ -133,6 +133,9 @@
 		c.report(a.from, a.began, nil, err)
 		return result{}, err
 	}
+	if staged, ok := c.h.directory.(Staged); ok {
+		staged.Reached(c.rt.Pool())
+	}
 	if status := a.answer.Status(); status >= http.StatusInternalServerError && c.rt.Idempotent() {
 		c.held.drop(c)
 		c.held = a
--- a/internal/traffic/hop/kind.go
+++ b/internal/traffic/hop/kind.go
@@ -12,6 +12,8 @@
 	KindWrongPool = "wrong-pool"
 	// KindWrongInstance is a process that is no longer the target's.
 	KindWrongInstance = "wrong-instance"
+	// KindSuperseded is a target whose version has been replaced or rolled back.
+	KindSuperseded = "superseded"
 	// KindDisplaced is a waiting call that made room for another organisation's.
 	KindDisplaced = "displaced"
 	// KindOutranked is a waiting call that made room for one of a higher rank.
--- a/internal/traffic/target/admit.go
+++ b/internal/traffic/target/admit.go
@@ -192,6 +192,9 @@
 }
 
 func (c *call) admit() (admission.Ticket, error) {
+	if !c.h.admits() {
+		return admission.Ticket{}, &RefusedError{Reason: hop.KindSuperseded}
+	}
 	return c.h.slots.enter(c.r.Context(), c.meta, c.until)
 }
 
--- a/internal/traffic/target/forward.go
+++ b/internal/traffic/target/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"strconv"
 	"syscall"
 	"time"
@@ -21,8 +22,12 @@
 	}()
 	sent := c.h.clk.Now()
 	answer, err := c.h.client.Do(c.r.Context(), c.h.local, c.toTarget(), c.until)
-	c.h.meters.of(c.meta).work.Update(c.h.clk.Since(sent).Seconds())
+	took := c.h.clk.Since(sent)
+	c.h.meters.of(c.meta).work.Update(took.Seconds())
 	if err != nil {
+		if ran(err) {
+			c.h.observe(c.meta.Route(), took, true)
+		}
 		c.h.tellRefused(c.meta.Instance(), err)
 		return false, 0, err
 	}
@@ -31,11 +36,15 @@
 		return false, 0, &TargetRefusedError{Status: answer.Status()}
 	}
 	if !c.h.dialect.Signed(answer) {
+		c.h.observe(c.meta.Route(), took, true)
 		return false, 0, &hop.BadAnswerError{To: c.h.local, Reason: "a success without the target's signature"}
 	}
 	c.w.Header()[hop.LoadHeader] = []string{c.h.slots.load(c.meta.Route())}
 	c.tellVersion()
 	relayed, err := hop.Relay(c.w, answer, false)
+	if err == nil || ran(err) {
+		c.h.observe(c.meta.Route(), took, err != nil || answer.Status() >= http.StatusInternalServerError)
+	}
 	if err == nil {
 		c.tellAnswer(answer.Status())
 	}
@@ -80,6 +89,16 @@
 	return errors.As(err, &none) || errors.As(err, &cut)
 }
 
+// ran reports whether a failure is the target's own: it ended the call, answered what
+// can't be read, or had no answer in time.
+func ran(err error) bool {
+	var (
+		bad  *hop.BadAnswerError
+		late *hop.TimeoutError
+	)
+	return brokeOff(err) || errors.As(err, &bad) || errors.As(err, &late)
+}
+
 // lookTimeout bounds a look at the target's port; on one machine it takes about a
 // millisecond.
 const lookTimeout = 100 * time.Millisecond
--- a/internal/traffic/target/handler.go
+++ b/internal/traffic/target/handler.go
@@ -31,6 +31,8 @@
 	decisions  *event.Logger // of single calls, or nil
 	answered   atomic.Uint64
 	flights    flights
+	admits     func() bool
+	observe    func(route string, took time.Duration, failed bool)
 	looking    atomic.Bool
 }
 
@@ -47,6 +49,12 @@
 // connections; f must not block.
 func OnRefused(f func(instance string)) Option { return func(h *Handler) { h.onRefused = f } }
 
+// WithRollout sets what tells whether the version of the target may take calls, and what
+// is told of its answers.
+func WithRollout(admits func() bool, observe func(route string, took time.Duration, failed bool)) Option {
+	return func(h *Handler) { h.admits, h.observe = admits, observe }
+}
+
 // WithDecisions sets where what is decided of single calls is written.
 func WithDecisions(l *event.Logger) Option { return func(h *Handler) { h.decisions = l } }
 
@@ -67,6 +75,7 @@
 func New(slots *Slots, local netip.AddrPort, client *hop.Client, credential *hop.Credential, sealer *hop.Sealer, clk *timer.Service, opts ...Option) *Handler {
 	h := &Handler{
 		slots: slots, local: local, client: client, credential: credential, sealer: sealer, clk: clk,
+		admits: func() bool { return true }, observe: func(string, time.Duration, bool) {},
 		dialect: hop.NewDialect(), onRefused: func(string) {}, guard: unguarded{}, log: event.Discard(), meters: newMeters(metrics.NewSet(), slots),
 	}
 	for _, opt := range opts {
