--- a/internal/policy/rollout/play_test.go
+++ b/internal/policy/rollout/play_test.go
@@ -48,13 +48,12 @@
 
 // outcome is what came of it.
 type outcome struct {
-	stage              Stage
-	at                 time.Duration
-	total, exposed     int
-	last, fiftieth     time.Duration
-	cut                int // calls under way at the old targets when they stop
-	reason             string
-	lastCurrent, ended time.Duration
+	stage          Stage
+	at             time.Duration
+	total, exposed int
+	last, fiftieth time.Duration
+	cut            int // calls under way at the old targets when they stop
+	reason         string
 }
 
 type running struct {
