A rollout's status is written only on the progress that it was decided on

The model of rollouts found it: a node that knew the first order completed it after another node had taken on the next one and before operators were told of that. The old targets would stop while the next version had its first calls. The status named its own revision alone; it names that of the progress as well now, in one swap.

Weighed: telling the next order before it is taken on; the model still found the case of an order written again for the same version. A version that came into force is no longer barred where its order looked replaced, and one that was rolled back is barred by the status itself, also for who has not seen the progress.

TestAnOrderThatWasReplacedIsNotCompleted failed before.

--- a/internal/control/fleet/rollout_test.go
+++ b/internal/control/fleet/rollout_test.go
@@ -213,3 +213,27 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against a node that tells the end of an order which another one has replaced,
+// after which the old targets would stop while the next version has just begun.
+func TestAnOrderThatWasReplacedIsNotCompleted(t *testing.T) {
+	t.Parallel()
+	s := newStageRig(t)
+	s.order("v2", time.Minute)
+	s.eventually("it is told to run", func() bool { return s.told().State == rollout.Running })
+	f := s.nodes["n2"].Fleet
+	var old rollout.Rollout
+	s.eventually("the other knows", func() bool {
+		old = f.deliveries.all()["quotes"]
+		return old.Status().State() == rollout.Running && old.Progress().Order() == old.Order().Revision()
+	})
+	// The next order is taken on, and operators have not been told yet.
+	p, _ := s.store.held(progressPrefix + "quotes")
+	s.store.put(progressPrefix+"quotes", p.Data())
+	if err := f.carryOut(t.Context(), "quotes", old, rollout.Complete{}); err == nil {
+		t.Error("it is completed by an old view")
+	}
+	if told := s.told(); told.State.Final() {
+		t.Errorf("told %+v", told)
+	}
+}
--- a/internal/control/fleet/steer.go
+++ b/internal/control/fleet/steer.go
@@ -75,26 +75,29 @@
 
 // carryOut makes the store hold what a step has decided.
 func (f *Fleet) carryOut(ctx context.Context, pool string, known rollout.Rollout, step rollout.Step) error {
+	var err error
 	o, p := known.Order(), known.Progress()
 	switch step.(type) {
 	case rollout.Begin:
 		if p.Order() != o.Revision() {
-			next := rollout.NewProgress(o.Revision(), f.clk.Now(), time.Time{}, p.Barred(), 0)
-			if err := f.writeProgress(ctx, pool, p, next); err != nil {
-				return err
-			}
+			known, err = f.writeProgress(ctx, pool, known, rollout.NewProgress(o.Revision(), f.clk.Now(), time.Time{}, p.Barred(), 0))
+		}
+		if err != nil {
+			return err
 		}
 		return f.writeStatus(ctx, pool, known, rollout.Running)
 	case rollout.Shift:
-		return f.writeProgress(ctx, pool, p, rollout.NewProgress(o.Revision(), p.Began(), f.clk.Now(), p.Barred(), 0))
+		_, err = f.writeProgress(ctx, pool, known, rollout.NewProgress(o.Revision(), p.Began(), f.clk.Now(), p.Barred(), 0))
+		return err
 	case rollout.Complete:
 		return f.writeStatus(ctx, pool, known, rollout.Completed)
 	case rollout.RollBack:
 		if barred := p.Barred(); !slices.Contains(barred, o.Version()) {
-			next := rollout.NewProgress(o.Revision(), p.Began(), p.Shifted(), append(slices.Clone(barred), o.Version()), 0)
-			if err := f.writeProgress(ctx, pool, p, next); err != nil {
-				return err
-			}
+			barred = append(slices.Clone(barred), o.Version())
+			known, err = f.writeProgress(ctx, pool, known, rollout.NewProgress(o.Revision(), p.Began(), p.Shifted(), barred, 0))
+		}
+		if err != nil {
+			return err
 		}
 		return f.writeStatus(ctx, pool, known, rollout.RolledBack)
 	default:
@@ -102,20 +105,25 @@
 	}
 }
 
-func (f *Fleet) writeProgress(ctx context.Context, pool string, before, next rollout.Progress) error {
-	revision, err := f.store.CompareAndSwap(ctx, progressPrefix+pool, before.Revision(), encodeProgress(next))
+// writeProgress swaps the progress, and returns the rollout after it.
+func (f *Fleet) writeProgress(ctx context.Context, pool string, known rollout.Rollout, next rollout.Progress) (rollout.Rollout, error) {
+	revision, err := f.store.CompareAndSwap(ctx, progressPrefix+pool, known.Progress().Revision(), encodeProgress(next))
 	if err != nil {
-		return err
+		return known, err
 	}
 	held := rollout.NewProgress(next.Order(), next.Began(), next.Shifted(), next.Barred(), revision)
-	f.learn(pool, func(r rollout.Rollout) rollout.Rollout { return r.WithProgress(held) })
-	return nil
+	after := func(r rollout.Rollout) rollout.Rollout { return r.WithProgress(held) }
+	f.learn(pool, after)
+	return after(known), nil
 }
 
+// writeStatus swaps the status, where the progress is still what it was decided on: a
+// node with an old view could else tell the end of an order that another has replaced.
 func (f *Fleet) writeStatus(ctx context.Context, pool string, known rollout.Rollout, state rollout.State) error {
 	version := known.Order().Version()
 	key, value := f.deliveries.orders.EncodeStatus(pool, state, version)
-	revision, err := f.store.CompareAndSwap(ctx, key, known.Status().Revision(), value)
+	revision, err := f.store.CompareAndSwap(ctx, key, known.Status().Revision(), value,
+		platform.Expecting(progressPrefix+pool, known.Progress().Revision()))
 	if err != nil {
 		return err
 	}
--- a/internal/control/fleet/store_test.go
+++ b/internal/control/fleet/store_test.go
@@ -171,6 +171,11 @@
 	if now := s.values[key].Revision(); now != revision {
 		return 0, &platform.ConflictError{Key: key, Want: revision, Current: now}
 	}
+	for _, e := range platform.NewWrite(opts...).Expected() {
+		if now := s.values[e.Key()].Revision(); now != e.Revision() {
+			return 0, &platform.ConflictError{Key: e.Key(), Want: e.Revision(), Current: now}
+		}
+	}
 	lease := platform.NewWrite(opts...).Lease()
 	if s.ended[lease] {
 		return 0, &platform.LeaseExpiredError{Lease: lease}
--- a/internal/policy/rollout/rollout.go
+++ b/internal/policy/rollout/rollout.go
@@ -143,10 +143,18 @@
 	return r
 }
 
-// WithStatus returns the rollout after a status.
+// WithStatus returns the rollout after a status. A version that was rolled back is barred
+// from then on; one that has come into force is not, though its order looked replaced.
 func (r Rollout) WithStatus(s Status) Rollout {
-	if s.revision > r.status.revision {
-		r.status = s
+	if s.revision <= r.status.revision {
+		return r
+	}
+	r.status = s
+	switch s.state {
+	case RolledBack:
+		r.progress.barred = withVersion(r.progress.barred, s.version)
+	case Completed:
+		r.progress.barred = slices.DeleteFunc(slices.Clone(r.progress.barred), func(v string) bool { return v == s.version })
 	}
 	return r
 }
@@ -199,6 +207,22 @@
 	StageRolledBack
 )
 
+// String returns the stage's name in logs.
+func (s Stage) String() string {
+	switch s {
+	case StageCanary:
+		return "canary"
+	case StageShift:
+		return "shift"
+	case StageCompleted:
+		return "completed"
+	case StageRolledBack:
+		return "rolled-back"
+	default:
+		return "none"
+	}
+}
+
 // Stage returns how far the rollout has come.
 func (r Rollout) Stage() Stage {
 	decided := r.status.state.Final() && r.status.version == r.order.version
