A version is called healthy only where its answers rule out many failures

Ten answers were enough.

Nodes: a domain cut off from the store, orders that nobody runs or can read, a status written over by others.

--- a/internal/control/fleet/rollout_test.go
+++ b/internal/control/fleet/rollout_test.go
@@ -237,3 +237,55 @@
 		t.Errorf("told %+v", told)
 	}
 }
+
+// Guards against an order that is never answered, as nobody runs its version, or that is
+// taken for another one, as it can't be read.
+func TestOrdersThatCanNotBeCarriedOut(t *testing.T) {
+	t.Parallel()
+	s := newStageRig(t)
+	s.order("v9", time.Second)
+	s.eventually("it is rolled back at its end", func() bool { return s.told() == plainStatus{rollout.RolledBack, "v9"} })
+	s.store.put("order/quotes", []byte("no order"))
+	s.order("v2", time.Minute)
+	s.eventually("the next one runs", func() bool { return s.told() == plainStatus{rollout.Running, "v2"} })
+	s.store.put("order/quotes", []byte("no order"))
+	s.eventually("it goes on", func() bool { s.answer(true); return s.told() == plainStatus{rollout.RolledBack, "v2"} })
+}
+
+// Guards against a status that somebody else has written over, which no swap would match
+// any more.
+func TestAStatusThatCanNotBeReadIsReplaced(t *testing.T) {
+	t.Parallel()
+	s := newStageRig(t)
+	s.store.put("status/quotes", []byte("no status"))
+	s.order("v2", time.Minute)
+	s.eventually("it is told to run", func() bool { return s.told() == plainStatus{rollout.Running, "v2"} })
+}
+
+// Guards against a failure domain that is cut off from the others and the store and lets
+// its calls to a faulty version: it judges by what its own targets answer.
+func TestACutOffDomainStaysAwayFromAFaultyVersion(t *testing.T) {
+	t.Parallel()
+	s := newStageRig(t)
+	s.order("v2", time.Minute)
+	s.eventually("all know of it", func() bool {
+		for _, n := range s.names {
+			if s.nodes[n].deliveries.all()["quotes"].Status().State() != rollout.Running {
+				return false
+			}
+		}
+		return true
+	})
+	for _, n := range s.names {
+		s.stores[n].cut.Store(true)
+	}
+	s.eventually("nobody sends there", func() bool {
+		s.answer(true)
+		for _, n := range s.names {
+			if len(s.nodes[n].view.groups("quotes").Candidates()) > 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/internal/policy/rollout/judge.go
+++ b/internal/policy/rollout/judge.go
@@ -37,8 +37,12 @@
 	leastSpread, priorSpread = 0.05, 0.15
 	// fewTargets are too few to tell how much they differ.
 	fewTargets = 3
-	// leastAnswers is how many answers a new version needs to be called healthy.
+	// leastAnswers is how many answers a comparison of times needs.
 	leastAnswers = 10
+	// soundMargin is what a healthy version fails less than beyond the one in force, and
+	// soundDoubt the chance with which one that fails so much is called healthy.
+	soundMargin = 0.2
+	soundDoubt  = 0.05
 	// keepEvery and keepFor are how often the counts are kept to compare with, and for
 	// how long.
 	keepEvery = 500 * time.Millisecond
@@ -116,24 +120,36 @@
 // Verdict compares what has been reported up to now.
 func (j *Judge) Verdict(now time.Time) Verdict {
 	j.keep(now)
-	answers := uint64(0)
-	for _, r := range j.reports {
-		if r.version != j.order.version {
-			continue
-		}
-		for _, a := range r.routes {
-			answers += a.calls - a.failed
-		}
-	}
 	for _, w := range windows {
 		if f, ok := j.compare(now, w); ok {
 			return f
 		}
 	}
-	if answers < leastAnswers {
-		return Undecided{}
+	if j.sound() {
+		return Healthy{}
 	}
-	return Healthy{}
+	return Undecided{}
+}
+
+// sound reports whether there are answers enough to show that the new version does not
+// fail much more than the one in force.
+func (j *Judge) sound() bool {
+	candidates, current := byRoute{}, byRoute{}
+	for _, r := range j.reports {
+		if r.version == j.order.version {
+			candidates.add(r.routes)
+		} else {
+			current.add(r.routes)
+		}
+	}
+	old, all := sum(current[allRoutes]), candidates[allRoutes]
+	p := min(0.99, float64(old.failed)/max(1, float64(old.calls))+soundMargin)
+	return fewer(sum(all), p) || fewer(sum(withoutWorst(all, func(a Answers) float64 { return float64(a.failed) })), p)
+}
+
+// fewer reports whether so few failures are unlikely for a chance p each.
+func fewer(a Answers, p float64) bool {
+	return a.calls > 0 && distuv.Binomial{N: float64(a.calls), P: p}.CDF(float64(a.failed)) < soundDoubt
 }
 
 func (j *Judge) keep(now time.Time) {
--- a/internal/policy/rollout/play_test.go
+++ b/internal/policy/rollout/play_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -44,6 +45,20 @@
 	cold        time.Duration
 	slowTargets bool // the canaries are of the slow kind
 	senders     int
+	// cutOff senders, the first ones, hear nothing from cutFrom to cutUntil.
+	cutOff            int
+	cutFrom, cutUntil time.Duration
+}
+
+func (p plan) isCut(sender int) bool { return sender < p.cutOff }
+
+// hears returns when a sender hears of what was decided.
+func (p plan) hears(sender int, decided time.Duration) time.Duration {
+	at := decided + playDelay
+	if p.isCut(sender) && at >= p.cutFrom && at < p.cutUntil {
+		return p.cutUntil + playDelay
+	}
+	return at
 }
 
 // outcome is what came of it.
@@ -51,7 +66,7 @@
 	stage          Stage
 	at             time.Duration
 	total, exposed int
-	last, fiftieth time.Duration
+	last, fiftieth time.Duration // of calls by senders in touch; of bad answers
 	cut            int // calls under way at the old targets when they stop
 	reason         string
 }
@@ -101,7 +116,7 @@
 	var reports []late
 	var under []running
 	out := outcome{}
-	known, shiftAt, halted, bad := StageCanary, time.Duration(0), time.Duration(0), 0
+	shiftAt, halted, bad := time.Duration(0), time.Duration(0), 0
 	rates := make([]float64, len(records))
 	due := 0.0
 	for at := time.Duration(0); at < p.duration+5*time.Second; at += playTick {
@@ -111,18 +126,12 @@
 		due += p.rate * playTick.Seconds()
 		for ; due >= 1; due-- {
 			s := rng.IntN(p.senders)
-			stage, since := known, time.Duration(0)
-			if stage == StageShift {
-				since = at - shiftAt - playDelay
-				if since < 0 {
-					stage = StageCanary
-				}
+			stage, since := StageCanary, time.Duration(0)
+			if heard := p.hears(s, shiftAt); shiftAt > 0 && at >= heard {
+				stage, since = StageShift, at-heard
 			}
-			if known == StageRolledBack && at < halted+playDelay {
-				stage, since = StageCanary, 0
-				if shiftAt > 0 {
-					stage, since = StageShift, at-shiftAt-playDelay
-				}
+			if halted > 0 && at >= p.hears(s, halted) {
+				stage = StageRolledBack
 			}
 			share := Share(playLimit, stage, since)
 			chosen := stage == StageShift && rng.Float64() < share || stage == StageCanary && exposures[s].Take()
@@ -164,7 +173,9 @@
 				if at < p.duration {
 					out.exposed++
 				}
-				out.last = at
+				if !p.isCut(s) {
+					out.last = at
+				}
 				if wrong {
 					if bad++; bad == 50 {
 						out.fiftieth = at
@@ -176,16 +187,15 @@
 			recorders[target].Record(route, took, failed, warm)
 		}
 		if at%(250*time.Millisecond) < playTick {
+			under = slices.DeleteFunc(under, func(u running) bool { return u.ends <= at })
+			runs := make([]int, len(records))
+			for _, u := range under {
+				runs[u.target]++
+			}
 			var now []Report
 			for i, rec := range recorders {
 				routes, seq := rec.Routes()
-				run := 0
-				for _, u := range under {
-					if u.target == i && u.ends > at {
-						run++
-					}
-				}
-				now = append(now, NewReport(records[i].Instance(), records[i].Version(), 1, 10, seq+uint64(at), run, routes))
+				now = append(now, NewReport(records[i].Instance(), records[i].Version(), 1, 10, seq+uint64(at), runs[i], routes))
 			}
 			reports = append(reports, late{at + playDelay, now})
 		}
@@ -204,7 +214,7 @@
 		})
 		switch step := step.(type) {
 		case Shift:
-			known, shiftAt = StageShift, at
+			shiftAt = at
 			r = r.WithProgress(NewProgress(10, start, start.Add(at), nil, 20))
 		case Complete:
 			out.stage, out.at = StageCompleted, at
@@ -214,7 +224,7 @@
 				}
 			}
 		case RollBack:
-			known, halted = StageRolledBack, at
+			halted = at
 			out.stage, out.at, out.reason = StageRolledBack, at, step.Reason
 		}
 	}
@@ -228,6 +238,9 @@
 // seeds is how many plays there are of each kind.
 const seeds = 40
 
+// cutOffCase is the play in which some senders hear nothing of the rollback.
+const cutOffCase = "a third fail, and a quarter of the senders is cut off"
+
 // Guards against a version that is bad in one of many ways, played beside an even split
 // of the calls, which lets half of them to it.
 func TestAFaultyVersionIsRolledBackWithinItsBounds(t *testing.T) {
@@ -245,12 +258,16 @@
 		{"half fail on one route", defect{fails: 0.5, route: "bind"}},
 		{"all fail on a rare route", defect{fails: 1, route: "rare"}},
 		{"half fail under load", defect{fails: 0.5, load: 15}},
+		{cutOffCase, defect{fails: 0.33}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(seeds) {
 				p := sheet(885, 22, 22, 12*time.Second)
 				p.defect = tc.d
+				if tc.name == cutOffCase {
+					p.cutOff, p.cutFrom, p.cutUntil = p.senders/4, time.Second, 9*time.Second
+				}
 				out := play(p, seed)
 				if out.stage != StageRolledBack {
 					t.Errorf("seed %d: stage %d at %v", seed, out.stage, out.at)
