--- a/internal/policy/rollout/play_test.go
+++ b/internal/policy/rollout/play_test.go
@@ -67,7 +67,7 @@
 	at             time.Duration
 	total, exposed int
 	last, fiftieth time.Duration // of calls by senders in touch; of bad answers
-	cut            int // calls under way at the old targets when they stop
+	cut            int           // calls under way at the old targets when they stop
 	reason         string
 }
 
