--- a/internal/control/fleet/ask.go
+++ b/internal/control/fleet/ask.go
@@ -151,8 +151,8 @@
 	}
 }
 
-// vouchAll asks all that are due at once: a failure domain that is cut off takes a
-// dozen, and one after the other they took six seconds.
+// vouchAll asks all that are due at once: a failure domain that is cut off leaves many
+// unanswered, each for a whole time-out.
 func (f *Fleet) vouchAll(ctx context.Context) {
 	self, _ := f.own()
 	now := f.clk.Now()
