A call that may have run is never told 503

A stop that reaches the end of its grace ends the calls that still run with CancelledError, whose status was 503 whatever had been sent; so was that of a send that broke off, and of a last attempt refused after one that may have run.

Ruled out: the far node (its outcome was right), the connection (the call arrived whole). Statuses that promise are 502 now where refusals are written, unless the outcome is not-run. TestARefusalOfACallThatMayHaveRunPromisesNothing failed before.

--- a/internal/traffic/http1/refusal.go
+++ b/internal/traffic/http1/refusal.go
@@ -75,10 +75,25 @@
 	if r.RetryAfter > 0 {
 		h.Set("Retry-After", r.retryAfter())
 	}
-	w.WriteHeader(r.Status)
+	w.WriteHeader(r.told())
 	_, _ = w.Write(body)
 }
 
+// told returns the status that the caller gets. Some promise that the call has not run,
+// and a caller sends a binding again on their word; of one that may have run they would
+// not be true, as where a connection ends while it is being sent.
+func (r *Refusal) told() int {
+	if r.Outcome == NotRun {
+		return r.Status
+	}
+	switch r.Status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return http.StatusBadGateway
+	default:
+		return r.Status
+	}
+}
+
 // retryAfter returns the time as the header holds it.
 func (r *Refusal) retryAfter() string {
 	if r.Fractions {
--- /dev/null
+++ b/internal/traffic/http1/refusal_test.go
@@ -0,0 +1,36 @@
+package http1
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+)
+
+// Guards against a status that promises that a call has not run, where it may have: its
+// caller would send it again.
+func TestARefusalOfACallThatMayHaveRunPromisesNothing(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		status  int
+		outcome Outcome
+		want    int
+	}{
+		{http.StatusServiceUnavailable, NotRun, http.StatusServiceUnavailable},
+		{http.StatusServiceUnavailable, Unknown, http.StatusBadGateway},
+		{http.StatusTooManyRequests, NotRun, http.StatusTooManyRequests},
+		{http.StatusTooManyRequests, Unknown, http.StatusBadGateway},
+		{http.StatusRequestTimeout, Unknown, http.StatusBadGateway},
+		{http.StatusMisdirectedRequest, Unknown, http.StatusBadGateway},
+		{http.StatusGatewayTimeout, Unknown, http.StatusGatewayTimeout},
+		{http.StatusBadGateway, Unknown, http.StatusBadGateway},
+	} {
+		w := httptest.NewRecorder()
+		Refuse(w, &Refusal{Status: tc.status, Type: "any", Outcome: tc.outcome})
+		if w.Code != tc.want {
+			t.Errorf("%d %s: told %d, want %d", tc.status, tc.outcome, w.Code, tc.want)
+		}
+		if got := Outcome(w.Header().Get(OutcomeHeader)); got != tc.outcome {
+			t.Errorf("%d %s: outcome %q", tc.status, tc.outcome, got)
+		}
+	}
+}
