--- a/internal/traffic/caller/tell.go
+++ b/internal/traffic/caller/tell.go
@@ -39,7 +39,7 @@
 		c.h.log.Emit(event.CallLeft, c.identity()...)
 	default:
 		fields := append(c.identity(),
-			event.F("status", refusal.Status), event.F("cause", refusal.Type), event.F("outcome", string(refusal.Outcome)),
+			event.F("status", refusal.Told()), event.F("cause", refusal.Type), event.F("outcome", string(refusal.Outcome)),
 			event.F("detail", refusal.Message), event.F("retry_after_ms", refusal.RetryAfter.Milliseconds()))
 		var none *NoTargetError
 		if errors.As(err, &none) {
--- a/internal/traffic/http1/refusal.go
+++ b/internal/traffic/http1/refusal.go
@@ -75,14 +75,14 @@
 	if r.RetryAfter > 0 {
 		h.Set("Retry-After", r.retryAfter())
 	}
-	w.WriteHeader(r.told())
+	w.WriteHeader(r.Told())
 	_, _ = w.Write(body)
 }
 
-// told returns the status that the caller gets. Some promise that the call has not run,
+// Told returns the status that the caller gets. Some promise that the call has not run,
 // and a caller sends a binding again on their word; of one that may have run they would
 // not be true, as where a connection ends while it is being sent.
-func (r *Refusal) told() int {
+func (r *Refusal) Told() int {
 	if r.Outcome == NotRun {
 		return r.Status
 	}
