--- a/internal/control/fleet/ask.go
+++ b/internal/control/fleet/ask.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
@@ -92,7 +93,7 @@
 // askPeer takes over what a node holds that is newer, its members too if they are
 // asked for.
 func (f *Fleet) askPeer(ctx context.Context, peer netip.AddrPort, members bool) {
-	resp, err := f.viewOf(ctx, peer, f.Current().Version(), members, fetchTimeout)
+	resp, err := f.viewOf(ctx, f.kept, peer, f.Current().Version(), members, fetchTimeout)
 	if ctx.Err() != nil {
 		return // another one was faster, or the node stops
 	}
@@ -167,7 +168,7 @@
 
 // vouchFor keeps a member that answers, and takes one that doesn't for gone.
 func (f *Fleet) vouchFor(ctx context.Context, now time.Time, r membership.Record) {
-	resp, err := f.viewOf(ctx, r.Peer(), noVersion, false, askTimeout)
+	resp, err := f.viewOf(ctx, f.http, r.Peer(), noVersion, false, askTimeout)
 	if err == nil {
 		if answer, derr := decodeAny(resp.GetEntry()); derr == nil && answer.Boot() >= r.Boot() && answer.Instance() == r.Instance() {
 			f.view.put(answer, 0)
@@ -185,9 +186,9 @@
 // noVersion asks for no configuration, as there is none greater.
 const noVersion = math.MaxUint64
 
-func (f *Fleet) viewOf(ctx context.Context, peer netip.AddrPort, version uint64, members bool, timeout time.Duration) (*fleetpb.ViewResponse, error) {
+func (f *Fleet) viewOf(ctx context.Context, over *http.Client, peer netip.AddrPort, version uint64, members bool, timeout time.Duration) (*fleetpb.ViewResponse, error) {
 	ctx, cancel := f.clk.WithTimeout(ctx, timeout)
 	defer cancel()
-	client := fleetpb.NewFleetProtobufClient("http://"+peer.String(), f.http)
+	client := fleetpb.NewFleetProtobufClient("http://"+peer.String(), over)
 	return client.View(ctx, &fleetpb.ViewRequest{Version: version, Members: members})
 }
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -32,7 +32,7 @@
 	decode    Decoder
 	rng       *rand.Rand
 	http      *http.Client // for single questions
-	kept      *http.Client // for pulls, which follow one another
+	kept      *http.Client // for pulls and the versions that they tell of
 	onCrash   func(text string)
 	epoch     uint64 // of the view's changes, another one for each process
 
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -49,6 +49,8 @@
 	stop func()
 	// still makes the node answer no other, as one that stands still.
 	still atomic.Bool
+	// refuse ends the taking of connections; those there are go on.
+	refuse func()
 }
 
 // reaching is the store as one node reaches it.
@@ -136,6 +138,7 @@
 	})}
 	served, ran := make(chan error, 1), make(chan error, 1)
 	go func() { served <- srv.Serve(ln) }()
+	s.refuse = func() { _ = ln.Close() }
 	ctx, cancel := context.WithCancel(context.Background())
 	go f.Run(ctx, ran)
 	f.Announce(membership.Ready, name+"-target", 12, "")
--- a/internal/control/fleet/tree_test.go
+++ b/internal/control/fleet/tree_test.go
@@ -214,6 +214,26 @@
 	}
 }
 
+// Guards against a version that a node hears of by its pulls and can't fetch, as no new
+// connection opens to anybody: at a node with a full processor or link that takes long.
+func TestAVersionIsFetchedWithoutANewConnection(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	stores := map[string]*reaching{}
+	for i, n := range []string{"n1", "n2"} {
+		stores[n] = &reaching{fakeStore: r.store}
+		r.startIn("a", n, uint64(i+1), stores[n])
+	}
+	r.begin("n1", "n2")
+	reader := r.reader("n1", "n2")
+	other := without([]string{"n1", "n2"}, reader)[0]
+	r.eventually("it follows the reader", r.nodes[other].age.known)
+	stores[other].cut.Store(true)
+	r.nodes[reader].refuse()
+	r.store.put(configKey, []byte("2"))
+	r.allHold(2, "n1", "n2")
+}
+
 // Guards against a node that waits for the store for good, though another one has told
 // of itself: the store went out between its two readings of the members.
 func TestANodeThatHearsOfAnotherEntersWithoutTheStore(t *testing.T) {
