A parent that is followed already gets its whole time

A node under load answers late, and each node asked beside sends all members, which costs most where processors are full. Only a parent that is asked anew, which answers at once if it lives, has others asked beside it now, after 0.4 s.

--- a/internal/control/fleet/pull.go
+++ b/internal/control/fleet/pull.go
@@ -20,9 +20,7 @@
 	// after both, well within the time in which a version has to be in force.
 	pullWait  = 800 * time.Millisecond
 	pullSlack = 400 * time.Millisecond
-	// pullLate is how much longer than it is held a pull may take before another
-	// node is asked beside, of at most maxAsked.
-	pullLate = 200 * time.Millisecond
+	// maxAsked bounds the nodes above that are asked side by side.
 	maxAsked = 3
 	// pullPause follows news of members, so that a row of changes goes down the
 	// tree in few answers; a level more costs a version this much.
@@ -161,12 +159,14 @@
 }
 
 // patience returns how long a pull may go without an answer before another node is
-// asked beside. One from the start of the changes is answered at once.
+// asked beside. One from the start of the changes is answered at once. A node that is
+// followed already gets the whole time: under load it is often late, and another one
+// would send all members.
 func patience(at cursor) time.Duration {
 	if at.epoch == 0 {
-		return pullLate
+		return pullSlack
 	}
-	return pullWait + pullLate
+	return pullWait + pullSlack
 }
 
 // idle waits for a change of the members, or for a time if there is one.
