Rollouts: one comparison of what two nodes know, and no state that nothing reads

What a node lacks of a rollout was compared field by field beside Rollout.Covers, which says the same of the decoded marks. The recorder counted its answers for a play alone, whose reports take their number from the time. The canaries' order is by cmp.Compare; a trigger that moves nothing is named so; the timer of a late parent is stopped in one place.

No behaviour is changed.

--- a/internal/control/fleet/exchange.go
+++ b/internal/control/fleet/exchange.go
@@ -38,12 +38,9 @@
 	}
 	var out []*fleetpb.Rollout
 	for pool, r := range all {
-		m := byPool[pool]
-		if m.GetOrder() >= r.Order().Revision() && m.GetStatus() >= r.Status().Revision() &&
-			m.GetProgress() >= r.Progress().Revision() && m.GetHalted() >= r.Halted() {
-			continue
+		if !decodeRollout(byPool[pool]).Covers(r) {
+			out = append(out, encodeRollout(pool, r))
 		}
-		out = append(out, encodeRollout(pool, r))
 	}
 	return out
 }
@@ -135,8 +132,7 @@
 		return
 	}
 	d.seq++
-	routes, _ := v.recorder.Routes()
-	v.judge.Hear(rollout.NewReport(self.Instance(), self.Version(), self.Boot(), v.known.Order().Revision(), d.seq, running, routes))
+	v.judge.Hear(rollout.NewReport(self.Instance(), self.Version(), self.Boot(), v.known.Order().Revision(), d.seq, running, v.recorder.Routes()))
 }
 
 // reportsOf returns the last reports of a pool's targets.
--- a/internal/control/fleet/pull.go
+++ b/internal/control/fleet/pull.go
@@ -133,18 +133,17 @@
 		return f.clk.After(patience(at))
 	}
 	late, last := start(first), first
+	defer func() { late.Stop() }()
 	for {
 		select {
 		case a := <-answers:
 			if a.err == nil || ctx.Err() != nil {
-				late.Stop()
 				return a
 			}
 			f.log.Emit(event.PeerLost, event.F("peer", a.from.Instance()), event.F("error", a.err))
 			p.selector.Failed(f.clk.Now(), a.from.Instance())
 			delete(pending, a.from.Instance())
 			if len(pending) == 0 {
-				late.Stop()
 				return a
 			}
 		case <-late.C():
--- a/internal/policy/rollout/evidence.go
+++ b/internal/policy/rollout/evidence.go
@@ -117,7 +117,6 @@
 type Recorder struct {
 	mu     sync.Mutex
 	routes map[string]*Answers
-	seq    uint64
 }
 
 // NewRecorder returns a recorder that has counted nothing.
@@ -145,7 +144,6 @@
 		a = &Answers{}
 		c.routes[route] = a
 	}
-	c.seq++
 	a.calls++
 	switch {
 	case failed:
@@ -157,15 +155,15 @@
 	}
 }
 
-// Routes returns the answers so far and the number of the last one.
-func (c *Recorder) Routes() (map[string]Answers, uint64) {
+// Routes returns the answers so far.
+func (c *Recorder) Routes() map[string]Answers {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := make(map[string]Answers, len(c.routes))
 	for route, a := range c.routes {
 		out[route] = *a
 	}
-	return out, c.seq
+	return out
 }
 
 // quantile returns the bucket in which a part of the times ends.
--- a/internal/policy/rollout/groups.go
+++ b/internal/policy/rollout/groups.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -64,10 +65,7 @@
 	}
 	sorted := slices.Clone(g.candidates)
 	slices.SortFunc(sorted, func(a, b membership.Record) int {
-		if xxh3.HashString(a.Instance()) < xxh3.HashString(b.Instance()) {
-			return -1
-		}
-		return 1
+		return cmp.Compare(xxh3.HashString(a.Instance()), xxh3.HashString(b.Instance()))
 	})
 	return sorted[:n]
 }
--- a/internal/policy/rollout/play_test.go
+++ b/internal/policy/rollout/play_test.go
@@ -194,8 +194,7 @@
 			}
 			var now []Report
 			for i, rec := range recorders {
-				routes, seq := rec.Routes()
-				now = append(now, NewReport(records[i].Instance(), records[i].Version(), 1, 10, seq+uint64(at), runs[i], routes))
+				now = append(now, NewReport(records[i].Instance(), records[i].Version(), 1, 10, uint64(at), runs[i], rec.Routes()))
 			}
 			reports = append(reports, late{at + playDelay, now})
 		}
--- a/internal/policy/rollout/steer.go
+++ b/internal/policy/rollout/steer.go
@@ -66,7 +66,7 @@
 	triggerFaulty   trigger = "faulty"
 	triggerDeadline trigger = "deadline"
 	triggerTaken    trigger = "taken over"
-	triggerDecided  trigger = "decided"
+	triggerNone     trigger = "none"
 )
 
 // life is the machine of a rollout's stages; what is final has no way out.
@@ -133,7 +133,7 @@
 	case r.Stage() == StageShift && r.takenOver(s):
 		return triggerTaken, ""
 	case r.Stage() == StageShift:
-		return triggerDecided, ""
+		return triggerNone, ""
 	case s.Current == 0 && s.Candidates > 0 && healthy:
 		return triggerTaken, ""
 	case healthy && s.Elapsed >= r.shiftAfter(s):
@@ -141,7 +141,7 @@
 	case s.Elapsed >= r.order.duration:
 		return triggerDeadline, ReasonNoEvidence
 	default:
-		return triggerDecided, ""
+		return triggerNone, ""
 	}
 }
 
