policy/tree: a node keeps the newest report of a root that it was told

An orphan acts as a root for one round, its report comes back to it through a loop and ends that. Node 7 was given up by no parent and was an orphan several times; it lost what it had heard.

Mend: Freshness, in policy/tree, keeps the latest report. control/fleet had the same rule and uses the type; a node that was orphaned keeps the time of its own reads. control/peer keeps the lowest age per domain already.

--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -38,7 +38,7 @@
 
 	view            *view
 	cachedPosition  cachedPosition
-	freshness       freshness
+	freshness       sharedFreshness
 	config          atomic.Pointer[activeConfig]
 	synced          atomic.Bool
 	storeOK         atomic.Bool
--- a/internal/control/fleet/pull.go
+++ b/internal/control/fleet/pull.go
@@ -279,29 +279,29 @@
 	return f.Current().Version() >= wanted
 }
 
-// freshness tracks how old the parents' data from the store is.
-type freshness struct {
-	mu            sync.Mutex
-	storeAnswered time.Time // when the store last answered the node that reads it
+// sharedFreshness is the freshness of this node's data, for concurrent use.
+type sharedFreshness struct {
+	mu        sync.Mutex
+	freshness tree.Freshness
 }
 
-func (s *freshness) update(now time.Time, age time.Duration) {
+func (s *sharedFreshness) update(now time.Time, age time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.storeAnswered = now.Add(-age)
+	s.freshness.Update(now, age)
 }
 
-func (s *freshness) age(now time.Time) time.Duration {
+func (s *sharedFreshness) age(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.storeAnswered)
+	return s.freshness.Age(now)
 }
 
 // known reports whether any parent has reported an age.
-func (s *freshness) known() bool {
+func (s *sharedFreshness) known() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.storeAnswered.IsZero()
+	return s.freshness.Known()
 }
 
 const maxReportedAge = time.Hour
--- a/internal/control/fleet/syncstore.go
+++ b/internal/control/fleet/syncstore.go
@@ -48,6 +48,7 @@
 		var compacted *platform.CompactedError
 		if result.err == nil || errors.As(result.err, &compacted) {
 			f.storeAnswered()
+			f.freshness.update(f.clk.Now(), 0)
 			backoff = minRetry
 			_ = f.clk.Sleep(ctx, m.pause(changes, result))
 		} else {
