control/fleet: no call is admitted before the state of all rollouts is known

Cause, traced before: a starting node reads the members' keys alone, counts as synced and admits calls to its target until its first pull or full read brings the orders.

Mend: a node whose target reports a version admits calls only once it knows all rollouts, from a full read of the store or from a node that knew them; pull and view responses say when they don't. The first read covers all keys that nodes write instead of the members' alone, the same one call: without progress for the pool no version of it can be barred, so a start without an order is as early as before.

Ruled out: reading orders and statuses as well at the start (two calls more for each start); gating readiness (it would delay the answers to callers that need no local target).

Test: a store that answers only reads of nodes' keys.

--- a/internal/control/fleet/crossdomain.go
+++ b/internal/control/fleet/crossdomain.go
@@ -72,12 +72,13 @@
 		members := *p.members.Load()
 		from := members[failures%len(members)]
 		resp, err := f.pullFrom(ctx, from, cursor{}, false, &p.reports)
-		f.mergeRollouts(resp.GetRollouts())
-		switch {
-		case err != nil:
+		if err != nil {
 			failures++
 			_ = f.clk.Sleep(ctx, f.jitter(crossDomainRetry))
-		case resp.GetVersion() > f.Current().Version():
+			continue
+		}
+		f.mergeRollouts(resp.GetRollouts(), !resp.GetRolloutsUnknown())
+		if resp.GetVersion() > f.Current().Version() {
 			f.Hint(from.ControlAddress(), resp.GetVersion())
 			// Until the version is fetched, each further pull would return at once.
 			_ = f.clk.Sleep(ctx, hintDelay)
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -229,7 +229,7 @@
 // View implements fleetpb.Fleet.
 func (f *Fleet) View(_ context.Context, r *fleetpb.ViewRequest) (*fleetpb.ViewResponse, error) {
 	self, _ := f.ownRecord()
-	out := &fleetpb.ViewResponse{Entry: encodeEntry(self), Rollouts: f.rollouts.newerThan(nil)}
+	out := &fleetpb.ViewResponse{Entry: encodeEntry(self), Rollouts: f.rollouts.newerThan(nil), RolloutsUnknown: !f.rollouts.synced.Load()}
 	if r.GetMembers() {
 		for _, m := range f.view.records() {
 			out.Members = append(out.Members, encodeEntry(m))
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -57,6 +57,8 @@
 type nodeStore struct {
 	*fakeStore
 	unreachable atomic.Bool
+	// nodesKeysOnly makes reads of other keys than those that nodes write fail.
+	nodesKeysOnly atomic.Bool
 }
 
 func (s *nodeStore) checkReachable(kind platform.Kind) error {
@@ -70,6 +72,9 @@
 	if err := s.checkReachable(platform.KindGet); err != nil {
 		return nil, 0, err
 	}
+	if s.nodesKeysOnly.Load() && !strings.HasPrefix(prefix, nodesPrefix) {
+		return nil, 0, &platform.UnavailableError{Op: platform.KindGet}
+	}
 	return s.fakeStore.Range(ctx, prefix)
 }
 
--- a/internal/control/fleet/position.go
+++ b/internal/control/fleet/position.go
@@ -54,10 +54,11 @@
 // again. Without the second read, nodes that start together would each become the root.
 const firstReadDelay = time.Second
 
-// bootstrap reads the members from the store to find the node's position.
+// bootstrap reads what nodes have written to the store to find the node's position, and
+// whether its pool ever had a rollout.
 func (f *Fleet) bootstrap(ctx context.Context, done chan<- error) {
 	for retried := false; ctx.Err() == nil; {
-		_, err := f.readPrefix(ctx, MembersPrefix)
+		_, err := f.readPrefix(ctx, nodesPrefix)
 		if err != nil {
 			f.storeFailed(ctx, err)
 			// Other nodes have reported these members, which can be pulled from during the
--- a/internal/control/fleet/pull.go
+++ b/internal/control/fleet/pull.go
@@ -89,7 +89,7 @@
 	f.freshness.update(now, age)
 	p.selector.Answered(now, from.Instance(), age)
 	p.at.epoch, p.at.change = resp.GetEpoch(), resp.GetCursor()
-	f.mergeRollouts(resp.GetRollouts())
+	f.mergeRollouts(resp.GetRollouts(), !resp.GetRolloutsUnknown())
 	f.applyMembers(resp, from)
 	announced := resp.GetVersion()
 	if announced > f.Current().Version() && !f.fetchVersion(ctx, append([]netip.AddrPort{from.ControlAddress()}, peerAddresses(position.Parents())...), announced) {
--- a/internal/control/fleet/pullserver.go
+++ b/internal/control/fleet/pullserver.go
@@ -63,7 +63,7 @@
 func (f *Fleet) buildPullResponse(r *fleetpb.PullRequest) (*fleetpb.PullResponse, bool) {
 	resp := &fleetpb.PullResponse{
 		Version: f.Current().Version(), AgeMs: uint32(f.storeDataAge().Milliseconds()),
-		Rollouts: f.rollouts.newerThan(r.GetRollouts()),
+		Rollouts: f.rollouts.newerThan(r.GetRollouts()), RolloutsUnknown: !f.rollouts.synced.Load(),
 	}
 	if !r.GetMembers() {
 		return resp, resp.Version > r.GetVersion() || len(resp.Rollouts) > 0
--- a/internal/control/fleet/query.go
+++ b/internal/control/fleet/query.go
@@ -107,7 +107,7 @@
 		}
 		f.applyConfig(b, peer.String())
 	}
-	f.mergeRollouts(resp.GetRollouts())
+	f.mergeRollouts(resp.GetRollouts(), !resp.GetRolloutsUnknown())
 	for _, b := range append(resp.GetMembers(), resp.GetEntry()) {
 		f.applyPeerEntry(b, peer)
 	}
--- a/internal/control/fleet/rollout_test.go
+++ b/internal/control/fleet/rollout_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"banyanlug.example/banyanlug/internal/control/fleet/fleetpb"
 	"banyanlug.example/banyanlug/internal/control/platform"
 	"banyanlug.example/banyanlug/internal/policy/membership"
 	"banyanlug.example/banyanlug/internal/policy/rollout"
@@ -171,6 +172,74 @@
 	h.eventually("the barred version is rolled back at once", func() bool { return h.status() == testStatus{rollout.RolledBack, "v2"} })
 }
 
+// Guards against a node that admits calls to a barred version after it has read the
+// members, but not yet the state of rollouts.
+func TestAStartingNodeAdmitsNoCallsBeforeItKnowsTheRollouts(t *testing.T) {
+	t.Parallel()
+	for _, tt := range []struct {
+		name           string
+		status         rollout.State // in the store, or Pending if there is no order
+		barred         []string
+		early, finally bool // whether calls are admitted after the first and the full read
+	}{
+		{name: "no order was ever begun", early: true, finally: true},
+		{name: "an order is in progress", status: rollout.Running, finally: true},
+		{name: "the version was rolled back", status: rollout.RolledBack, barred: []string{"v2"}},
+		{name: "the status was written, but not the bar", status: rollout.RolledBack},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			if tt.status != rollout.Pending {
+				h.store.put("order/quotes", []byte(`{"Version":"v2","Millis":60000}`))
+				order, _ := h.store.get("order/quotes")
+				h.store.put(progressPrefix+"quotes", encodeProgress(rollout.NewProgress(order.Revision(), h.clk.Now(), time.Time{}, tt.barred, 0)))
+				key, value := testRolloutCodec{}.EncodeStatus("quotes", tt.status, "v2")
+				h.store.put(key, value)
+			}
+			store := &nodeStore{fakeStore: h.store}
+			store.nodesKeysOnly.Store(true)
+			n := h.startIn("a", "n4", 1, store)
+			n.Announce(membership.Ready, "n4-target", 12, "", membership.Version("v2"))
+			if tt.status != rollout.Pending && n.Admits() {
+				t.Error("calls are admitted before the first read")
+			}
+			h.eventually("the first read", func() bool { return n.synced.Load() })
+			if got := n.Admits(); got != tt.early {
+				t.Errorf("calls are admitted after the first read: %v, want %v", got, tt.early)
+			}
+			store.nodesKeysOnly.Store(false)
+			h.eventually("the full read", func() bool { return n.rollouts.synced.Load() })
+			if got := n.Admits(); got != tt.finally {
+				t.Errorf("calls are admitted after the full read: %v, want %v", got, tt.finally)
+			}
+		})
+	}
+}
+
+// Guards against a node that takes the answer of another starting node for the state of all
+// rollouts.
+func TestAStartingNodeIsNotBelievedToKnowTheRollouts(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, "n1")
+	f := h.nodes["n1"].Fleet
+	h.eventually("the rollouts are known", func() bool { return f.rollouts.synced.Load() })
+	f.rollouts.synced.Store(false)
+	resp, _ := f.buildPullResponse(&fleetpb.PullRequest{})
+	view, err := f.View(t.Context(), &fleetpb.ViewRequest{})
+	if !resp.GetRolloutsUnknown() || err != nil || !view.GetRolloutsUnknown() {
+		t.Errorf("responses %v and %v, error %v, of a node that doesn't know the rollouts", resp, view, err)
+	}
+	f.mergeRollouts(nil, false)
+	if f.rollouts.synced.Load() {
+		t.Error("an incomplete answer counts as complete")
+	}
+	f.mergeRollouts(nil, true)
+	if !f.rollouts.synced.Load() {
+		t.Error("a complete answer does not count")
+	}
+}
+
 // A faulty version must get no more calls while the store is unavailable, and its status must
 // be published afterwards.
 func TestAFaultyVersionIsHaltedWithoutTheStore(t *testing.T) {
--- a/internal/control/fleet/rollouts.go
+++ b/internal/control/fleet/rollouts.go
@@ -50,6 +50,9 @@
 	running func() int
 
 	anyOrder atomic.Bool // set by the first change of any rollout
+	// synced is set once the state of all rollouts was received, from the store or from a
+	// node that had it. Before that, any version may be barred.
+	synced atomic.Bool
 
 	mu      sync.Mutex
 	byPool  map[string]*poolRollout
@@ -316,15 +319,20 @@
 }
 
 // Admits reports whether the target beside this node may take calls. It may not if its
-// version was rolled back or replaced, which the sender of a call may not know yet.
+// version was rolled back or replaced, which the sender of a call may not know yet, or
+// while this node does not know whether it was.
 func (f *Fleet) Admits() bool {
 	rs := f.rollouts
-	if !rs.hasOrders() {
+	unknown := rs.enabled() && !rs.synced.Load()
+	if !unknown && !rs.hasOrders() {
 		return true
 	}
 	self, _ := f.ownRecord()
-	if self.Version() == "" {
+	switch {
+	case self.Version() == "":
 		return true
+	case unknown:
+		return false
 	}
 	limit, now := rs.limit(), f.clk.Now()
 	rs.mu.Lock()
--- a/internal/control/fleet/rolloutsync.go
+++ b/internal/control/fleet/rolloutsync.go
@@ -63,8 +63,9 @@
 		WithHalt(m.GetHalted())
 }
 
-// mergeRollouts merges rollouts received from another node.
-func (f *Fleet) mergeRollouts(received []*fleetpb.Rollout) {
+// mergeRollouts merges rollouts received from another node; complete reports whether that
+// node knew all rollouts and left out only those that this node has.
+func (f *Fleet) mergeRollouts(received []*fleetpb.Rollout, complete bool) {
 	if !f.rollouts.enabled() {
 		return
 	}
@@ -72,6 +73,9 @@
 		other := decodeRollout(m)
 		f.updateRollout(m.GetPool(), func(r rollout.Rollout) rollout.Rollout { return r.Merge(other) })
 	}
+	if complete {
+		f.rollouts.synced.Store(true)
+	}
 }
 
 // sentReports tracks the reports sent to one peer.
--- a/internal/control/fleet/syncstore.go
+++ b/internal/control/fleet/syncstore.go
@@ -91,14 +91,21 @@
 		return 0, err
 	}
 	present := map[string]bool{}
+	self, _ := f.ownRecord()
+	ownRollout := false
 	for _, v := range values {
 		f.applyValue(v)
+		ownRollout = ownRollout || v.Key() == progressPrefix+self.Pool()
 		if name, ok := strings.CutPrefix(v.Key(), MembersPrefix); ok {
 			present[name] = true
 		}
 	}
 	f.view.dropAbsent(present, f.clk.Now())
 	f.signalEntryChanged()
+	// Versions are barred only after their order's progress has been written.
+	if prefix == allKeys || !ownRollout {
+		f.rollouts.synced.Store(true)
+	}
 	if !f.synced.Swap(true) {
 		f.log.Emit(event.StoreRead, event.F("members", len(present)), event.F("revision", revision), event.F("version", f.Current().Version()))
 	}
