platform: callers are identified by the keys of tenants

Cause: resident served all callers as one anonymous organisation. Keys were passed on to targets, the tenant's name was not set, and a revoked or unknown key ran.

Tenants become organisations with hashed keys, a priority and a limit with a burst; routes may be anonymous. A call needs a known key unless its route is anonymous or no organisation is declared. The key is removed and the name set at the target's node on each attempt, whatever the caller sent. An organisation's priority goes before its route's. A node without a configuration still answers 503.

The bound on keys of one organisation was an object's size in disguise, which the declaration checks by itself; the platform has no such bound, so a configuration with more would have been refused as a whole.

Ruled out: taking the organisation from the run that makes a nested call (the platform's targets pass nothing on); the bearer form for anonymous routes.

Limits are not enforced yet. Tests fail on the old code: the target saw the key and no name, and any key ran.

--- a/internal/config/declaration/object.go
+++ b/internal/config/declaration/object.go
@@ -68,7 +68,7 @@
 	if m.choice("class", snapshot.Trial.String(), snapshot.Paying.String()) == snapshot.Paying.String() {
 		class = snapshot.Paying
 	}
-	return snapshot.NewOrganisation(name, class, m.texts("keys")...)
+	return snapshot.NewOrganisation(name, class, m.texts("keys")...).WithPriority(m.integer("priority", false))
 }
 
 func service(m *mapping) snapshot.Object {
@@ -121,7 +121,7 @@
 }
 
 func limit(m *mapping) snapshot.Object {
-	return snapshot.NewLimit(m.text("organisation", true), m.number("rate", false), m.integer("concurrency", false))
+	return snapshot.NewLimit(m.text("organisation", true), m.number("rate", false), m.integer("concurrency", false)).WithBurst(m.number("burst", false))
 }
 
 func objective(m *mapping) snapshot.Object {
--- a/internal/config/snapshot/check.go
+++ b/internal/config/snapshot/check.go
@@ -24,7 +24,7 @@
 	maxWeight      = 1_000_000
 	minDeadline    = time.Millisecond
 	maxDeadline    = 5 * time.Minute
-	maxKeyHashes   = 16
+	maxKeyHashes   = 1000
 	keyHashLen     = 64
 	maxRate        = 10_000_000
 	maxConcurrency = 1_000_000
@@ -86,6 +86,9 @@
 		if !(o.rate >= 0 && o.rate <= maxRate) {
 			c.addValueError(k, "rate", "must be between 0 and %d calls a second", maxRate)
 		}
+		if !(o.burst >= 0 && o.burst <= maxRate) {
+			c.addValueError(k, "burst", "must be between 0 and %d calls", maxRate)
+		}
 		c.checkInt(k, "concurrency", o.concurrency, 0, maxConcurrency)
 	case Objective:
 		c.checkReference(k, Key{KindService, o.service})
@@ -103,6 +106,7 @@
 	if len(o.keyHashes) > maxKeyHashes {
 		c.addValueError(k, "keys", "has %d, at most %d", len(o.keyHashes), maxKeyHashes)
 	}
+	c.checkInt(k, "priority", o.priority, 0, maxPriority)
 	for _, h := range o.keyHashes {
 		if len(h) != keyHashLen || strings.Trim(h, "0123456789abcdef") != "" {
 			c.addValueError(k, "keys", "%q is no lower-case hexadecimal SHA-256", h)
--- a/internal/config/snapshot/encode.go
+++ b/internal/config/snapshot/encode.go
@@ -53,7 +53,7 @@
 	switch o := o.(type) {
 	case Organisation:
 		m.Kind = &configpb.Object_Organisation{Organisation: &configpb.Organisation{
-			Name: o.name, Paying: o.class == Paying, KeyHashes: o.keyHashes,
+			Name: o.name, Paying: o.class == Paying, KeyHashes: o.keyHashes, Priority: uint32(o.priority),
 		}}
 	case Service:
 		m.Kind = &configpb.Object_Service{Service: &configpb.Service{Name: o.name}}
@@ -67,10 +67,11 @@
 			Name: o.name, Host: o.host, Path: o.path, Methods: o.methods, Service: o.service, Pool: o.pool,
 			Repeatable: o.idempotent, DeadlineMs: o.deadline.Milliseconds(), Retries: uint32(o.retries),
 			Priority: uint32(o.priority), TargetLatencyMs: o.targetLatency.Milliseconds(), Split: encodeSplit(o.split),
+			Anonymous: o.anonymous,
 		}}
 	case Limit:
 		m.Kind = &configpb.Object_Limit{Limit: &configpb.Limit{
-			Organisation: o.organisation, Rate: o.rate, Concurrency: uint32(o.concurrency),
+			Organisation: o.organisation, Rate: o.rate, Burst: o.burst, Concurrency: uint32(o.concurrency),
 		}}
 	case Objective:
 		m.Kind = &configpb.Object_Objective{Objective: &configpb.Objective{
@@ -92,6 +93,8 @@
 func countsFitUint32(o Object) bool {
 	var counts []int
 	switch o := o.(type) {
+	case Organisation:
+		counts = []int{o.priority}
 	case Pool:
 		counts = []int{o.slots, o.promised, o.connections, o.upstreams}
 	case Route:
@@ -127,7 +130,7 @@
 		if o.GetPaying() {
 			class = Paying
 		}
-		return NewOrganisation(o.GetName(), class, o.GetKeyHashes()...), checkNoUnknownFields(o)
+		return NewOrganisation(o.GetName(), class, o.GetKeyHashes()...).WithPriority(int(o.GetPriority())), checkNoUnknownFields(o)
 	case *configpb.Object_Service:
 		return NewService(k.Service.GetName()), checkNoUnknownFields(k.Service)
 	case *configpb.Object_Pool:
@@ -149,10 +152,13 @@
 		if r.GetRepeatable() {
 			opts = append(opts, Idempotent())
 		}
+		if r.GetAnonymous() {
+			opts = append(opts, Anonymous())
+		}
 		return NewRoute(r.GetName(), r.GetPath(), r.GetService(), r.GetPool(), opts...), checkNoUnknownFields(r)
 	case *configpb.Object_Limit:
 		l := k.Limit
-		return NewLimit(l.GetOrganisation(), l.GetRate(), int(l.GetConcurrency())), checkNoUnknownFields(l)
+		return NewLimit(l.GetOrganisation(), l.GetRate(), int(l.GetConcurrency())).WithBurst(l.GetBurst()), checkNoUnknownFields(l)
 	case *configpb.Object_Objective:
 		o := k.Objective
 		return NewObjective(o.GetService(), o.GetAvailability(), time.Duration(o.GetLatencyMs())*time.Millisecond,
--- a/internal/config/snapshot/object.go
+++ b/internal/config/snapshot/object.go
@@ -98,6 +98,7 @@
 type Organisation struct {
 	name      string
 	class     Class
+	priority  int
 	keyHashes []string
 }
 
@@ -107,12 +108,25 @@
 	return Organisation{name: name, class: class, keyHashes: keyHashes}
 }
 
+// WithPriority returns the organisation with a priority; 0, the default, is the highest.
+func (o Organisation) WithPriority(n int) Organisation {
+	o.priority = n
+	return o
+}
+
 // Name returns the organisation's name.
 func (o Organisation) Name() string { return o.name }
 
 // Class returns the organisation's class.
 func (o Organisation) Class() Class { return o.class }
 
+// Priority returns the priority of the organisation's calls, which takes precedence over
+// that of their routes.
+func (o Organisation) Priority() int { return o.priority }
+
+// CallPriority returns the priority of the organisation's calls on a route.
+func (o Organisation) CallPriority(r Route) int { return o.priority*(maxPriority+1) + r.priority }
+
 // KeyHashes returns the hashes of its API keys.
 func (o Organisation) KeyHashes() []string { return slices.Clone(o.keyHashes) }
 
@@ -204,6 +218,7 @@
 	targetLatency time.Duration
 	split         []Share
 	totalWeight   int
+	anonymous     bool
 }
 
 // RouteOption sets one property of a route.
@@ -244,6 +259,9 @@
 	}
 }
 
+// Anonymous allows calls without an API key on the route, where the node accepts any.
+func Anonymous() RouteOption { return func(r *Route) { r.anonymous = true } }
+
 // Share is the weight of one pool in a route's split.
 type Share struct {
 	service string
@@ -317,6 +335,9 @@
 // HasSplit reports whether the route has a split.
 func (r Route) HasSplit() bool { return len(r.split) > 0 }
 
+// Anonymous reports whether the route's calls need no API key.
+func (r Route) Anonymous() bool { return r.anonymous }
+
 // WithShare returns the route with the service and pool of one share, picked by
 // weight; draw is a random number in [0, 1). A route without a split is returned
 // unchanged.
@@ -342,6 +363,7 @@
 type Limit struct {
 	organisation string
 	rate         float64
+	burst        float64
 	concurrency  int
 }
 
@@ -351,12 +373,22 @@
 	return Limit{organisation: organisation, rate: rate, concurrency: concurrency}
 }
 
+// WithBurst returns the limit with a number of calls that may come at once beyond the
+// rate.
+func (l Limit) WithBurst(calls float64) Limit {
+	l.burst = calls
+	return l
+}
+
 // Organisation returns the name of the organisation that is limited.
 func (l Limit) Organisation() string { return l.organisation }
 
 // Rate returns the allowed calls per second, or 0 for no limit.
 func (l Limit) Rate() float64 { return l.rate }
 
+// Burst returns how many calls may come at once beyond the rate.
+func (l Limit) Burst() float64 { return l.burst }
+
 // Concurrency returns the allowed number of concurrent calls, or 0 for no limit.
 func (l Limit) Concurrency() int { return l.concurrency }
 
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -30,9 +30,9 @@
 	"banyanlug.example/banyanlug/internal/traffic/target"
 )
 
-// platformOrganisation is the organisation of every call: calls on the platform
-// carry no API key and are all for paying customers.
-var platformOrganisation = snapshot.NewOrganisation("platform", snapshot.Paying)
+// anonymousOrganisation is the organisation of calls without an API key. The platform
+// knows no trial customers.
+var anonymousOrganisation = snapshot.NewOrganisation(hop.AnonymousOrganisation, snapshot.Paying)
 
 // Node forwards the calls of its callers to targets, and calls from other nodes to
 // the local target.
@@ -174,7 +174,7 @@
 	n.meshClient = hop.NewClient(n.clk, hop.ExpectContinue(), hop.WithDialTimeout(peerDialTimeout))
 	n.targetClient = hop.NewClient(n.clk, hop.AllowCloseDelimited(), hop.WithIdleTimeout(targetIdleTimeout))
 	n.callerServer = caller.NewServer(caller.New(n.fleet, n.fleet, n.meshClient, nil, n.clk,
-		caller.WithHeaderNames(n.headerNames), caller.WithOrigin(n.cfg.Pool), caller.WithAnonymousOrganisation(platformOrganisation),
+		caller.WithHeaderNames(n.headerNames), caller.WithOrigin(n.cfg.Pool), caller.WithAnonymousOrganisation(anonymousOrganisation),
 		caller.WithMetrics(n.metrics), caller.OnNewerVersion(n.fleet.Hint),
 		caller.WithBalancer(balance.New(n.clk.Now(), rand.New(rand.NewPCG(seed, 3)), balance.Domain(n.cfg.Domain))),
 		caller.WithRefusalRetries(refusedRetries), caller.WithCallLog(n.log), caller.WithCrashRegister(n.crashes),
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -113,7 +113,7 @@
 func WithOrigin(service string) Option { return func(h *Handler) { h.origin = service } }
 
 // WithAnonymousOrganisation accepts calls without an API key on behalf of organisation
-// o, for a mesh whose platform has already authenticated the callers.
+// o: those on anonymous routes and, while no organisation is declared, all calls.
 func WithAnonymousOrganisation(o snapshot.Organisation) Option {
 	return func(h *Handler) { h.anonymous = &o }
 }
--- a/internal/traffic/caller/identify.go
+++ b/internal/traffic/caller/identify.go
@@ -22,10 +22,11 @@
 		// the caller, although another node would serve the call.
 		return &NoConfigurationError{}
 	}
-	if sealed := c.r.Header.Get(hop.CallHeader); sealed != "" {
+	if sealed := c.r.Header.Get(hop.CallHeader); sealed != "" && c.h.sealer != nil {
 		return c.inherit(sealed)
 	}
-	if c.h.anonymous != nil {
+	if c.anonymous() {
+		c.r.Header.Del(keyHeader)
 		c.org = *c.h.anonymous
 		return nil
 	}
@@ -48,6 +49,15 @@
 	return nil
 }
 
+// anonymous reports whether the call needs no API key.
+func (c *call) anonymous() bool {
+	if c.h.anonymous == nil || !c.snap.HasOrganisations() {
+		return c.h.anonymous != nil
+	}
+	rt, ok := c.snap.Match(hostOf(c.r.Host), c.r.URL.Path, c.r.Method)
+	return ok && rt.Anonymous()
+}
+
 func (c *call) inherit(sealed string) error {
 	parent, err := c.h.sealer.Open(sealed)
 	if err != nil {
--- a/internal/traffic/hop/header.go
+++ b/internal/traffic/hop/header.go
@@ -44,6 +44,10 @@
 	nodeHeaderPrefix = "Bl-"
 )
 
+// AnonymousOrganisation is the organisation of calls that no API key identifies. No
+// declared name can equal it.
+const AnonymousOrganisation = "(anonymous)"
+
 // MaxDepth is the largest depth of a call that a node accepts, whatever its settings.
 // Only a loop should reach it.
 const MaxDepth = 32
@@ -88,6 +92,9 @@
 	}
 }
 
+// Priority sets the priority in place of that of the route; 0 is the highest.
+func Priority(n int) MetaOption { return func(m *Meta) { m.priority = n } }
+
 // ToInstance sets the target process that the call is meant for.
 func ToInstance(instance string) MetaOption { return func(m *Meta) { m.instance = instance } }
 
@@ -137,7 +144,7 @@
 // Route returns the name of the route that the call matched.
 func (m Meta) Route() string { return m.route }
 
-// Priority returns the priority of the route; 0 is the highest.
+// Priority returns the priority of the call; 0 is the highest.
 func (m Meta) Priority() int { return m.priority }
 
 // Instance returns the target process that the call is meant for, or "".
@@ -178,7 +185,7 @@
 	// maxAttempts is above the attempts that any declarable retry policy allows.
 	maxAttempts = 100
 	// maxPriority is above any priority that can be declared.
-	maxPriority = 100
+	maxPriority = 255
 )
 
 func (m *Meta) write(w *bufio.Writer) {
--- a/internal/traffic/hop/header_names.go
+++ b/internal/traffic/hop/header_names.go
@@ -13,6 +13,7 @@
 	id                   string
 	instance             string
 	origin               string
+	organisation         string
 	notRun               string
 	signature            string
 	fractionalRetryAfter bool
@@ -35,6 +36,12 @@
 // OriginIn names the header that tells a target the calling service.
 func OriginIn(name string) HeaderNameOption { return func(n *HeaderNames) { n.origin = name } }
 
+// OrganisationIn names the header that tells a target the organisation that a call is made
+// for. Anonymous calls have none.
+func OrganisationIn(name string) HeaderNameOption {
+	return func(n *HeaderNames) { n.organisation = name }
+}
+
 // NotRunIn names the header with which a target states that it has not run a call.
 func NotRunIn(name string) HeaderNameOption { return func(n *HeaderNames) { n.notRun = name } }
 
@@ -86,10 +93,10 @@
 }
 
 // Strip removes the headers that the function Strip removes, and those named for the
-// deadline, the instance, the origin and the not-run statement.
+// deadline, the instance, the origin, the organisation and the not-run statement.
 func (n HeaderNames) Strip(h http.Header) {
 	Strip(h)
-	for _, name := range [...]string{n.deadline, n.instance, n.origin, n.notRun} {
+	for _, name := range [...]string{n.deadline, n.instance, n.origin, n.organisation, n.notRun} {
 		if name != "" {
 			h.Del(name)
 		}
@@ -120,6 +127,9 @@
 	if n.origin != "" && m.origin != "" {
 		opts = append(opts, WithHeader(n.origin, m.origin))
 	}
+	if n.organisation != "" && m.organisation != AnonymousOrganisation {
+		opts = append(opts, WithHeader(n.organisation, m.organisation))
+	}
 	if id := n.ID(h); id != "" {
 		opts = append(opts, WithEcho(n.id, id))
 	}
