Limits of organisations on the users' platform, by tokens

Cause: resident enforced no limits.

policy/token: one issuer a failure domain holds an organisation's bucket; nodes take tokens from it when calls need them; issuers lend one another what they don't need.

--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -38,6 +38,7 @@
 
 	view            *view
 	cachedPosition  cachedPosition
+	rankedNodes     rankedNodes
 	freshness       sharedFreshness
 	config          atomic.Pointer[activeConfig]
 	synced          atomic.Bool
--- a/internal/control/fleet/position.go
+++ b/internal/control/fleet/position.go
@@ -36,6 +36,37 @@
 	return p
 }
 
+// rankedNodes caches the first nodes of failure domains by rank.
+type rankedNodes struct {
+	mu       sync.Mutex
+	atChange uint64
+	byDomain map[string][]membership.Record
+}
+
+// maxRankedNodes is the number of nodes of a domain that are cached.
+const maxRankedNodes = 8
+
+// HighestRanked returns the first nodes of a failure domain by rank, at most n and
+// maxRankedNodes.
+func (f *Fleet) HighestRanked(domain string, n int) []membership.Record {
+	f.rankedNodes.mu.Lock()
+	defer f.rankedNodes.mu.Unlock()
+	c := &f.rankedNodes
+	records, change := f.view.recordsIfChanged(c.atChange)
+	if change != c.atChange {
+		c.atChange, c.byDomain = change, map[string][]membership.Record{}
+	}
+	nodes, ok := c.byDomain[domain]
+	if !ok {
+		if records == nil {
+			records = f.view.records()
+		}
+		nodes = tree.HighestRanked(domain, records, maxRankedNodes)
+		c.byDomain[domain] = nodes
+	}
+	return nodes[:min(n, len(nodes))]
+}
+
 // readsStore reports whether the node reads the store for its failure domain: as the
 // root, or while it is orphaned. An orphaned node that can't reach the store leaves reading
 // to the root, as otherwise all nodes would send requests during an outage.
--- /dev/null
+++ b/internal/control/issuer/agent_test.go
@@ -0,0 +1,215 @@
+package issuer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/policy/limit"
+	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/policy/token"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// mesh runs the agents of nodes on loopback, on a clock that stands still.
+type mesh struct {
+	t      *testing.T
+	clk    *timer.Service
+	agents map[string]*Agent
+	stop   map[string]func()
+
+	mu      sync.Mutex
+	records map[string][]membership.Record // by domain
+	snap    *snapshot.Snapshot
+}
+
+func (m *mesh) HighestRanked(domain string, n int) []membership.Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.records[domain][:min(n, len(m.records[domain]))]
+}
+
+func (m *mesh) Size() int { return 6 }
+
+func (m *mesh) Current() *snapshot.Snapshot {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.snap
+}
+
+var acme = snapshot.NewLimit("acme", 60, 0).WithBurst(60)
+
+func newMesh(t *testing.T) *mesh {
+	t.Helper()
+	clk := timer.NewManual(time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC))
+	m := &mesh{t: t, clk: clk, agents: map[string]*Agent{}, stop: map[string]func(){}, records: map[string][]membership.Record{}}
+	snap, err := snapshot.Assemble(1, []snapshot.Object{snapshot.NewOrganisation("acme", snapshot.Paying), acme})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.snap = snap
+	for _, n := range []struct{ domain, name string }{{"a", "n1"}, {"a", "n2"}, {"a", "n3"}, {"b", "n4"}, {"b", "n5"}, {"b", "n6"}} {
+		m.start(n.domain, n.name)
+	}
+	return m
+}
+
+func (m *mesh) start(domain, name string) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	peer := netip.MustParseAddrPort(ln.Addr().String())
+	m.records[domain] = append(m.records[domain], membership.NewRecord(name, membership.Domain(domain), membership.ControlAddress(peer)))
+	margin := func() token.Margin { return token.Margin{Window: 5 * time.Second, Ratio: 0.1, Calls: 20} }
+	a := New(m.clk, m, m, name, domain, []string{"a", "b"}, WithMargin(margin))
+	m.agents[name] = a
+	srv := &http.Server{ReadHeaderTimeout: time.Second, Handler: a.Service()}
+	served, ran := make(chan error, 1), make(chan error, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { served <- srv.Serve(ln) }()
+	go a.Run(ctx, ran)
+	m.stop[name] = sync.OnceFunc(func() {
+		_ = srv.Close()
+		<-served
+		cancel()
+		<-ran
+	})
+	m.t.Cleanup(m.stop[name])
+}
+
+// allowed returns how many of n calls at a node are allowed.
+func (m *mesh) allowed(node string, n int) int {
+	count := 0
+	for range n {
+		if _, ok := m.agents[node].Allow(m.clk.Now(), acme).(limit.Allowed); ok {
+			count++
+		}
+	}
+	return count
+}
+
+// total is the number of tokens with which the buckets of both domains begin.
+func (m *mesh) total() int {
+	p := token.NewPlan(acme, token.Margin{Window: 5 * time.Second, Ratio: 0.1, Calls: 20}, 2)
+	return 2 * p.InitialTokens()
+}
+
+// All nodes together get what the issuers of both domains have, wherever the calls come.
+func TestTokensAreTakenFromBothDomains(t *testing.T) {
+	t.Parallel()
+	m := newMesh(t)
+	if got := m.allowed("n1", 100); got != m.total() {
+		t.Errorf("%d calls are allowed at one node, want %d", got, m.total())
+	}
+	if got := m.allowed("n5", 100); got != 0 {
+		t.Errorf("%d further calls are allowed at another node", got)
+	}
+	d, ok := m.agents["n5"].Allow(m.clk.Now(), acme).(limit.Refused)
+	if !ok || d.RetryAfter() <= 0 || d.Quantity() != limit.Rate {
+		t.Errorf("decision %+v", d)
+	}
+	m.clk.Advance(time.Second)
+	// The buckets hold what a second adds, and the other domain keeps what its last demand
+	// needs.
+	if got, full := m.allowed("n5", 100), int(acme.Rate()); got < full*3/5 || got > full {
+		t.Errorf("%d calls are allowed a second later, want nearly %d", got, full)
+	}
+}
+
+// Guards against callers that are refused or wait while an issuer is down: the next one
+// issues.
+func TestTheNextNodeIssuesWhenAnIssuerIsDown(t *testing.T) {
+	t.Parallel()
+	m := newMesh(t)
+	first := byWeight("acme", m.records["a"], membership.Record.Instance)[0].Instance()
+	m.stop[first]()
+	for _, name := range []string{"n1", "n2", "n3"} {
+		if name == first {
+			continue
+		}
+		if got := m.allowed(name, 1); got != 1 {
+			t.Errorf("%s refuses a call", name)
+		}
+	}
+}
+
+// A node that reaches no issuer has a small part of the limit of its own, and none at once.
+func TestANodeWithoutIssuersUsesItsOwnPart(t *testing.T) {
+	t.Parallel()
+	m := newMesh(t)
+	m.stop["n1"]()
+	m.stop["n2"]()
+	m.mu.Lock()
+	m.records["a"] = m.records["a"][:2]
+	m.mu.Unlock()
+	if got := m.allowed("n3", 5); got != 0 {
+		t.Errorf("%d calls are allowed at once", got)
+	}
+	m.clk.Advance(time.Second)
+	if got := m.allowed("n3", 5); got != 1 {
+		t.Errorf("%d calls are allowed a second later, want 1", got)
+	}
+}
+
+// Guards against organisations that are refused because an issuer's configuration is newer
+// or older than that of the node.
+func TestVersionsOfNodeAndIssuerMayDiffer(t *testing.T) {
+	t.Parallel()
+	m := newMesh(t)
+	without, err := snapshot.Assemble(2, []snapshot.Object{snapshot.NewOrganisation("acme", snapshot.Paying)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.mu.Lock()
+	m.snap = without
+	m.mu.Unlock()
+	if got := m.allowed("n1", 1000); got != 1000 {
+		t.Errorf("%d of 1000 calls are allowed though the limit has been removed", got)
+	}
+	m.mu.Lock()
+	m.snap = snapshot.Empty()
+	m.mu.Unlock()
+	if got := m.allowed("n1", 5); got != 0 {
+		t.Errorf("%d calls are allowed by issuers without a configuration", got)
+	}
+}
+
+// The token of a call that was not run is used by the next one.
+func TestReleasedTokensAreUsedAgain(t *testing.T) {
+	t.Parallel()
+	m := newMesh(t)
+	if got := m.allowed("n1", 1000); got != m.total() {
+		t.Fatalf("%d calls are allowed, want %d", got, m.total())
+	}
+	m.agents["n1"].Done(m.clk.Now(), acme, false)
+	if got := m.allowed("n1", 1); got != 0 {
+		t.Error("the token of a call that may have run is used again")
+	}
+	m.agents["n1"].Done(m.clk.Now(), acme, true)
+	if got := m.allowed("n1", 2); got != 1 {
+		t.Errorf("%d calls are allowed with one returned token", got)
+	}
+}
+
+func TestManyCallsShareOneRequest(t *testing.T) {
+	t.Parallel()
+	m := newMesh(t)
+	var calls sync.WaitGroup
+	for range 50 {
+		calls.Go(func() { m.agents["n1"].Allow(m.clk.Now(), acme) })
+	}
+	calls.Wait()
+	if got := m.agents["n1"].Requests(); got > 100 {
+		t.Errorf("%d requests for 50 calls", got)
+	}
+}
--- a/internal/policy/limit/limiter.go
+++ b/internal/policy/limit/limiter.go
@@ -68,6 +68,9 @@
 	retryAfter time.Duration
 }
 
+// NewRefused returns the refusal of a call that exceeds a limit.
+func NewRefused(q Quantity, retryAfter time.Duration) Refused { return Refused{q, retryAfter} }
+
 // Quantity returns which limit the call exceeds.
 func (r Refused) Quantity() Quantity { return r.quantity }
 
@@ -217,6 +220,11 @@
 	}
 }
 
+// Done records the end of an allowed call, whether it was run or not.
+func (l *Limiter) Done(now time.Time, limit snapshot.Limit, _ bool) {
+	l.Release(now, limit.Organisation())
+}
+
 // addRunning changes the number of running calls and updates their running time.
 func (a *account) addRunning(now time.Time, delta int) {
 	a.runningTime += time.Duration(a.running) * max(0, now.Sub(a.runningTimeUntil))
--- /dev/null
+++ b/internal/policy/token/cache.go
@@ -0,0 +1,171 @@
+package token
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"banyanlug.example/banyanlug/internal/config/snapshot"
+)
+
+const (
+	// prefetchTime is for how much of a node's demand tokens are taken at once.
+	prefetchTime = 100 * time.Millisecond
+	// maxRefusalHold is how long a node refuses calls by itself after its issuer had no
+	// tokens, so that an organisation far beyond its limit costs few messages.
+	maxRefusalHold = 200 * time.Millisecond
+)
+
+// Decision is the result of Cache.Take: Granted, Fetch or Refused.
+type Decision interface{ isDecision() }
+
+// Granted admits the call with a token of the node.
+type Granted struct{}
+
+// Fetch asks the caller to take tokens from the issuer and then to try again.
+type Fetch struct{ Tokens int }
+
+// Refused refuses the call, which may be retried after a delay.
+type Refused struct{ RetryAfter time.Duration }
+
+func (Granted) isDecision() {}
+func (Fetch) isDecision()   {}
+func (Refused) isDecision() {}
+
+// Cache holds a node's tokens. It is safe for concurrent use.
+type Cache struct {
+	shards [shards]struct {
+		mu   sync.Mutex
+		orgs map[string]*cached
+	}
+}
+
+// cached is one organisation's state at a node.
+type cached struct {
+	tokens  int
+	expires time.Time
+	waiting int // calls that wait for tokens to be fetched
+
+	demand      float64 // calls per second
+	demandAt    time.Time
+	refuseUntil time.Time
+	retryAt     time.Time // when the issuer has the next token
+	retries     retryTimes
+
+	fallback bucket // tokens of the node's own, while no issuer answers
+}
+
+// NewCache returns a cache without tokens.
+func NewCache() *Cache {
+	c := &Cache{}
+	for i := range c.shards {
+		c.shards[i].orgs = map[string]*cached{}
+	}
+	return c
+}
+
+// Take takes a token for a new call. After Fetch, the call counts as waiting until Retake
+// or TakeWithoutIssuer decides about it.
+func (c *Cache) Take(now time.Time, l snapshot.Limit, p Plan) (d Decision) {
+	c.with(now, l, func(o *cached) {
+		o.addDemand(now)
+		o.waiting++
+		d = o.take(now, p)
+	})
+	return d
+}
+
+// Retake takes a token for a call after tokens were fetched for it.
+func (c *Cache) Retake(now time.Time, l snapshot.Limit, p Plan) (d Decision) {
+	c.with(now, l, func(o *cached) { d = o.take(now, p) })
+	return d
+}
+
+// take decides about a waiting call.
+func (o *cached) take(now time.Time, p Plan) Decision {
+	switch {
+	case o.tokens > 0 && now.Before(o.expires):
+		o.tokens--
+		o.waiting--
+		return Granted{}
+	case now.Before(o.refuseUntil):
+		o.waiting--
+		return Refused{RetryAfter: o.retries.next(now, o.retryAt.Sub(now), time.Duration(float64(time.Second)/p.rate))}
+	default:
+		return Fetch{Tokens: o.waiting + int(o.demand*prefetchTime.Seconds())}
+	}
+}
+
+// Fetched records the issuer's answer to a request sent at sentAt.
+func (c *Cache) Fetched(sentAt, now time.Time, l snapshot.Limit, tokens int, retryAfter time.Duration) {
+	c.with(now, l, func(o *cached) {
+		if !now.Before(o.expires) {
+			o.tokens = 0
+		}
+		if tokens > 0 {
+			// The issuer may have counted them from any time after the request was sent.
+			o.tokens, o.expires = o.tokens+tokens, sentAt.Add(cacheTime)
+		}
+		if retryAfter > 0 {
+			o.retryAt = now.Add(retryAfter)
+			o.refuseUntil = now.Add(min(retryAfter, maxRefusalHold))
+		}
+	})
+}
+
+// TakeWithoutIssuer takes a token of the node's own while no issuer answers, as one of some
+// nodes that may be in the same position.
+func (c *Cache) TakeWithoutIssuer(now time.Time, l snapshot.Limit, p Plan, nodes int) (d Decision) {
+	c.with(now, l, func(o *cached) {
+		o.waiting--
+		rate := p.fallbackRate / float64(max(1, nodes))
+		if o.fallback.refilledAt.IsZero() {
+			o.fallback.refilledAt = now
+		}
+		o.fallback.refill(now, rate, 1)
+		if o.fallback.take(1, 0) == 1 {
+			d = Granted{}
+			return
+		}
+		until := time.Duration((1 - o.fallback.tokens) / rate * float64(time.Second))
+		d = Refused{RetryAfter: o.retries.next(now, min(until, maxRetryAfter), time.Duration(float64(time.Second)/rate))}
+	})
+	return d
+}
+
+// Forget ends the wait of a call that got no decision.
+func (c *Cache) Forget(now time.Time, l snapshot.Limit) {
+	c.with(now, l, func(o *cached) { o.waiting-- })
+}
+
+// Return gives back the token of a call that certainly was not run.
+func (c *Cache) Return(now time.Time, l snapshot.Limit) {
+	c.with(now, l, func(o *cached) {
+		if now.Before(o.expires) {
+			o.tokens++
+		}
+	})
+}
+
+func (c *Cache) with(now time.Time, l snapshot.Limit, f func(*cached)) {
+	s := &c.shards[xxh3.HashString(l.Organisation())%shards]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.orgs[l.Organisation()]
+	if o == nil {
+		o = &cached{demandAt: now}
+		s.orgs[l.Organisation()] = o
+	}
+	f(o)
+}
+
+// addDemand adds a call to the average of the demand.
+func (o *cached) addDemand(now time.Time) {
+	if d := now.Sub(o.demandAt); d > 0 {
+		o.demand *= math.Exp(-d.Seconds() / demandTime.Seconds())
+	}
+	o.demandAt = now
+	o.demand += 1 / demandTime.Seconds()
+}
--- /dev/null
+++ b/internal/policy/token/issuer.go
@@ -0,0 +1,120 @@
+package token
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"banyanlug.example/banyanlug/internal/config/snapshot"
+)
+
+const (
+	// demandTime is the time constant of the average of an issuer's demand.
+	demandTime = time.Second
+	// reserveTime is how much of its own demand an issuer keeps when it lends tokens, and
+	// for how much of its unmet demand it borrows.
+	reserveTime = 250 * time.Millisecond
+	// borrowPause is the pause after other issuers had no tokens to lend.
+	borrowPause = 250 * time.Millisecond
+
+	shards = 16
+)
+
+// Issuer issues the tokens of the organisations whose buckets a node holds for its failure
+// domain. It is safe for concurrent use.
+type Issuer struct {
+	shards [shards]struct {
+		mu      sync.Mutex
+		buckets map[string]*issued
+	}
+}
+
+// issued is the bucket of one organisation and the demand for its tokens.
+type issued struct {
+	bucket
+	demand      float64 // tokens asked for per second
+	demandAt    time.Time
+	noLendersAt time.Time
+}
+
+// NewIssuer returns an issuer without buckets.
+func NewIssuer() *Issuer {
+	s := &Issuer{}
+	for i := range s.shards {
+		s.shards[i].buckets = map[string]*issued{}
+	}
+	return s
+}
+
+// Issue is what an issuer answers to a request for tokens.
+type Issue struct {
+	// Tokens is the number of tokens issued, and Borrow how many could be taken from other
+	// issuers at once because the bucket is empty.
+	Tokens, Borrow int
+	// RetryAfter is the time until a further request may get a token if fewer were issued
+	// than requested.
+	RetryAfter time.Duration
+}
+
+// Take issues up to n tokens to a node.
+func (s *Issuer) Take(now time.Time, l snapshot.Limit, p Plan, n int) Issue {
+	return s.withBucket(now, l, p, func(b *issued) Issue {
+		b.addDemand(now, n)
+		out := Issue{Tokens: b.take(n, 0)}
+		if out.Tokens < n {
+			// Each token has several takers if the demand exceeds the rate.
+			next := (1 - b.tokens) / p.rate * max(1, b.demand/p.rate)
+			out.RetryAfter = min(maxRetryAfter, time.Duration(next*float64(time.Second)))
+			if p.issuers > 1 && now.Sub(b.noLendersAt) >= borrowPause {
+				missing := float64(n-out.Tokens) + max(0, b.demand-p.rate)*reserveTime.Seconds()
+				out.Borrow = int(math.Ceil(min(missing, p.capacity-b.tokens)))
+			}
+		}
+		return out
+	})
+}
+
+// Lend issues up to n tokens to the issuer of another domain. It keeps what its own demand
+// needs at present.
+func (s *Issuer) Lend(now time.Time, l snapshot.Limit, p Plan, n int) Issue {
+	return s.withBucket(now, l, p, func(b *issued) Issue {
+		b.addDemand(now, 0)
+		return Issue{Tokens: b.take(n, b.demand*reserveTime.Seconds())}
+	})
+}
+
+// Borrowed adds tokens that another issuer has lent; with none, no others are asked for
+// some time.
+func (s *Issuer) Borrowed(now time.Time, l snapshot.Limit, p Plan, n int) {
+	s.withBucket(now, l, p, func(b *issued) Issue {
+		if n == 0 {
+			b.noLendersAt = now
+		}
+		b.tokens = min(b.tokens+float64(n), p.capacity)
+		return Issue{}
+	})
+}
+
+func (s *Issuer) withBucket(now time.Time, l snapshot.Limit, p Plan, f func(*issued) Issue) Issue {
+	shard := &s.shards[xxh3.HashString(l.Organisation())%shards]
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	b := shard.buckets[l.Organisation()]
+	if b == nil {
+		b = &issued{bucket: bucket{tokens: p.initial, refilledAt: now}, demandAt: now}
+		shard.buckets[l.Organisation()] = b
+	}
+	b.refill(now, p.rate, p.capacity)
+	return f(b)
+}
+
+// addDemand adds n requested tokens to the average of the demand.
+func (b *issued) addDemand(now time.Time, n int) {
+	if d := now.Sub(b.demandAt); d > 0 {
+		b.demand *= math.Exp(-d.Seconds() / demandTime.Seconds())
+	}
+	b.demandAt = now
+	b.demand += float64(n) / demandTime.Seconds()
+}
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -17,6 +17,7 @@
 	"banyanlug.example/banyanlug/internal/clock/timer"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
 	"banyanlug.example/banyanlug/internal/control/fleet"
+	"banyanlug.example/banyanlug/internal/control/issuer"
 	"banyanlug.example/banyanlug/internal/control/platform"
 	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/policy/balance"
@@ -24,6 +25,7 @@
 	"banyanlug.example/banyanlug/internal/policy/membership"
 	"banyanlug.example/banyanlug/internal/policy/poison"
 	"banyanlug.example/banyanlug/internal/policy/retry"
+	"banyanlug.example/banyanlug/internal/policy/token"
 	"banyanlug.example/banyanlug/internal/traffic/caller"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
 	"banyanlug.example/banyanlug/internal/traffic/http1"
@@ -47,6 +49,7 @@
 
 	fleet         *fleet.Fleet
 	budgets       *retry.Budgets
+	tokens        *issuer.Agent
 	meshClient    *hop.Client
 	targetClient  *hop.Client
 	callerServer  *caller.Server
@@ -66,6 +69,7 @@
 	drainAnnounced, refusing bool
 
 	fleetOptions []fleet.Option
+	domains      []string // all failure domains of the fleet
 }
 
 type listeners struct{ callers, mesh, peers, admin net.Listener }
@@ -84,6 +88,9 @@
 	}
 }
 
+// WithFailureDomains sets the failure domains of the fleet, over which limits are split.
+func WithFailureDomains(names ...string) Option { return func(n *Node) { n.domains = names } }
+
 // New opens the node's listeners and creates its servers; Run starts them. It
 // returns a SettingError for invalid settings.
 func New(cfg *Settings, clk *timer.Service, out io.Writer, store platform.PrefixStore, configKey string, decode fleet.Decoder, opts ...Option) (*Node, error) {
@@ -157,6 +164,12 @@
 	}
 }
 
+// quotaMargin returns by how much organisations' calls may exceed their limits.
+func (n *Node) quotaMargin() token.Margin {
+	b := n.reloadable.Load()
+	return token.Margin{Window: b.QuotaWindow, Ratio: b.QuotaOverage, Calls: b.QuotaSlack}
+}
+
 func (n *Node) wire(store platform.PrefixStore, configKey string, decode fleet.Decoder) {
 	seed := uint64(n.clk.Now().UnixNano())
 	// The settings have been checked, so the addresses parse.
@@ -173,12 +186,14 @@
 	n.budgets = retry.NewBudgets(rand.New(rand.NewPCG(seed, 4)), retry.RefusedRatio(refusedRetryShare), retry.WithBounds(n.retryBounds))
 	n.meshClient = hop.NewClient(n.clk, hop.ExpectContinue(), hop.WithDialTimeout(peerDialTimeout))
 	n.targetClient = hop.NewClient(n.clk, hop.AllowCloseDelimited(), hop.WithIdleTimeout(targetIdleTimeout))
+	n.tokens = issuer.New(n.clk, n.fleet, n.fleet, n.cfg.Instance, n.cfg.Domain, n.domains, issuer.WithLog(n.log),
+		issuer.WithMargin(n.quotaMargin))
 	n.callerServer = caller.NewServer(caller.New(n.fleet, n.fleet, n.meshClient, nil, n.clk,
 		caller.WithHeaderNames(n.headerNames), caller.WithOrigin(n.cfg.Pool), caller.WithAnonymousOrganisation(anonymousOrganisation),
 		caller.WithMetrics(n.metrics), caller.OnNewerVersion(n.fleet.Hint),
 		caller.WithBalancer(balance.New(n.clk.Now(), rand.New(rand.NewPCG(seed, 3)), balance.Domain(n.cfg.Domain))),
 		caller.WithRefusalRetries(refusedRetries), caller.WithCallLog(n.log), caller.WithCrashRegister(n.crashes),
-		caller.WithBudgets(n.budgets),
+		caller.WithBudgets(n.budgets), caller.WithLimits(n.tokens),
 	), n.clk, n.log)
 	n.slots = target.NewSlots(n.fleet, n.cfg.Pool, n.clk)
 	n.slots.SetProcess(n.tracker.Target())
@@ -315,6 +330,8 @@
 	}
 	gauge(`banyanlug_retry_budget{for="repeats"}`, func() float64 { repeats, _ := n.budgets.Remaining(); return repeats })
 	gauge(`banyanlug_retry_budget{for="refused"}`, func() float64 { _, refused := n.budgets.Remaining(); return refused })
+	gauge("banyanlug_limit_requests_total", func() float64 { return float64(n.tokens.Requests()) })
+	gauge("banyanlug_limit_tokens_issued_total", func() float64 { return float64(n.tokens.Issued()) })
 	gauge("banyanlug_store_silent_seconds", func() float64 { return n.fleet.StoreAge().Seconds() })
 	gauge("banyanlug_log_dropped_lines", func() float64 { return float64(n.out.Dropped()) })
 	gauge("banyanlug_ready", func() float64 {
@@ -325,6 +342,14 @@
 	})
 }
 
+// peersHandler serves the requests of other nodes.
+func (n *Node) peersHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(n.tokens.Service().PathPrefix(), n.tokens.Service())
+	mux.Handle("/", n.fleet.Handler())
+	return mux
+}
+
 func (n *Node) adminHandler() http.Handler {
 	mux := flow.New()
 	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/process/resident/run.go
+++ b/internal/process/resident/run.go
@@ -41,11 +41,11 @@
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	components := []func(context.Context, chan<- error){
-		n.fleet.Run, n.meshClient.Run, n.targetClient.Run,
+		n.fleet.Run, n.tokens.Run, n.meshClient.Run, n.targetClient.Run,
 		func(ctx context.Context, done chan<- error) { n.callerServer.Serve(ctx, n.listeners.callers, done) },
 		func(ctx context.Context, done chan<- error) { n.targetServer.Serve(ctx, n.listeners.mesh, done) },
 		func(ctx context.Context, done chan<- error) {
-			serveHTTP(ctx, n.listeners.peers, n.fleet.Handler(), done)
+			serveHTTP(ctx, n.listeners.peers, n.peersHandler(), done)
 		},
 	}
 	if n.listeners.admin != nil {
--- a/internal/process/resident/settings.go
+++ b/internal/process/resident/settings.go
@@ -37,6 +37,10 @@
 	// CanaryShare is the largest share of a pool's calls, from 0 to 1, that an
 	// unproven candidate version receives; with 0, rollout orders are ignored.
 	CanaryShare float64
+	// An organisation's calls may exceed its limit in each QuotaWindow by the share
+	// QuotaOverage, and by QuotaSlack calls in addition.
+	QuotaWindow              time.Duration
+	QuotaOverage, QuotaSlack float64
 }
 
 // Check returns a SettingError for the first missing or invalid setting.
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -19,6 +19,7 @@
 	"banyanlug.example/banyanlug/internal/policy/membership"
 	"banyanlug.example/banyanlug/internal/policy/retry"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
+	"banyanlug.example/banyanlug/internal/traffic/http1"
 )
 
 // Config provides the active configuration version.
@@ -62,7 +63,7 @@
 	sealer    *hop.Sealer
 	clk       *timer.Service
 
-	limits      *limit.Limiter
+	limits      Limits
 	balancer    *balance.Balancer
 	budgets     *retry.Budgets
 	updates     balancerUpdates
@@ -88,8 +89,16 @@
 // Option configures a Handler.
 type Option func(*Handler)
 
+// Limits decides whether an organisation's limit admits a call.
+type Limits interface {
+	// Allow decides about a new call; it may wait shortly for a share of the limit.
+	Allow(now time.Time, l snapshot.Limit) limit.Decision
+	// Done records the end of an allowed call; notRun is set if it certainly was not run.
+	Done(now time.Time, l snapshot.Limit, notRun bool)
+}
+
 // WithLimits enforces organisations' limits with l. Without it none are enforced.
-func WithLimits(l *limit.Limiter) Option { return func(h *Handler) { h.limits = l } }
+func WithLimits(l Limits) Option { return func(h *Handler) { h.limits = l } }
 
 // WithBalancer sets the balancer that chooses targets.
 func WithBalancer(b *balance.Balancer) Option { return func(h *Handler) { h.balancer = b } }
@@ -211,7 +220,7 @@
 }
 
 // run takes the call through all stages.
-func (c *call) run() (result, error) {
+func (c *call) run() (res result, err error) {
 	if err := c.identify(); err != nil {
 		return result{}, err
 	}
@@ -222,7 +231,7 @@
 	if err != nil {
 		return result{}, err
 	}
-	defer release()
+	defer func() { release(err != nil && !res.headSent && refusalOf(err).Outcome == http1.NotRun) }()
 	if err := c.readBody(); err != nil {
 		return result{}, err
 	}
@@ -236,7 +245,7 @@
 	if recorded != nil {
 		return c.replay(recorded)
 	}
-	res, err := c.send()
+	res, err = c.send()
 	c.endClaim(res, err)
 	return res, err
 }
