A node that has not heard of its target refuses calls as starting, not as draining

Calls that came before a restarted node's target had reported were refused as wrong-instance, which counts like draining until a newer announcement. The restarted node's entry is still right and is not announced again, so that never ended.

Such calls are refused as starting, to be tried again after 0.2 s.

Ruled out: the member lists (all 12 known within 60 ms of the start), admission's learned limits, callers' retries.

--- a/internal/policy/balance/balancer.go
+++ b/internal/policy/balance/balancer.go
@@ -79,7 +79,7 @@
 			t = &target{pool: p, coldSince: b.nanos(now)}
 		case r.Newer(*t.record.Load()):
 			// A refusal as draining counts only until a newer announcement.
-			t.draining = false
+			t.drainingUntil = 0
 		}
 		t.record.Store(&r)
 		t.slots = float64(max(1, slots))
--- a/internal/policy/balance/pool.go
+++ b/internal/policy/balance/pool.go
@@ -66,7 +66,7 @@
 			}
 			cost *= farCostFactor
 		}
-		nearerServing = nearerServing || p.hasServingTarget(tier)
+		nearerServing = nearerServing || p.hasServingTarget(at, tier)
 		if cost < bestCost {
 			best, bestCost = t, cost
 		}
@@ -87,9 +87,9 @@
 
 // hasServingTarget reports whether a tier has a target that is neither draining nor
 // ejected, even one without a free slot.
-func (p *pool) hasServingTarget(tier []*target) bool {
+func (p *pool) hasServingTarget(at int64, tier []*target) bool {
 	for _, t := range tier {
-		if !t.draining && !t.ejected {
+		if !t.draining(at) && !t.ejected {
 			return true
 		}
 	}
@@ -158,7 +158,7 @@
 }
 
 func usable(at int64, t *target, info CallInfo, tried []Picked) bool {
-	return !t.draining && t.available(at) && t.shedUntil(info) <= at && !contains(tried, t)
+	return !t.draining(at) && t.available(at) && t.shedUntil(info) <= at && !contains(tried, t)
 }
 
 func contains(tried []Picked, t *target) bool {
@@ -179,7 +179,7 @@
 	earliest := int64(math.MaxInt64)
 	var probe *target
 	for _, t := range p.all {
-		if t.draining {
+		if t.draining(at) {
 			continue
 		}
 		if contains(tried, t) {
@@ -227,7 +227,7 @@
 	case answered:
 		p.observeLatency(at, t, float64(elapsed))
 		t.observeOutcome(0)
-		t.suspicion.answered(p.othersFailureRate(t))
+		t.suspicion.answered(p.othersFailureRate(at, t))
 		t.unreachable = false
 		if t.ejected && at >= t.ejectedUntil {
 			t.ejected, t.recentFailureRate, t.suspicion.logRatio = false, 0, 0
@@ -250,7 +250,7 @@
 	case shed:
 		t.recordShed(at, info, r.scope, r.retryAfter)
 	case draining:
-		t.draining = true
+		t.drainingUntil = at + int64(maxDraining)
 	case noCapacity:
 		// Only the reported load counts, which is recorded above.
 	case cancelled:
@@ -282,10 +282,10 @@
 
 // othersFailureRate returns the mean failure rate of the pool's other targets,
 // without those that drain or are ejected.
-func (p *pool) othersFailureRate(t *target) float64 {
+func (p *pool) othersFailureRate(at int64, t *target) float64 {
 	sum, n := 0.0, 0
 	for _, other := range p.all {
-		if other != t && !other.draining && !other.ejected {
+		if other != t && !other.draining(at) && !other.ejected {
 			sum += other.suspicion.failureRate
 			n++
 		}
@@ -299,7 +299,7 @@
 func (p *pool) fail(at int64, t *target) {
 	t.observeOutcome(1)
 	t.failedAt, t.unreachable = at, false
-	unhealthy := t.suspicion.failed(p.othersFailureRate(t))
+	unhealthy := t.suspicion.failed(p.othersFailureRate(at, t))
 	if t.probing(at) {
 		t.eject(at, p.rng)
 		return
--- a/internal/policy/balance/target.go
+++ b/internal/policy/balance/target.go
@@ -76,8 +76,8 @@
 	ejectedUntil      int64
 	ejections         int
 
-	coldSince int64
-	draining  bool
+	coldSince     int64
+	drainingUntil int64
 
 	shedAllUntil   int64
 	shedClassUntil [2]int64
@@ -85,6 +85,13 @@
 	nextShedOrg    int
 }
 
+// maxDraining bounds how long a refusal as draining counts without a newer announcement. A
+// target whose process was restarted meanwhile may announce the same as before.
+const maxDraining = 10 * time.Second
+
+// draining reports whether the target has refused a call as draining.
+func (t *target) draining(at int64) bool { return at < t.drainingUntil }
+
 type shedOrg struct {
 	org   string
 	until int64
--- a/internal/traffic/caller/errors.go
+++ b/internal/traffic/caller/errors.go
@@ -128,7 +128,7 @@
 // the target is stopping, was replaced, is the wrong one or can't be reached.
 func (e *RefusedError) overload() bool {
 	switch e.Refusal.Type {
-	case hop.KindDraining, hop.KindSuperseded, hop.KindWrongPool, hop.KindWrongInstance, hop.KindConnectionClosed, hop.KindUnreachable, hop.KindUnauthenticated:
+	case hop.KindDraining, hop.KindStarting, hop.KindSuperseded, hop.KindWrongPool, hop.KindWrongInstance, hop.KindConnectionClosed, hop.KindUnreachable, hop.KindUnauthenticated:
 		return false
 	default:
 		return true
--- a/internal/traffic/caller/pick.go
+++ b/internal/traffic/caller/pick.go
@@ -163,6 +163,10 @@
 	case hop.KindSuperseded:
 		// A rollback may make its version active again.
 		return balance.Cancelled()
+	case hop.KindStarting:
+		// The announcement of a restarted node may be the same as before, so nothing else
+		// ends what counts as draining.
+		return balance.Shed(balance.ForAll, e.Refusal.RetryAfter)
 	case hop.KindDisplaced:
 		return balance.Shed(balance.ForOrganisation, e.Refusal.RetryAfter)
 	case hop.KindQueueFull, hop.KindTooLate, hop.KindOutranked, hop.KindNoTrialSlots:
--- a/internal/traffic/hop/kind.go
+++ b/internal/traffic/hop/kind.go
@@ -7,6 +7,8 @@
 const (
 	// KindDraining: the target is draining.
 	KindDraining = http1.KindDraining
+	// KindStarting: the node has not heard of its target yet.
+	KindStarting = "starting"
 	// KindWrongPool: the target belongs to another pool.
 	KindWrongPool = "wrong-pool"
 	// KindWrongInstance: the target process that the call is meant for was replaced.
--- a/internal/traffic/target/admit.go
+++ b/internal/traffic/target/admit.go
@@ -118,6 +118,26 @@
 	return s.wait(ctx, ticket, decided)
 }
 
+// startingRetryAfter is when a call may be tried again at a target that has not reported to
+// its node since that was started.
+const startingRetryAfter = 200 * time.Millisecond
+
+// checkProcess returns the error of a call for the target process with the given id if it is
+// not the current one, or if that is not known yet.
+func (s *Slots) checkProcess(id string) error {
+	t := s.process.Load()
+	switch {
+	case t == nil:
+		return nil
+	case t.Phase() == lifecycle.Unknown:
+		return &RefusedError{Reason: hop.KindStarting, RetryAfter: startingRetryAfter}
+	case id != t.ID():
+		return &WrongInstanceError{Requested: id, Current: t.ID()}
+	default:
+		return nil
+	}
+}
+
 func (s *Slots) wait(ctx context.Context, ticket admission.Ticket, decided <-chan admission.Decision) (admission.Ticket, error) {
 	select {
 	case d := <-decided:
--- a/internal/traffic/target/admit_test.go
+++ b/internal/traffic/target/admit_test.go
@@ -12,6 +12,7 @@
 	"banyanlug.example/banyanlug/internal/clock/timer"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
 	"banyanlug.example/banyanlug/internal/policy/admission"
+	"banyanlug.example/banyanlug/internal/policy/lifecycle"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
 )
 
@@ -119,6 +120,37 @@
 	}
 }
 
+// Guards against a restarted node that refuses calls as draining until its target's first
+// heartbeat: if it then announces the same as before, senders would avoid it for long.
+func TestCallsBeforeTheTargetsFirstReportAreRefusedAsStarting(t *testing.T) {
+	t.Parallel()
+	clk := timer.NewManual(time.Unix(1_800_000_000, 0))
+	s := NewSlots(&testConfig{withSlots(t, snapshot.Empty(), 1)}, "p", clk)
+	tracker := lifecycle.NewTracker()
+	s.SetProcess(tracker.Target())
+	var (
+		refused  *RefusedError
+		replaced *WrongInstanceError
+	)
+	if err := s.checkProcess("i-1"); !errors.As(err, &refused) || refused.Reason != hop.KindStarting || refused.RetryAfter <= 0 {
+		t.Errorf("before the first heartbeat: %v", err)
+	}
+	tracker.HandleHeartbeat(lifecycle.NewHeartbeat("i-1", lifecycle.Sequence(1), lifecycle.Slots(1)))
+	s.SetProcess(tracker.Target())
+	if err := s.checkProcess("i-1"); err != nil {
+		t.Errorf("after the first heartbeat: %v", err)
+	}
+	if err := s.checkProcess("i-0"); !errors.As(err, &replaced) {
+		t.Errorf("for an earlier process: %v", err)
+	}
+	tracker.HandleGoodbye("i-1")
+	s.SetProcess(tracker.Target())
+	meta := hop.NewMeta(hop.ForOrganisation("o", snapshot.Paying))
+	if _, err := s.acquire(t.Context(), meta, clk.Now().Add(time.Second)); !errors.As(err, &refused) || refused.Reason != hop.KindDraining {
+		t.Errorf("after the target left: %v", err)
+	}
+}
+
 // The sending node treats a refusal of an unknown kind as a failure of the target and
 // may eject it.
 func TestEveryGateReasonHasAKnownRefusalKind(t *testing.T) {
--- a/internal/traffic/target/read.go
+++ b/internal/traffic/target/read.go
@@ -13,8 +13,8 @@
 	if meta.Pool() != c.h.slots.pool {
 		return &WrongPoolError{Requested: meta.Pool(), Serves: c.h.slots.pool}
 	}
-	if t := c.h.slots.process.Load(); t != nil && meta.Instance() != t.ID() {
-		return &WrongInstanceError{Requested: meta.Instance(), Current: t.ID()}
+	if err := c.h.slots.checkProcess(meta.Instance()); err != nil {
+		return err
 	}
 	c.meta = meta
 	c.deadline = c.h.clk.Now().Add(meta.Remaining())
