policy/retry: tokens of many nodes stay within their sum

Cause: each node kept up to max(1, spare x 0.25 / nodes) tokens of each kind and service and began with one. At 985 nodes and a spare of 1,040 that is 1,970 at once, of which a platform allows 1,040 beyond its ratio; at 2,000 nodes twice that.

With less than one token a node, a whole token lapses after a time, so that a node has one for that part of the time; nodes begin at different points between two tokens. What a node earns it can still spend: at 0.11 a call, nine in ten of the earned tokens are used while calls go on failing, at 100, 1,000 and 4,000 nodes.

Ruled out: a chance for each failed call (several failures add up to a whole token of each node); a capacity below one with fractions (never reaches a token).

--- a/internal/policy/admission/mesh_test.go
+++ b/internal/policy/admission/mesh_test.go
@@ -123,7 +123,7 @@
 		domain:   domain,
 		balancer: balance.New(m.Now(), sim.Rand(100+i), balance.Domain(domain)),
 		budgets: retry.NewBudgets(sim.Rand(500+i), retry.RefusedRatio(1), retry.WithBounds(func() retry.Bounds {
-			return retry.Bounds{RepeatRatio: repeatRatio, RejectedRatio: rejectedRatio, MaxTokens: max(1, extraRepeats/float64(senders))}
+			return retry.Bounds{RepeatRatio: repeatRatio, RejectedRatio: rejectedRatio, MaxTokens: extraRepeats / float64(senders)}
 		})),
 	}
 }
--- a/internal/policy/retry/budget.go
+++ b/internal/policy/retry/budget.go
@@ -63,6 +63,7 @@
 	mu       sync.Mutex
 	rng      *rand.Rand
 	services map[string]*budget
+	bounds   func() Bounds
 }
 
 // budget holds a service's token buckets, with one token for each further attempt,
@@ -82,7 +83,8 @@
 	// may be repeated after they may have run; RejectedRatio is the fraction of all its
 	// calls that may go to another target after one has rejected them.
 	RepeatRatio, RejectedRatio float64
-	// MaxTokens is the capacity of each of the two buckets that these ratios fill.
+	// MaxTokens is the capacity of each of the two buckets that these ratios fill. It may be
+	// below 1 where many nodes share few tokens.
 	MaxTokens float64
 }
 
@@ -98,7 +100,7 @@
 	}
 	for i := range b.shards {
 		b.shards[i].rng = rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
-		b.shards[i].services = map[string]*budget{}
+		b.shards[i].services, b.shards[i].bounds = map[string]*budget{}, b.bounds
 	}
 	return b
 }
@@ -109,11 +111,25 @@
 	s := b.shard(c.service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	budget := s.budget(c.service)
 	bounds := b.bounds()
-	budget.repeats = min(bounds.MaxTokens, budget.repeats+ratioAtDepth(bounds.RepeatRatio, c.depth))
-	budget.rejected = min(bounds.MaxTokens, budget.rejected+bounds.RejectedRatio)
-	budget.refused = min(maxTokens, budget.refused+b.refusedRatio)
+	budget := s.budget(c.service)
+	budget.repeats = save(budget.repeats, ratioAtDepth(bounds.RepeatRatio, c.depth), bounds.MaxTokens)
+	budget.rejected = save(budget.rejected, bounds.RejectedRatio, bounds.MaxTokens)
+	budget.refused = save(budget.refused, b.refusedRatio, maxTokens)
+}
+
+// save adds earned tokens to those of a bucket. With a capacity below one token, a whole
+// token lapses after a time, so that the bucket has one for that part of the time on
+// average: many nodes together then hold no more than the sum of their capacities.
+func save(tokens, earned, capacity float64) float64 {
+	if capacity >= 1 {
+		return min(capacity, tokens+earned)
+	}
+	// A token serves one call at least.
+	if lapses := 1 + capacity; tokens >= 1 && tokens+earned >= lapses {
+		tokens -= lapses
+	}
+	return tokens + earned
 }
 
 // Remaining returns the tokens that all services together hold: those for repeats, and
@@ -230,10 +246,15 @@
 	return d + time.Duration(s.rng.Float64()*float64(d)/2)
 }
 
+// budget returns a service's budget. With a capacity below one token, nodes begin at
+// different points between two tokens.
 func (s *shard) budget(service string) *budget {
 	b := s.services[service]
 	if b == nil {
 		b = &budget{repeats: initialTokens, rejected: initialTokens, refused: initialTokens}
+		if capacity := s.bounds().MaxTokens; capacity < 1 {
+			b.repeats, b.rejected = s.rng.Float64()*(1+capacity), s.rng.Float64()*(1+capacity)
+		}
 		s.services[service] = b
 	}
 	return b
--- a/internal/policy/retry/budget_test.go
+++ b/internal/policy/retry/budget_test.go
@@ -148,3 +148,41 @@
 		budgets.ObserveLatency(&c, ms)
 	}
 }
+
+// Guards against a fleet whose nodes each save up a whole token although it has more nodes
+// than tokens: a fault of a pool would cost a retry of each of them at once.
+func TestTokensOfManyNodesStayWithinTheirSum(t *testing.T) {
+	t.Parallel()
+	const spare, ratio, calls = 260, 0.11, 60
+	for _, nodes := range []int{100, 1000, 4000} {
+		bounds := Bounds{RepeatRatio: ratio, RejectedRatio: ratio, MaxTokens: float64(spare) / float64(nodes)}
+		atOnce, later := 0, 0
+		for n := range nodes {
+			b := NewBudgets(sim.Rand(uint64(n)), WithBounds(func() Bounds { return bounds }))
+			fail := func() int {
+				call := NewCall("quote", sim.Start.Add(time.Second), Retries(1), Idempotent())
+				b.FirstAttempt(&call)
+				if _, ok := b.After(sim.Start, &call, Rejected(ms)).(Retry); ok {
+					return 1
+				}
+				return 0
+			}
+			for range calls {
+				b.FirstAttempt(&Call{service: "quote"})
+			}
+			for range 3 {
+				atOnce += fail()
+			}
+			for range calls {
+				later += fail()
+			}
+		}
+		// Three failed calls earn a third of a token.
+		if most := spare + 3*ratio*float64(nodes); float64(atOnce) > 1.1*most {
+			t.Errorf("%d nodes retry %d of their first three failed calls, want at most %.0f", nodes, atOnce, most)
+		}
+		if earned := ratio * calls * float64(nodes); float64(later) < 0.9*earned || float64(later) > earned+float64(nodes) {
+			t.Errorf("%d nodes retry %d of %d failed calls, want what they earn, %.0f", nodes, later, calls*nodes, earned)
+		}
+	}
+}
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -160,7 +160,7 @@
 	return retry.Bounds{
 		RepeatRatio:   b.RetryShare * repeatShare,
 		RejectedRatio: b.RetryShare * rejectShare,
-		MaxTokens:     max(1, float64(b.RetrySpare)*maxTokensShare/float64(n.fleet.Size())),
+		MaxTokens:     float64(b.RetrySpare) * maxTokensShare / float64(n.fleet.Size()),
 	}
 }
 
