--- a/internal/control/fleet/domainkey.go
+++ b/internal/control/fleet/domainkey.go
@@ -163,8 +163,8 @@
 func (b *batch) domainUnreachable(domain string, now time.Time) {
 	b.v.domain(domain).unreachable = true
 	for _, m := range b.v.members {
-		if m.record.Domain() == domain && m.record.State() == membership.Ready && m.missingSince.IsZero() {
-			m.missingSince = now
+		if m.record.Domain() == domain && m.record.State() == membership.Ready {
+			m.markMissing(now, domainGrace)
 		}
 	}
 }
--- a/internal/control/fleet/query.go
+++ b/internal/control/fleet/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"net/http"
 	"net/netip"
@@ -10,6 +11,7 @@
 	"time"
 
 	"banyanlug.example/banyanlug/internal/control/fleet/fleetpb"
+	"banyanlug.example/banyanlug/internal/control/platform"
 	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/policy/membership"
 )
@@ -28,10 +30,12 @@
 	// hintDelay lets the store's watch or a parent deliver a hinted version first. Without
 	// it, each node would fetch each version of a burst twice.
 	hintDelay = 400 * time.Millisecond
-	// missingGrace is how long an entry or a failure domain's key may be missing before its
-	// nodes are probed, and missingRetry is the interval between probes while it stays
-	// missing. A domain's root rewrites its key within two seconds of the store's recovery.
-	missingGrace = 2500 * time.Millisecond
+	// absentGrace and domainGrace are how long an entry and a failure domain's key may be
+	// missing before nodes are probed, and missingRetry is the interval between probes
+	// while they stay missing. A domain's root rewrites its key within two seconds of the
+	// store's recovery.
+	absentGrace  = 300 * time.Millisecond
+	domainGrace  = 2500 * time.Millisecond
 	missingRetry = 2 * time.Second
 	// maxProbes bounds the probes that run in parallel.
 	maxProbes = 32
@@ -157,7 +161,7 @@
 	now := f.clk.Now()
 	var probes sync.WaitGroup
 	slots := make(chan struct{}, maxProbes)
-	for _, r := range f.view.dueForProbe(now, missingGrace, missingRetry) {
+	for _, r := range f.view.dueForProbe(now, missingRetry) {
 		if r.Instance() == self.Instance() {
 			continue
 		}
@@ -185,12 +189,15 @@
 	return true, nil
 }
 
-// probeMissingMember keeps a missing member that answers and removes one that doesn't.
+// probeMissingMember keeps a missing member that answers and removes one that doesn't. The
+// root of its failure domain writes the entry of one that answers again: the member itself
+// does not read the store.
 func (f *Fleet) probeMissingMember(ctx context.Context, now time.Time, r membership.Record) {
 	alive, err := f.probe(ctx, r)
 	if alive {
 		if since := f.view.missingSince(r.Instance()); !since.IsZero() { // zero if the store has the entry again
 			f.log.Emit(event.MemberKept, event.F("instance", r.Instance()), event.F("missing_for", now.Sub(since)))
+			f.restoreEntry(ctx, r.Instance())
 		}
 		return
 	}
@@ -199,6 +206,24 @@
 	}
 }
 
+// restoreEntry writes the entry of a member of this node's failure domain to the store, if
+// the store is not known to have it and this node is the domain's root.
+func (f *Fleet) restoreEntry(ctx context.Context, instance string) {
+	self, _ := f.ownRecord()
+	r, revision := f.view.member(instance)
+	if r.Domain() != self.Domain() || revision > 0 || !f.position().IsRoot() {
+		return
+	}
+	revision, err := f.store.CompareAndSwap(ctx, entryKey(r.Domain(), instance), 0, encodeEntry(r))
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		f.view.put(r, revision)
+	case !errors.As(err, &conflict):
+		f.storeFailed(ctx, err)
+	}
+}
+
 // noVersion requests no configuration, as no version is greater.
 const noVersion = math.MaxUint64
 
--- a/internal/control/fleet/view.go
+++ b/internal/control/fleet/view.go
@@ -63,7 +63,7 @@
 	// missingSince is when the store dropped the entry of a ready member; zero while the
 	// store has it.
 	missingSince time.Time
-	probedAt     time.Time // last probe while missing
+	probeAt      time.Time // when it is to be probed next while missing
 	change       uint64    // number of the last change of its record
 }
 
@@ -308,8 +308,13 @@
 		b.remove(m)
 		return
 	}
+	m.markMissing(now, absentGrace)
+}
+
+// markMissing marks a member as missing, to be probed after a time.
+func (m *member) markMissing(now time.Time, grace time.Duration) {
 	if m.missingSince.IsZero() {
-		m.missingSince = now
+		m.missingSince, m.probeAt = now, now.Add(grace)
 	}
 }
 
@@ -336,17 +341,17 @@
 	return removed
 }
 
-// dueForProbe returns the members that have been missing from the store for at least grace
-// and were not probed within retry.
-func (v *view) dueForProbe(now time.Time, grace, retry time.Duration) []membership.Record {
+// dueForProbe returns the missing members that are to be probed now; the next probe follows
+// after retry.
+func (v *view) dueForProbe(now time.Time, retry time.Duration) []membership.Record {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var out []membership.Record
 	for _, m := range v.members {
-		if m.missingSince.IsZero() || now.Sub(m.missingSince) < grace || now.Sub(m.probedAt) < retry {
+		if m.missingSince.IsZero() || now.Before(m.probeAt) {
 			continue
 		}
-		m.probedAt = now
+		m.probeAt = now.Add(retry)
 		out = append(out, m.record)
 	}
 	return out
@@ -414,6 +419,16 @@
 	return 0
 }
 
+// member returns a member's record and the revision of its entry.
+func (v *view) member(instance string) (membership.Record, uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if m := v.members[instance]; m != nil {
+		return m.record, m.revision
+	}
+	return membership.Record{}, 0
+}
+
 // rebuildPools recomputes some pools and their groups; the caller holds the lock.
 func (v *view) rebuildPools(affected map[string]bool) {
 	v.rebuilds++
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -199,7 +199,7 @@
 	n.slots.SetProcess(n.tracker.Target())
 	n.targetHandler = target.New(n.slots, targetAddress, n.targetClient, nil, nil, n.clk,
 		target.WithLog(n.log), target.WithMetrics(n.metrics), target.WithHeaderNames(n.headerNames),
-		target.OnConnRefused(n.handleConnRefused), target.WithVersion(n.version), target.WithCallLog(n.log),
+		target.OnConnRefused(n.handleConnRefused), target.WithVersion(n.Version), target.WithCallLog(n.log),
 		target.WithRollout(n.fleet.Admits, n.observe))
 	n.targetServer = target.NewServer(n.targetHandler, n.clk)
 	n.registerMetrics()
@@ -219,7 +219,8 @@
 	n.fleet.Observe(route, duration, failed, !n.warming.Load())
 }
 
-func (n *Node) version() uint64 { return n.fleet.Current().Version() }
+// Version returns the version of the active configuration, 0 if there is none.
+func (n *Node) Version() uint64 { return n.fleet.Current().Version() }
 
 // Reload applies the reloadable settings of cfg. The others take effect only at a
 // restart; Reload logs whether any of them changed. Invalid settings are logged and
@@ -323,7 +324,7 @@
 // registerMetrics adds the gauges that are computed at each scrape.
 func (n *Node) registerMetrics() {
 	gauge := func(name string, f func() float64) { n.metrics.NewGauge(name, f) }
-	gauge("banyanlug_config_version", func() float64 { return float64(n.version()) })
+	gauge("banyanlug_config_version", func() float64 { return float64(n.Version()) })
 	gauge("banyanlug_config_age_seconds", func() float64 { return n.fleet.ConfigAge().Seconds() })
 	for _, state := range []membership.State{membership.Starting, membership.Ready, membership.Draining, membership.Gone} {
 		gauge(fmt.Sprintf("banyanlug_members{state=%q}", state), func() float64 { return float64(n.fleet.Members()[state]) })
