traffic/http1: a call whose client has left while it waited is not passed on

A node that is short of processor time reads a call long after it came; the watch on clients looks first 50 ms after that, when the call is on its way already.

A call whose client has closed is dropped when it has been read: one system call more for each call.

Test: calls whose clients have left before the server accepts; old code serves them.

--- a/internal/traffic/http1/clientwatch.go
+++ b/internal/traffic/http1/clientwatch.go
@@ -6,7 +6,7 @@
 )
 
 // watchClients cancels calls whose clients have disconnected, which would otherwise
-// keep a target busy. Calls shorter than one interval are not checked.
+// keep a target busy. Calls shorter than one interval are checked only when they begin.
 func (s *Server) watchClients(ctx context.Context, done chan<- error) {
 	tick := s.clk.Subscribe(clientCheckInterval)
 	defer tick.Stop()
--- a/internal/traffic/http1/conn.go
+++ b/internal/traffic/http1/conn.go
@@ -157,6 +157,11 @@
 		c.refuse(bodyTooLarge(c.s.maxBody))
 		return false
 	}
+	if PeerClosed(c.rwc) {
+		// The call waited here until its client left; watchClients would notice only after
+		// it was passed on.
+		return false
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(context.Canceled)
 	c.beginCall(cancel)
--- a/internal/traffic/http1/server_test.go
+++ b/internal/traffic/http1/server_test.go
@@ -474,3 +474,52 @@
 		}
 	}
 }
+
+// Guards against a call that is passed on although its client left while the call waited to
+// be read: the target would work for nobody.
+func TestCallWhoseClientHasLeftIsNotServed(t *testing.T) {
+	t.Parallel()
+	ln, err := Listen(context.Background(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 5 {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(c, "GET /left HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		_ = c.Close()
+	}
+	var left, served atomic.Int32
+	ctx, cancel := context.WithCancel(context.Background())
+	clk := timer.New()
+	ticks, ended := make(chan error, 1), make(chan error, 1)
+	go clk.Run(ctx, ticks)
+	s := New(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/left" {
+			left.Add(1)
+		}
+		served.Add(1)
+	}), clk)
+	go s.Serve(ctx, ln, ended)
+	defer func() { cancel(); <-ended; <-ticks }()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	client := &testClient{t: t, Conn: c, br: bufio.NewReader(c)}
+	client.send("GET /here HTTP/1.1\r\nHost: a\r\n\r\n")
+	if status, _, _ := client.readResponse("GET"); status != http.StatusOK || served.Load() == 0 {
+		t.Errorf("a call whose client waits is answered %d", status)
+	}
+	if err := s.Drain(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if n := left.Load(); n > 0 {
+		t.Errorf("%d calls were served whose clients had left", n)
+	}
+}
