control/fleet: whoever reads the store for a domain audits its members

Cause, found by reading: only the root probed members and removed entries. A root that had stopped was still first in rank by its entry, which has no lease, so nobody removed it: all its children would have tried it first for ever.

A node that reads the store in place of the root probes the members of the domain, the root among them, and restores lost entries.

Test: a stalled root; old code keeps it as a target and its entry in the store.

--- a/internal/control/fleet/audit.go
+++ b/internal/control/fleet/audit.go
@@ -12,8 +12,7 @@
 )
 
 const (
-	// auditCycle is the time in which the root of a failure domain probes each of its
-	// members once.
+	// auditCycle is the time in which a reader probes each member of its failure domain once.
 	auditCycle = 4 * time.Second
 	// recheckInterval is the time between probes of a member that did not answer.
 	recheckInterval = time.Second
@@ -24,8 +23,8 @@
 	maxAuditInterval = time.Second
 )
 
-// auditor probes the members of the node's failure domain while the node is its root, and
-// removes the entries of those that have stopped: entries have no leases of their own.
+// auditor probes the members of the node's failure domain while the node reads the store for
+// it, and removes the entries of those that have stopped: entries have no leases of their own.
 type auditor struct {
 	f *Fleet
 
@@ -49,7 +48,9 @@
 	for ctx.Err() == nil {
 		self, _ := f.ownRecord()
 		members, _ := f.view.domainRecords(self.Domain(), 0)
-		if len(members) < 2 || !f.position().IsRoot() || !f.synced.Load() {
+		// A node that reads the store in place of the root finds out whether the root has
+		// stopped.
+		if len(members) < 2 || !f.readsStore() || !f.synced.Load() {
 			a.reset()
 			_ = f.clk.Sleep(ctx, f.jitter(maxAuditInterval))
 			continue
--- a/internal/control/fleet/query.go
+++ b/internal/control/fleet/query.go
@@ -190,7 +190,7 @@
 }
 
 // probeMissingMember keeps a missing member that answers and removes one that doesn't. The
-// root of its failure domain writes the entry of one that answers again: the member itself
+// reader of its failure domain writes the entry of one that answers again: the member itself
 // does not read the store.
 func (f *Fleet) probeMissingMember(ctx context.Context, now time.Time, r membership.Record) {
 	alive, err := f.probe(ctx, r)
@@ -207,11 +207,11 @@
 }
 
 // restoreEntry writes the entry of a member of this node's failure domain to the store, if
-// the store is not known to have it and this node is the domain's root.
+// the store is not known to have it and this node reads the store for the domain.
 func (f *Fleet) restoreEntry(ctx context.Context, instance string) {
 	self, _ := f.ownRecord()
 	r, revision := f.view.member(instance)
-	if r.Domain() != self.Domain() || revision > 0 || !f.position().IsRoot() {
+	if r.Domain() != self.Domain() || revision > 0 || !f.readsStore() {
 		return
 	}
 	revision, err := f.store.CompareAndSwap(ctx, entryKey(r.Domain(), instance), 0, encodeEntry(r))
--- a/internal/control/fleet/tree_test.go
+++ b/internal/control/fleet/tree_test.go
@@ -106,6 +106,31 @@
 	}
 }
 
+// Guards against a stopped root that stays the root in all member lists: no other node's
+// position makes it responsible for removing the root's entry.
+func TestTheEntryOfAStoppedRootIsRemoved(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t)
+	stores := map[string]*nodeStore{}
+	for i, n := range sevenNodes {
+		stores[n] = &nodeStore{fakeStore: h.store}
+		h.startIn("a", n, uint64(i+1), stores[n])
+	}
+	h.waitForStart(sevenNodes...)
+	root := h.waitForReader(sevenNodes...)
+	h.eventually("its entry is in the store", func() bool { _, ok := h.store.get(entryKey("a", root)); return ok })
+	stores[root].unreachable.Store(true)
+	h.nodes[root].stalled.Store(true)
+	others := without(sevenNodes, root)
+	for _, n := range others {
+		h.waitForTargets(n, others...)
+	}
+	h.waitForReader(others...)
+	if _, ok := h.store.get(entryKey("a", root)); ok {
+		t.Error("its entry is still in the store")
+	}
+}
+
 // The store refuses all nodes of one failure domain; versions must arrive from the other.
 func TestAFailureDomainWithoutTheStoreGetsVersionsFromAnother(t *testing.T) {
 	t.Parallel()
