policy/token: half of what a margin leaves adds to the rate

Cause: what a margin allows beyond the rate was kept for bursts alone. An organisation that stays beyond its limit was refused up to a quarter of what the platform still allows it.

The bound on windows is the same property test, its plan has the higher rate.

--- a/internal/policy/token/plan.go
+++ b/internal/policy/token/plan.go
@@ -16,6 +16,9 @@
 	// replacements is how many issuers of a domain may follow one another in a window;
 	// each begins with initial tokens.
 	replacements = 2
+	// rateShare is the part of what a margin allows beyond the rate that adds to the rate; the
+	// rest is for bursts.
+	rateShare = 0.5
 	// initialPart is the part of its capacity with which a bucket begins.
 	initialPart = 0.25
 	// fallbackShare is the part of a limit that all nodes together may use while they can't
@@ -42,6 +45,8 @@
 
 // Plan is how the tokens of one limit are issued.
 //
+// The rate is that of the limit and a part of its margin: an organisation beyond its limit
+// is served as much as the margin allows, and not only in bursts.
 // In a window w the calls number at most rate x (w + cacheTime) + the capacity of all
 // buckets + the initial tokens of each issuer that replaced another. The margin covers this
 // for replacements of every issuer in a window. Two issuers of one domain that are in use
@@ -58,18 +63,23 @@
 // margin the buckets hold the burst, but no less than a tenth of a second's calls.
 func NewPlan(l snapshot.Limit, m Margin, domains int) Plan {
 	domains = max(1, domains)
-	least := l.Rate() * minBurstSeconds
+	rate, least := l.Rate(), l.Rate()*minBurstSeconds
 	capacity := max(l.Burst(), least)
 	if m.Window > 0 {
 		// An issuer begins with initialPart of its capacity.
 		const inUse = 1 + replacements*initialPart
-		spare := m.Allowed(l, m.Window) - l.Rate()*(m.Window+cacheTime).Seconds()
-		handover := l.Rate() / float64(domains) * handoverTime.Seconds()
-		capacity = max((spare-handover)/inUse, min(spare/inUse, least))
+		counted := (m.Window + cacheTime).Seconds()
+		handover := handoverTime.Seconds() / float64(domains) // in seconds of the rate
+		spare := m.Allowed(l, m.Window) - rate*counted
+		if added := (spare - rate*handover) * rateShare / (counted + handover); added > 0 {
+			rate += added
+			spare -= added * counted
+		}
+		capacity = max((spare-rate*handover)/inUse, min(spare/inUse, least))
 	}
 	capacity = max(1, capacity)
 	issuers := min(domains, max(1, int(capacity/minIssuerTokens)))
-	p := Plan{issuers: issuers, rate: l.Rate() / float64(issuers), capacity: capacity / float64(issuers), fallbackRate: l.Rate() * fallbackShare}
+	p := Plan{issuers: issuers, rate: rate / float64(issuers), capacity: capacity / float64(issuers), fallbackRate: l.Rate() * fallbackShare}
 	p.initial = p.capacity * initialPart
 	return p
 }
