control/fleet: a starting node announces nothing before it has read its entry

Found by reading: a probe or query of a node that had just started returned its record with the new process's numbers. If the node then finds its earlier entry still right, it goes on with that one's lower numbers, and whoever had the other record took the node's target for not ready until the node was told and wrote its entry.

The response has no entry until the node's own has been read; a probe takes that for alive. A starting node holds a pull for 0.3 s, less than the time after which the sender also pulls from another parent and avoids the first.

--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -217,7 +217,11 @@
 // View implements fleetpb.Fleet.
 func (f *Fleet) View(_ context.Context, r *fleetpb.ViewRequest) (*fleetpb.ViewResponse, error) {
 	self, _ := f.ownRecord()
-	out := &fleetpb.ViewResponse{Entry: encodeEntry(self), Rollouts: f.rollouts.newerThan(nil), RolloutsUnknown: !f.rollouts.synced.Load()}
+	out := &fleetpb.ViewResponse{Rollouts: f.rollouts.newerThan(nil), RolloutsUnknown: !f.rollouts.synced.Load()}
+	// Before that, an earlier process's entry may turn out to be right, with lower numbers.
+	if f.ownEntryRead.Load() {
+		out.Entry = encodeEntry(self)
+	}
 	if r.GetMembers() {
 		for _, m := range f.view.records() {
 			out.Members = append(out.Members, encodeEntry(m))
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -18,6 +18,7 @@
 
 	"banyanlug.example/banyanlug/internal/clock/timer"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/control/fleet/fleetpb"
 	"banyanlug.example/banyanlug/internal/control/platform"
 	"banyanlug.example/banyanlug/internal/policy/membership"
 )
@@ -397,6 +398,9 @@
 		base := membership.NewRecord("n2", membership.Domain("a"), membership.Pool("quotes"), membership.Address(record.Address()),
 			membership.ControlAddress(record.ControlAddress()), membership.Boot(99))
 		f := New(h.store, h.clk, base, configKey, decodeNumber)
+		if view, err := f.View(t.Context(), &fleetpb.ViewRequest{}); err != nil || len(view.GetEntry()) > 0 {
+			t.Errorf("%s: the node announces %q before it has read its entry, error %v", tt.name, view.GetEntry(), err)
+		}
 		w := &entryWriter{f: f}
 		announce := func() { f.Announce(membership.Ready, tt.target, 12, "") }
 		if tt.early {
--- a/internal/control/fleet/pull.go
+++ b/internal/control/fleet/pull.go
@@ -158,8 +158,9 @@
 	if link == 0 {
 		return 0
 	}
-	const bitsPerByte, microsecondsPerSecond = 8, 1e6
-	return min(maxTransferTime, time.Duration(float64(bytes)*bitsPerByte*tree.Fanout/float64(link)/microsecondsPerSecond*float64(time.Second)))
+	const bitsPerByte, bitsPerMbit = 8, 1e6
+	seconds := float64(bytes) * bitsPerByte * tree.Fanout / (float64(link) * bitsPerMbit)
+	return min(maxTransferTime, time.Duration(seconds*float64(time.Second)))
 }
 
 // pullResult is the result of one pull.
--- a/internal/control/fleet/pullserver.go
+++ b/internal/control/fleet/pullserver.go
@@ -22,10 +22,8 @@
 	f.noteNewerPeer(r)
 	wait := f.clk.After(min(time.Duration(r.GetWaitMs())*time.Millisecond, maxPullWait))
 	defer wait.Stop()
-	if !f.synced.Load() {
-		if resp := f.awaitSync(ctx, wait.C()); resp != nil {
-			return resp, nil
-		}
+	if resp := f.awaitSync(ctx); resp != nil {
+		return resp, nil
 	}
 	if !f.hasStoreData() {
 		return nil, twirp.NewError(twirp.Unavailable, "this node has no parent yet")
@@ -50,10 +48,19 @@
 	}
 }
 
-// awaitSync waits until a starting node knows the members. If that takes longer than the
-// pull may, it returns a response that says so: without one, all nodes of a failure domain
-// that start together would take each other for failed and read the store.
-func (f *Fleet) awaitSync(ctx context.Context, timeout <-chan time.Time) *fleetpb.PullResponse {
+// startingWait bounds how long a starting node holds a pull. It must be below pullSlack, after
+// which the sender also pulls from another node.
+const startingWait = 300 * time.Millisecond
+
+// awaitSync waits until a starting node knows the members. If that takes too long, it returns
+// a response that says so: without one, all nodes of a failure domain that start together
+// would take each other for failed and read the store.
+func (f *Fleet) awaitSync(ctx context.Context) *fleetpb.PullResponse {
+	if f.synced.Load() {
+		return nil
+	}
+	timeout := f.clk.After(startingWait)
+	defer timeout.Stop()
 	f.mu.Lock()
 	synced := f.syncedChanged
 	f.mu.Unlock()
@@ -61,7 +68,7 @@
 	case <-synced:
 		return nil
 	case <-ctx.Done():
-	case <-timeout:
+	case <-timeout.C():
 	}
 	return &fleetpb.PullResponse{StartingMs: uint32(max(1, f.rootStartingFor().Milliseconds()))}
 }
--- a/internal/control/fleet/query.go
+++ b/internal/control/fleet/query.go
@@ -116,6 +116,9 @@
 	f.mergeRollouts(resp.GetRollouts(), !resp.GetRolloutsUnknown())
 	var received []memberEntry
 	for _, b := range append(resp.GetMembers(), resp.GetEntry()) {
+		if len(b) == 0 {
+			continue
+		}
 		r, err := decodePeerEntry(b)
 		if err != nil {
 			f.log.Emit(event.RecordRefused, event.F("error", err), event.F("from", peer))
@@ -177,8 +180,8 @@
 // probe reports whether an instance's node answers, and puts what it announces.
 func (f *Fleet) probe(ctx context.Context, r membership.Record) (bool, error) {
 	resp, err := f.requestView(ctx, f.oneShotHTTP, r.ControlAddress(), noVersion, false, queryTimeout)
-	if err != nil {
-		return false, err
+	if err != nil || len(resp.GetEntry()) == 0 {
+		return err == nil, err
 	}
 	answer, err := decodePeerEntry(resp.GetEntry())
 	if err != nil || answer.Instance() != r.Instance() {
