control/issuer: an issuer that does not answer is not replaced in its domain

Asked faster than it answers, the issuer's calls time out at some nodes, these take the next one by rank, and each issues the domain's whole part. Ruled out: replaced issuers (none were killed then) and the fallback of nodes without an issuer (the cut leaves theirs in reach).

Only an issuer whose connection is refused is replaced now; for one that does not answer, tokens are taken in another domain, else from the node's own part.

--- a/internal/control/issuer/agent.go
+++ b/internal/control/issuer/agent.go
@@ -3,11 +3,13 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -26,8 +28,6 @@
 	// issuersPerDomain is how many nodes of a failure domain issue tokens. Few keep the
 	// number of connections small; more spread the requests.
 	issuersPerDomain = 4
-	// triedIssuers is how many of them are tried for one call.
-	triedIssuers = 2
 	// takeTimeout bounds one request to an issuer, and dialTimeout opening its connection.
 	takeTimeout = 250 * time.Millisecond
 	dialTimeout = 150 * time.Millisecond
@@ -35,8 +35,10 @@
 	avoidTime = time.Second
 	// maxFetches bounds the requests that one call waits for.
 	maxFetches = 3
-	// maxLenders is how many other domains are asked for tokens at once.
-	maxLenders = 2
+	// maxLenders is how many other domains are asked for tokens at once, and triedDomains how
+	// many are tried for one call while issuers don't answer.
+	maxLenders   = 2
+	triedDomains = 2
 	// connIdleTimeout closes connections to issuers that are no longer needed.
 	connIdleTimeout = 10 * time.Second
 )
@@ -75,7 +77,7 @@
 	mu        sync.Mutex
 	fetches   map[string]*fetch
 	loans     map[string]*fetch
-	avoid     map[string]time.Time
+	avoid     map[string]avoided
 	nextLoans int
 }
 
@@ -94,6 +96,13 @@
 	unlimited // the issuer knows no limit of the organisation
 )
 
+// avoided is an issuer that did not answer. Another node of its domain takes its place only if
+// its process has certainly stopped: otherwise others may still take tokens from it.
+type avoided struct {
+	until   time.Time
+	stopped bool
+}
+
 // Option configures an Agent.
 type Option func(*Agent)
 
@@ -112,7 +121,7 @@
 		clk: clk, log: event.Discard(), members: members, config: config, instance: instance, domain: domain,
 		domains: slices.Sorted(slices.Values(domains)), margin: func() token.Margin { return token.Margin{} },
 		issuer: token.NewIssuer(), cache: token.NewCache(),
-		fetches: map[string]*fetch{}, loans: map[string]*fetch{}, avoid: map[string]time.Time{},
+		fetches: map[string]*fetch{}, loans: map[string]*fetch{}, avoid: map[string]avoided{},
 	}
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
 	a.http = &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: connIdleTimeout}}
@@ -168,8 +177,15 @@
 func (a *Agent) fetch(l snapshot.Limit, p token.Plan, n int) answer {
 	return a.once(a.fetches, l.Organisation(), func() answer {
 		sent := a.clk.Now()
-		resp, ok := a.takeFrom(context.Background(), a.issuingDomain(l, p), &issuerpb.TakeRequest{Organisation: l.Organisation(), Tokens: uint32(n)})
-		if !ok {
+		req := &issuerpb.TakeRequest{Organisation: l.Organisation(), Tokens: uint32(n)}
+		var resp *issuerpb.TakeResponse
+		for _, domain := range a.preferredDomains(l, p) {
+			var ok bool
+			if resp, ok = a.takeFrom(context.Background(), domain, req); ok {
+				break
+			}
+		}
+		if resp == nil {
 			return unreachable
 		}
 		if resp.GetUnlimited() {
@@ -199,14 +215,14 @@
 	return own.answer
 }
 
-// issuingDomain returns the failure domain whose issuer has the organisation's tokens for
-// this node: its own if the limit is issued there.
-func (a *Agent) issuingDomain(l snapshot.Limit, p token.Plan) string {
-	issuing := a.issuingDomains(l, p)
-	if slices.Contains(issuing, a.domain) {
-		return a.domain
+// preferredDomains returns the failure domains from whose issuers this node takes an
+// organisation's tokens: its own first, if the limit is issued there.
+func (a *Agent) preferredDomains(l snapshot.Limit, p token.Plan) []string {
+	issuing := slices.Clone(a.issuingDomains(l, p))
+	if i := slices.Index(issuing, a.domain); i > 0 {
+		issuing[0], issuing[i] = issuing[i], issuing[0]
 	}
-	return issuing[0]
+	return issuing[:min(triedDomains, len(issuing))]
 }
 
 // issuingDomains returns the failure domains in which a limit is issued.
@@ -227,48 +243,46 @@
 	return out
 }
 
-// takeFrom sends a request to the issuer of a failure domain, and to the next one if it
-// does not answer.
+// takeFrom sends a request to the issuer of a failure domain, or to the next one in place of
+// an issuer that has stopped.
 func (a *Agent) takeFrom(ctx context.Context, domain string, req *issuerpb.TakeRequest) (*issuerpb.TakeResponse, bool) {
-	issuers := byWeight(req.GetOrganisation(), a.members.HighestRanked(domain, issuersPerDomain), membership.Record.Instance)
-	tried := 0
-	for _, r := range issuers {
-		if tried == triedIssuers {
-			break
-		}
+	for _, r := range byWeight(req.GetOrganisation(), a.members.HighestRanked(domain, issuersPerDomain), membership.Record.Instance) {
 		if r.Instance() == a.instance {
 			resp, err := a.Take(ctx, req)
 			return resp, err == nil
 		}
-		if a.avoided(r.Instance()) {
-			continue
+		known, avoid := a.avoided(r.Instance())
+		if !avoid {
+			cctx, cancel := a.clk.WithTimeout(ctx, takeTimeout)
+			a.requests.Add(1)
+			resp, err := issuerpb.NewIssuerProtobufClient("http://"+r.ControlAddress().String(), a.http).Take(cctx, req)
+			cancel()
+			if err == nil {
+				return resp, true
+			}
+			a.log.Emit(event.PeerLost, event.F("peer", r.Instance()), event.F("error", err))
+			known = avoided{until: a.clk.Now().Add(avoidTime), stopped: errors.Is(err, syscall.ECONNREFUSED)}
+			a.mu.Lock()
+			a.avoid[r.Instance()] = known
+			a.mu.Unlock()
 		}
-		tried++
-		cctx, cancel := a.clk.WithTimeout(ctx, takeTimeout)
-		a.requests.Add(1)
-		resp, err := issuerpb.NewIssuerProtobufClient("http://"+r.ControlAddress().String(), a.http).Take(cctx, req)
-		cancel()
-		if err == nil {
-			return resp, true
+		if !known.stopped {
+			return nil, false
 		}
-		a.log.Emit(event.PeerLost, event.F("peer", r.Instance()), event.F("error", err))
-		a.mu.Lock()
-		a.avoid[r.Instance()] = a.clk.Now().Add(avoidTime)
-		a.mu.Unlock()
 	}
 	return nil, false
 }
 
-// avoided reports whether an issuer has failed to answer a short time ago.
-func (a *Agent) avoided(instance string) bool {
+// avoided returns what is known of an issuer that has failed to answer a short time ago.
+func (a *Agent) avoided(instance string) (avoided, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	until, ok := a.avoid[instance]
-	if ok && !a.clk.Now().Before(until) {
+	known, ok := a.avoid[instance]
+	if ok && !a.clk.Now().Before(known.until) {
 		delete(a.avoid, instance)
-		return false
+		return avoided{}, false
 	}
-	return ok
+	return known, ok
 }
 
 // Take implements issuerpb.Issuer.
