One copy of the moving average, of a key's hash and of a position's own part

Read again: token/cache and token/issuer had the same moving average, each with its own two fields; it is one type now, demand. A reader whose own failure domain had not changed read that domain a second time and computed its position from it, only to compute it again from all members: whether it is a reader follows from the own domain alone, so the known position says so. view.revisionOf repeats view.member no more, and a wrapper that only a test called is gone; the test makes the same calls with the same assertions.

Behaviour is the same.

Left: CompareAndSwap's conflict of an earlier era names the expected key but gives the written key's revision; rendezvous weights stand in policy/tree and control/issuer alike.

--- a/internal/control/fleet/position.go
+++ b/internal/control/fleet/position.go
@@ -36,10 +36,10 @@
 	}
 	c.computed++
 	old := c.position
-	if domainChange == c.domainChange {
-		own, _ = f.view.domainRecords(self.Domain(), 0)
+	p := old
+	if !c.valid || domainChange != c.domainChange {
+		p = tree.PositionOf(self.Instance(), self.Domain(), own)
 	}
-	p := tree.PositionOf(self.Instance(), self.Domain(), own)
 	if p.IsReader() {
 		p = tree.PositionOf(self.Instance(), self.Domain(), f.view.records())
 	}
--- a/internal/control/fleet/tree_test.go
+++ b/internal/control/fleet/tree_test.go
@@ -212,8 +212,9 @@
 	v.put(newMember("n2", 2), 7)
 	v.put(newMember("n3", 1), 8)
 	secondCursor := v.changesSince(firstCursor, nil).until
-	v.entryDropped("n1", startTime)
-	v.entryDropped("n3", startTime)
+	drop := func(name string) { v.update(func(b *batch) { b.entryDropped(name, startTime) }) }
+	drop("n1")
+	drop("n3")
 	v.put(newMember("n3", 2), 9)
 	for _, tc := range []struct {
 		name     string
@@ -243,7 +244,7 @@
 	for n := range minDepartures + 1 {
 		name := fmt.Sprint("short-", n)
 		v.put(newMember(name, 1), 1)
-		v.entryDropped(name, startTime)
+		drop(name)
 	}
 	if set := v.changesSince(firstCursor, nil); set.complete == nil {
 		t.Error("a cursor older than the kept departures gets changes only and misses removals")
--- a/internal/control/fleet/view.go
+++ b/internal/control/fleet/view.go
@@ -293,11 +293,7 @@
 	return out
 }
 
-// entryDropped handles the removal of an entry from the store.
-func (v *view) entryDropped(instance string, now time.Time) {
-	v.update(func(b *batch) { b.entryDropped(instance, now) })
-}
-
+// entryDropped handles the absence of an entry from the store.
 func (b *batch) entryDropped(instance string, now time.Time) {
 	m := b.v.members[instance]
 	if m == nil {
@@ -411,12 +407,8 @@
 // revisionOf returns the revision of an instance's entry, 0 if the store is not known to
 // hold it.
 func (v *view) revisionOf(instance string) uint64 {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if m := v.members[instance]; m != nil {
-		return m.revision
-	}
-	return 0
+	_, revision := v.member(instance)
+	return revision
 }
 
 // member returns a member's record and the revision of its entry.
--- a/internal/policy/token/cache.go
+++ b/internal/policy/token/cache.go
@@ -1,7 +1,6 @@
 package token
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -48,8 +47,7 @@
 	expires time.Time
 	waiting int // calls that wait for tokens to be fetched
 
-	demand      float64 // calls per second
-	demandAt    time.Time
+	demand      demand // of calls
 	refuseUntil time.Time
 	retryAt     time.Time // when the issuer has the next token
 	retries     retryTimes
@@ -70,7 +68,7 @@
 // or TakeWithoutIssuer decides about it.
 func (c *Cache) Take(now time.Time, l snapshot.Limit, p Plan) (d Decision) {
 	c.with(now, l, func(o *cached) {
-		o.addDemand(now)
+		o.demand.add(now, 1)
 		o.waiting++
 		d = o.take(now, p)
 	})
@@ -94,7 +92,7 @@
 		o.waiting--
 		return Refused{RetryAfter: o.retries.next(now, o.retryAt.Sub(now), time.Duration(float64(time.Second)/p.rate))}
 	default:
-		return Fetch{Tokens: o.waiting + int(o.demand*prefetchTime.Seconds())}
+		return Fetch{Tokens: o.waiting + int(o.demand.rate*prefetchTime.Seconds())}
 	}
 }
 
@@ -155,17 +153,8 @@
 	defer s.mu.Unlock()
 	o := s.orgs[l.Organisation()]
 	if o == nil {
-		o = &cached{demandAt: now}
+		o = &cached{demand: demand{at: now}}
 		s.orgs[l.Organisation()] = o
 	}
 	f(o)
 }
-
-// addDemand adds a call to the average of the demand.
-func (o *cached) addDemand(now time.Time) {
-	if d := now.Sub(o.demandAt); d > 0 {
-		o.demand *= math.Exp(-d.Seconds() / demandTime.Seconds())
-	}
-	o.demandAt = now
-	o.demand += 1 / demandTime.Seconds()
-}
--- a/internal/policy/token/issuer.go
+++ b/internal/policy/token/issuer.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// demandTime is the time constant of the average of an issuer's demand.
-	demandTime = time.Second
 	// reserveTime is how much of its own demand an issuer keeps when it lends tokens, and
 	// for how much of its unmet demand it borrows.
 	reserveTime = 250 * time.Millisecond
@@ -34,8 +32,7 @@
 // issued is the bucket of one organisation and the demand for its tokens.
 type issued struct {
 	bucket
-	demand      float64 // tokens asked for per second
-	demandAt    time.Time
+	demand      demand // for tokens
 	noLendersAt time.Time
 }
 
@@ -61,14 +58,14 @@
 // Take issues up to n tokens to a node.
 func (s *Issuer) Take(now time.Time, l snapshot.Limit, p Plan, n int) Issue {
 	return s.withBucket(now, l, p, func(b *issued) Issue {
-		b.addDemand(now, n)
+		b.demand.add(now, n)
 		out := Issue{Tokens: b.take(n, 0)}
 		if out.Tokens < n {
 			// Each token has several takers if the demand exceeds the rate.
-			next := (1 - b.tokens) / p.rate * max(1, b.demand/p.rate)
+			next := (1 - b.tokens) / p.rate * max(1, b.demand.rate/p.rate)
 			out.RetryAfter = min(maxRetryAfter, time.Duration(next*float64(time.Second)))
 			if p.issuers > 1 && now.Sub(b.noLendersAt) >= borrowPause {
-				missing := float64(n-out.Tokens) + max(0, b.demand-p.rate)*reserveTime.Seconds()
+				missing := float64(n-out.Tokens) + max(0, b.demand.rate-p.rate)*reserveTime.Seconds()
 				out.Borrow = int(math.Ceil(min(missing, p.capacity-b.tokens)))
 			}
 		}
@@ -80,8 +77,8 @@
 // needs at present.
 func (s *Issuer) Lend(now time.Time, l snapshot.Limit, p Plan, n int) Issue {
 	return s.withBucket(now, l, p, func(b *issued) Issue {
-		b.addDemand(now, 0)
-		return Issue{Tokens: b.take(n, b.demand*reserveTime.Seconds())}
+		b.demand.add(now, 0)
+		return Issue{Tokens: b.take(n, b.demand.rate*reserveTime.Seconds())}
 	})
 }
 
@@ -103,18 +100,9 @@
 	defer shard.mu.Unlock()
 	b := shard.buckets[l.Organisation()]
 	if b == nil {
-		b = &issued{bucket: bucket{tokens: p.initial, refilledAt: now}, demandAt: now}
+		b = &issued{bucket: bucket{tokens: p.initial, refilledAt: now}, demand: demand{at: now}}
 		shard.buckets[l.Organisation()] = b
 	}
 	b.refill(now, p.rate, p.capacity)
 	return f(b)
 }
-
-// addDemand adds n requested tokens to the average of the demand.
-func (b *issued) addDemand(now time.Time, n int) {
-	if d := now.Sub(b.demandAt); d > 0 {
-		b.demand *= math.Exp(-d.Seconds() / demandTime.Seconds())
-	}
-	b.demandAt = now
-	b.demand += float64(n) / demandTime.Seconds()
-}
--- a/internal/standin/measure/isolation.go
+++ b/internal/standin/measure/isolation.go
@@ -128,8 +128,8 @@
 		return err
 	}
 	objects := []snapshot.Object{
-		snapshot.NewOrganisation("paying", snapshot.Paying, hashAPIKey(payingKey)),
-		snapshot.NewOrganisation("trial", snapshot.Trial, hashAPIKey(trialKey)),
+		snapshot.NewOrganisation("paying", snapshot.Paying, snapshot.HashKey(payingKey)),
+		snapshot.NewOrganisation("trial", snapshot.Trial, snapshot.HashKey(trialKey)),
 		snapshot.NewService("service"), pool,
 		snapshot.NewRoute("route", "/", "service", "pool", snapshot.Idempotent(), snapshot.Deadline(2*time.Second), snapshot.Retries(2)),
 	}
--- a/internal/standin/measure/limits.go
+++ b/internal/standin/measure/limits.go
@@ -123,7 +123,7 @@
 		return f, err
 	}
 	objects := []snapshot.Object{
-		snapshot.NewOrganisation("limited", snapshot.Paying, hashAPIKey(limitedKey)), m.declared,
+		snapshot.NewOrganisation("limited", snapshot.Paying, snapshot.HashKey(limitedKey)), m.declared,
 		snapshot.NewService("service"), pool,
 		snapshot.NewRoute("route", "/", "service", "pool", snapshot.Idempotent(), snapshot.Deadline(2*time.Second), snapshot.Retries(2)),
 	}
--- a/internal/standin/measure/proxy.go
+++ b/internal/standin/measure/proxy.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"flag"
 	"fmt"
 	"io"
@@ -129,8 +127,7 @@
 		if i == 0 {
 			key = apiKey
 		}
-		sum := sha256.Sum256([]byte(key))
-		objects = append(objects, snapshot.NewOrganisation(fmt.Sprintf("organisation-%d", i), snapshot.Paying, hex.EncodeToString(sum[:])))
+		objects = append(objects, snapshot.NewOrganisation(fmt.Sprintf("organisation-%d", i), snapshot.Paying, snapshot.HashKey(key)))
 	}
 	_, snap, err := snapshot.Empty().Next(snapshot.NewChange(objects, nil), snapshot.Stamp{PlanID: "measure"})
 	return snap, err
