traffic/target: the limit that a target names is logged and counted

The logs and metrics could not tell apart whether a target's limit is not read, kept by each node on its own, or kept late: no line names it and nothing counts what the target is sent by all nodes together.

- 1406, when the target changes the limit that it names in its responses;
- 1407, each second while it names one: the calls passed to it, and the limit;
- banyanlug_target_rate_limit and banyanlug_target_calls_passed_total.

Without a change of the limit's handling 1407 is above the limit from the first line on. A limit kept by each node would show up to the limit times the nodes, one kept late a rate that falls some lines after 1406.

No decision depends on it. Tests of traffic, platform and log/event pass.

--- a/internal/log/event/calls.go
+++ b/internal/log/event/calls.go
@@ -7,6 +7,8 @@
 	UnauthenticatedRefused Code = 1403
 	TargetChanged          Code = 1404
 	CallsHeld              Code = 1405
+	TargetRateLimit        Code = 1406
+	TargetRate             Code = 1407
 )
 
 var callsEvents = map[Code]Entry{
@@ -14,5 +16,7 @@
 	ResponseFault:          {Error, "a handler panicked or sent a response of the wrong length; the connection was closed so that the response does not look complete", "report it with the error: it is a fault of this program"},
 	CallsHeld:              {Error, "calls were in flight at two crashes of targets and are held back", "look at the requests of the calls that are refused as held-back; they crash targets"},
 	TargetChanged:          {Info, "the state of the node's local target changed", "nothing; down means that its address refuses connections"},
+	TargetRateLimit:        {Info, "the local target changed the limit that it names for the rate of calls; 0 is none", "see docs/operators/admission.md if it stays"},
+	TargetRate:             {Info, "calls passed to a local target that names a limit for their rate; at most one line per second", "compare per_second with limit"},
 	UnauthenticatedRefused: {Warn, "unauthenticated connection refused; at most one line per second", "look at the address: a node with another fleet key, or a client that is not a node"},
 }
--- a/internal/traffic/hop/header_names.go
+++ b/internal/traffic/hop/header_names.go
@@ -1,6 +1,7 @@
 package hop
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,6 +17,7 @@
 	organisation         string
 	notRun               string
 	signature            string
+	rateLimit            string
 	fractionalRetryAfter bool
 }
 
@@ -48,6 +50,10 @@
 // SignatureIn names a header that every successful response of a target has.
 func SignatureIn(name string) HeaderNameOption { return func(n *HeaderNames) { n.signature = name } }
 
+// RateLimitIn names the header with which a target states how many calls a second it takes
+// from all nodes together.
+func RateLimitIn(name string) HeaderNameOption { return func(n *HeaderNames) { n.rateLimit = name } }
+
 // FractionalRetryAfter allows fractions of a second in Retry-After.
 func FractionalRetryAfter() HeaderNameOption {
 	return func(n *HeaderNames) { n.fractionalRetryAfter = true }
@@ -114,6 +120,16 @@
 	return n.signature == "" || resp.Status() >= http.StatusMultipleChoices || resp.Header().Get(n.signature) != ""
 }
 
+// RateLimit returns the calls per second that a response's target takes, and false if the
+// response names no valid number.
+func (n HeaderNames) RateLimit(resp *Response) (perSecond float64, ok bool) {
+	if n.rateLimit == "" {
+		return 0, false
+	}
+	perSecond, err := strconv.ParseFloat(resp.Header().Get(n.rateLimit), 64)
+	return perSecond, err == nil && perSecond >= 0 && !math.IsInf(perSecond, 1)
+}
+
 // FractionalRetryAfter reports whether Retry-After may hold fractions of a second.
 func (n HeaderNames) FractionalRetryAfter() bool { return n.fractionalRetryAfter }
 
--- a/internal/traffic/target/forward.go
+++ b/internal/traffic/target/forward.go
@@ -20,6 +20,7 @@
 			c.h.probe(c.meta.Instance())
 		}
 	}()
+	c.countPassed()
 	sent := c.h.clk.Now()
 	resp, err := c.h.client.Do(c.r.Context(), c.h.local, c.targetRequest(), c.deadline)
 	took := c.h.clk.Since(sent)
@@ -32,6 +33,7 @@
 		return false, 0, err
 	}
 	defer resp.Close()
+	c.readRateLimit(resp)
 	if c.h.headerNames.NotRun(resp) {
 		return false, 0, &TargetRejectedError{Status: resp.Status()}
 	}
--- a/internal/traffic/target/handler.go
+++ b/internal/traffic/target/handler.go
@@ -34,6 +34,7 @@
 	versionAdmitted         func() bool
 	observe                 func(route string, took time.Duration, failed bool)
 	probing                 atomic.Bool
+	rate                    rateMonitor
 }
 
 // Option sets one property of a handler.
@@ -68,7 +69,7 @@
 
 // WithMetrics registers the handler's metrics in set.
 func WithMetrics(set *metrics.Set) Option {
-	return func(h *Handler) { h.callMetrics = newHandlerMetrics(set, h.slots) }
+	return func(h *Handler) { h.callMetrics = newHandlerMetrics(set, h.slots, &h.rate) }
 }
 
 // New returns a handler for the target at a local address, which it calls
@@ -77,8 +78,9 @@
 	h := &Handler{
 		slots: slots, local: local, client: client, credential: credential, sealer: sealer, clk: clk,
 		versionAdmitted: func() bool { return true }, observe: func(string, time.Duration, bool) {},
-		headerNames: hop.NewHeaderNames(), onConnRefused: func(string) {}, guard: noGuard{}, log: event.Discard(), callMetrics: newHandlerMetrics(metrics.NewSet(), slots),
+		headerNames: hop.NewHeaderNames(), onConnRefused: func(string) {}, guard: noGuard{}, log: event.Discard(),
 	}
+	h.callMetrics = newHandlerMetrics(metrics.NewSet(), slots, &h.rate)
 	for _, opt := range opts {
 		opt(h)
 	}
--- a/internal/traffic/target/metrics.go
+++ b/internal/traffic/target/metrics.go
@@ -21,11 +21,13 @@
 // the target takes to respond.
 type stageHistograms struct{ queue, work *metrics.Histogram }
 
-func newHandlerMetrics(set *metrics.Set, s *Slots) *handlerMetrics {
+func newHandlerMetrics(set *metrics.Set, s *Slots, rate *rateMonitor) *handlerMetrics {
 	gauge := func(name, labels string, f func() int) {
 		set.GetOrCreateGauge("banyanlug_target_"+name+labels, func() float64 { return float64(f()) })
 	}
 	gauge("slots", "", func() int { return s.Load().Slots() })
+	set.GetOrCreateGauge("banyanlug_target_rate_limit", rate.namedLimit)
+	set.GetOrCreateGauge("banyanlug_target_calls_passed_total", func() float64 { return float64(rate.passedTotal()) })
 	gauge("trial_slots", "", func() int { return s.Load().TrialSlots() })
 	for _, class := range []snapshot.Class{snapshot.Trial, snapshot.Paying} {
 		labels := fmt.Sprintf("{class=%q}", class)
