A target gets no more calls a second than it names

What callers saw: nothing at first; targets that had asked for 53 and 66 calls a second got 124 and 139.

Cause: class of fault, a peer's statement that no part reads. Ruled out by the counts per second: a limit kept by each node for itself, and one kept late or forgotten; neither has any code.

Fix: the target's node reads the limit from each response before it passes the response on, and its gate has a token bucket for the calls that start. All calls to a target pass its gate, so the sum over all nodes needs no message and no share. Calls beyond it wait behind one other at most, or are refused as not run; the load that the node reports tells senders to go elsewhere. The limit is the process's and ends with it, or with responses that no longer name it. The product's own header for it is Banyanlug-Rate-Limit.

--- a/internal/policy/admission/gate.go
+++ b/internal/policy/admission/gate.go
@@ -20,6 +20,7 @@
 	draining    bool
 
 	limit concurrencyLimit
+	rate  rateLimit
 
 	paying, trial               queue
 	runningPaying, runningTrial int
@@ -84,6 +85,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	at := g.advance(now)
+	if g.rate.limited() {
+		// Waiting calls go first if a token has come since the last decision.
+		wakes = g.dispatch(at, wakes)
+	}
 	o := g.orgOf(r.org)
 	c := g.newCall(at, r, o)
 	if reason := g.refusalReason(at, c); reason != 0 {
@@ -156,8 +161,9 @@
 }
 
 // Expire refuses the waiting calls that can no longer end in time. It also runs
-// trial calls when the demand of paying calls has decayed; otherwise they would
-// wait until their deadline although the target is idle.
+// trial calls when the demand of paying calls has decayed, and calls that waited for
+// the target's rate; otherwise they would wait until their deadline although the target
+// is idle.
 func (g *Gate) Expire(now time.Time, wakes []Wake) []Wake {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -179,6 +185,9 @@
 	if !ok {
 		return time.Time{}, false
 	}
+	if !g.rate.ready(g.latest) {
+		next = min(next, g.latest+g.rate.wait(g.latest, 1))
+	}
 	if len(g.trial.calls) > 0 {
 		next = min(next, g.demand.nextDecrease(g.latest))
 	}
--- a/internal/policy/admission/load_test.go
+++ b/internal/policy/admission/load_test.go
@@ -81,6 +81,32 @@
 	}
 }
 
+// Guards against trial calls that use up the rate of a target in need, which paying calls
+// would then wait for.
+func TestTrialFloodDoesNotSlowPayingCallsWithinATargetsRateLimit(t *testing.T) {
+	t.Parallel()
+	const limit, payingRate = 100, 50
+	for _, promised := range []int{0, 8} {
+		run := func(more ...*workload) (broker *workload, s *simulation) {
+			broker = paying("broker", payingRate, 1)
+			s, g := newGateSimulation(targetSlots, promised)
+			g.ObserveRate(s.Now(), limit, true, nil)
+			s.run(append(more, broker)...)
+			return broker, s
+		}
+		alone, _ := run()
+		flood := trial("free", 20*limit, 2)
+		beside, _ := run(flood)
+		if beside.done != beside.sent {
+			t.Errorf("%d promised: %d of %d paying calls done", promised, beside.done, beside.sent)
+		}
+		if ratio := float64(beside.p99()) / float64(alone.p99()); ratio > 1.05 {
+			t.Errorf("%d promised: paying p99 %v with the flood, %v without", promised, beside.p99(), alone.p99())
+		}
+		t.Logf("%d promised: paying p99 %v, alone %v; trial done %d of %d", promised, beside.p99(), alone.p99(), flood.done, flood.sent)
+	}
+}
+
 // Guards against refusals in a burst that the queue has space for: 36 calls at 12
 // idle slots have to end within three service times.
 func TestBurstOfThreeTimesTheSlotsIsServed(t *testing.T) {
--- a/internal/policy/admission/refusal.go
+++ b/internal/policy/admission/refusal.go
@@ -29,14 +29,14 @@
 }
 
 // refuse returns a refusal with a retry delay. The retry times of an organisation's
-// refused calls are spaced by the interval at which the target completes calls, and
+// refused calls are spaced by the interval at which calls start on the target, and
 // beyond maxRetryAfter they are spread over its second half; with equal times the
 // calls would return as one burst.
 func (g *Gate) refuse(at int64, class snapshot.Class, o *org, reason Reason) Refused {
 	if reason == NoTrialSlots {
 		return Refused{reason, maxRetryAfter}
 	}
-	interval := g.all.mean / float64(g.slotsOf(at, class))
+	interval := g.startInterval(g.slotsOf(at, class))
 	earliest := at + int64(interval*float64(len(g.queueOf(class).calls)+1))
 	o.lastRetryAt = max(earliest, o.lastRetryAt+int64(interval))
 	after := time.Duration(o.lastRetryAt - at)
--- a/internal/policy/admission/slots.go
+++ b/internal/policy/admission/slots.go
@@ -17,7 +17,7 @@
 // calls lose slots before paying calls lose promised ones.
 func (g *Gate) trialSlots(at int64) int {
 	demanded := int(math.Ceil(g.demand.levelAt(at)))
-	return max(0, g.capacity()-max(g.promised, demanded))
+	return max(0, g.sustained()-max(g.promised, demanded))
 }
 
 // canRun reports whether c can run at once.
@@ -27,7 +27,7 @@
 		g.limit.grow(at)
 	}
 	slots := g.capacity()
-	if running >= slots {
+	if running >= slots || !g.rate.ready(at) {
 		return false
 	}
 	if c.class == snapshot.Paying {
@@ -45,11 +45,12 @@
 	if class == snapshot.Trial {
 		return max(1, g.trialSlots(at))
 	}
-	return max(1, g.capacity()-g.runningTrial)
+	return max(1, g.sustained()-g.runningTrial)
 }
 
 func (g *Gate) start(at int64, c *call) {
 	c.state, c.start = running, at
+	g.rate.take()
 	c.concurrency = g.runningPaying + g.runningTrial + 1
 	c.org.running++
 	n, long := &g.runningTrial, &g.longTrial
--- a/internal/policy/admission/wait.go
+++ b/internal/policy/admission/wait.go
@@ -22,8 +22,16 @@
 
 // expectedWait estimates how long c would wait, in nanoseconds: the number of calls
 // of its kind, long or short, ahead of it, times the mean interval at which slots
-// for them come free.
+// for them come free, and no less than the target's rate allows.
 func (g *Gate) expectedWait(at int64, c *call) int64 {
+	first := g.queueOf(c.class).position(c) + 1
+	if c.class == snapshot.Trial {
+		first += len(g.paying.calls)
+	}
+	return max(g.expectedSlotWait(at, c), g.rate.wait(at, first))
+}
+
+func (g *Gate) expectedSlotWait(at int64, c *call) int64 {
 	slots := g.slotsOf(at, c.class)
 	ahead := g.queueOf(c.class).ahead(c) + 1
 	if c.long {
@@ -46,6 +54,9 @@
 		slots = g.trialSlots(at)
 	}
 	maxWaiting := min(queuePerSlot*slots, maxQueue)
+	if !g.rate.ready(at) {
+		maxWaiting = min(maxWaiting, maxWaitingForRate)
+	}
 	q := g.queueOf(c.class)
 	if c.long {
 		return len(q.calls)-q.short < maxWaiting/2
--- a/internal/traffic/hop/header.go
+++ b/internal/traffic/hop/header.go
@@ -39,6 +39,10 @@
 	// twice.
 	KeyHeader = "Idempotency-Key"
 
+	// RateLimitHeader holds, in responses of targets, the calls a second that the target
+	// takes from all nodes together, as long as it is short of capacity.
+	RateLimitHeader = "Banyanlug-Rate-Limit"
+
 	headerPrefix = "Banyanlug-"
 	// nodeHeaderPrefix is the prefix of headers that are only sent between nodes.
 	nodeHeaderPrefix = "Bl-"
--- a/internal/traffic/hop/header_names.go
+++ b/internal/traffic/hop/header_names.go
@@ -61,7 +61,7 @@
 
 // NewHeaderNames returns the default header names, changed by opts.
 func NewHeaderNames(opts ...HeaderNameOption) HeaderNames {
-	n := HeaderNames{deadline: DeadlineHeader}
+	n := HeaderNames{deadline: DeadlineHeader, rateLimit: RateLimitHeader}
 	for _, opt := range opts {
 		opt(&n)
 	}
@@ -123,9 +123,6 @@
 // RateLimit returns the calls per second that a response's target takes, and false if the
 // response names no valid number.
 func (n HeaderNames) RateLimit(resp *Response) (perSecond float64, ok bool) {
-	if n.rateLimit == "" {
-		return 0, false
-	}
 	perSecond, err := strconv.ParseFloat(resp.Header().Get(n.rateLimit), 64)
 	return perSecond, err == nil && perSecond >= 0 && !math.IsInf(perSecond, 1)
 }
--- a/internal/traffic/hop/response_test.go
+++ b/internal/traffic/hop/response_test.go
@@ -1,6 +1,7 @@
 package hop
 
 import (
+	"net/http"
 	"testing"
 	"time"
 )
@@ -29,3 +30,32 @@
 		}
 	}
 }
+
+// Guards against a target's limit that is taken for none, or the reverse, because of its
+// spelling.
+func TestRateLimitsOfResponsesAreParsed(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		value string
+		limit float64
+		named bool
+	}{
+		{"", 0, false},
+		{"52.2", 52.2, true},
+		{"60", 60, true},
+		{"0", 0, true},
+		{"-1", 0, false},
+		{"NaN", 0, false},
+		{"+Inf", 0, false},
+		{"many", 0, false},
+	} {
+		resp := &Response{resp: &http.Response{Header: http.Header{}}}
+		if tc.value != "" {
+			resp.Header().Set(RateLimitHeader, tc.value)
+		}
+		limit, named := NewHeaderNames().RateLimit(resp)
+		if named != tc.named || named && limit != tc.limit {
+			t.Errorf("%q: %v, %v", tc.value, limit, named)
+		}
+	}
+}
--- a/internal/traffic/target/admit.go
+++ b/internal/traffic/target/admit.go
@@ -52,8 +52,11 @@
 // SetProcess sets the state that the target process reports, on platforms where
 // targets do so. Until the first report all calls are refused.
 func (s *Slots) SetProcess(t lifecycle.Target) {
-	s.process.Store(&t)
+	before := s.process.Swap(&t)
 	now := s.clk.Now()
+	if before != nil && (before.ID() != t.ID() || before.StartMs() != t.StartMs()) {
+		s.deliver(s.gate.Configure(now, nil, admission.NoRate()))
+	}
 	if !t.AcceptsCalls() {
 		s.deliver(s.gate.Drain(now, nil))
 		return
@@ -61,15 +64,22 @@
 	s.deliver(s.gate.Configure(now, nil, admission.Slots(t.Slots()), admission.SetDraining(false)))
 }
 
+// observeRate records the limit of the rate that a response of a target process names.
+func (s *Slots) observeRate(id string, perSecond float64, ok bool) {
+	if t := s.process.Load(); t != nil && t.ID() != id {
+		return
+	}
+	s.deliver(s.gate.ObserveRate(s.clk.Now(), perSecond, ok, nil))
+	s.scheduleExpiry()
+}
+
 // Load returns the calls that run or wait now, and the slots.
 func (s *Slots) Load() admission.Load { return s.gate.Load(s.clk.Now()) }
 
-// loadHeader returns the value of the load header in responses: running and
-// waiting calls per slot, and the usual service time of a route.
+// loadHeader returns the value of the load header in responses: the utilization, and the
+// usual service time of a route.
 func (s *Slots) loadHeader(route string) string {
-	l := s.Load()
-	n := l.Running(snapshot.Paying) + l.Running(snapshot.Trial) + l.Waiting(snapshot.Paying) + l.Waiting(snapshot.Trial)
-	return hop.FormatLoad(float64(n)/float64(max(1, l.Slots())), s.gate.RouteServiceTime(route))
+	return hop.FormatLoad(s.Load().Utilization(), s.gate.RouteServiceTime(route))
 }
 
 // Drain refuses the waiting calls and all later ones.
@@ -169,6 +179,8 @@
 
 func (s *Slots) release(t admission.Ticket, outcome admission.Outcome) {
 	s.deliver(s.gate.Leave(s.clk.Now(), t, outcome, nil))
+	// The next waiting call may now wait for the target's rate, not for a slot.
+	s.scheduleExpiry()
 }
 
 // deliver passes the gate's decisions to the waiting calls.
--- a/internal/traffic/target/admit_test.go
+++ b/internal/traffic/target/admit_test.go
@@ -91,6 +91,83 @@
 	}
 }
 
+// Guards against calls that wait for the target's rate until their deadline although it
+// allows them, because no other call ends.
+func TestCallsWaitingForTheTargetsRateStartWhenItAllowsThem(t *testing.T) {
+	t.Parallel()
+	clk := timer.NewManual(time.Unix(1_800_000_000, 0))
+	s := NewSlots(&testConfig{withSlots(t, snapshot.Empty(), 8)}, "p", clk)
+	const perSecond = 2
+	s.observeRate("", perSecond, true)
+	meta := hop.NewMeta(hop.ForOrganisation("harbour", snapshot.Paying))
+	const calls = 2
+	result := make(chan error, calls)
+	for i := range calls {
+		go func() {
+			_, err := s.acquire(t.Context(), meta, clk.Now().Add(10*time.Second))
+			result <- err
+		}()
+		for s.Load().Waiting(snapshot.Paying) <= i {
+			select {
+			case err := <-result:
+				t.Fatalf("call %d did not wait: %v", i, err)
+			default:
+			}
+		}
+	}
+	s.waitForExpiryTimer()
+	for i := range calls {
+		clk.Advance(time.Second/perSecond + time.Millisecond)
+		if err := <-result; err != nil {
+			t.Errorf("call %d: %v", i, err)
+		}
+		if n := s.Load().Waiting(snapshot.Paying); n != calls-1-i {
+			t.Errorf("%d calls wait after call %d", n, i)
+		}
+	}
+}
+
+// A limit is that of one process.
+func TestAnotherTargetProcessStartsWithoutARateLimit(t *testing.T) {
+	t.Parallel()
+	clk := timer.NewManual(time.Unix(1_800_000_000, 0))
+	s := NewSlots(&testConfig{withSlots(t, snapshot.Empty(), 8)}, "p", clk)
+	tracker := lifecycle.NewTracker()
+	meta := hop.NewMeta(hop.ForOrganisation("harbour", snapshot.Paying))
+	admitted := func() bool {
+		_, err := s.acquire(t.Context(), meta, clk.Now().Add(time.Second))
+		return err == nil
+	}
+	report := func(id string, startMs, sequence uint64) {
+		tracker.HandleHeartbeat(lifecycle.NewHeartbeat(id, lifecycle.StartMs(startMs), lifecycle.Sequence(sequence), lifecycle.Slots(8)))
+		s.SetProcess(tracker.Target())
+	}
+	const tooFew = 0.5 // a call would wait longer than its deadline
+	report("i-1", 1, 1)
+	s.observeRate("i-1", tooFew, true)
+	if admitted() {
+		t.Error("a call beyond the limit is admitted")
+	}
+	report("i-1", 1, 2)
+	if admitted() {
+		t.Error("a heartbeat of the same process ends the limit")
+	}
+	for _, next := range []struct {
+		id      string
+		startMs uint64
+	}{{"i-1", 2}, {"i-2", 3}} {
+		s.observeRate(tracker.Target().ID(), tooFew, true)
+		report(next.id, next.startMs, 1)
+		if !admitted() {
+			t.Errorf("process %s of start %d has the limit of the one before", next.id, next.startMs)
+		}
+		s.observeRate("i-0", tooFew, true)
+		if !admitted() {
+			t.Error("a late response of an earlier process sets a limit")
+		}
+	}
+}
+
 // waitForExpiryTimer waits until the queued call has scheduled its expiry.
 func (s *Slots) waitForExpiryTimer() {
 	for {
--- a/internal/traffic/target/ratelimit.go
+++ b/internal/traffic/target/ratelimit.go
@@ -71,9 +71,15 @@
 	}
 }
 
-// readRateLimit reads the limit that a response of the target names.
+// readRateLimit reads the limit that a response of the target names. Of the responses that
+// name none only those of calls that ran end a limit.
 func (c *call) readRateLimit(resp *hop.Response) {
-	limit, _ := c.h.headerNames.RateLimit(resp)
+	names := c.h.headerNames
+	limit, ok := names.RateLimit(resp)
+	if !ok && (names.NotRun(resp) || !names.Signed(resp)) {
+		return
+	}
+	c.h.slots.observeRate(c.meta.Instance(), limit, ok)
 	if before := c.h.rate.named(c.h.clk.Now(), limit); before != limit {
 		c.h.log.Emit(event.TargetRateLimit, event.F("target", c.meta.Instance()), event.F("limit", limit), event.F("before", before))
 	}
