A target that says in a response that it is leaving gets no further calls

Class of fault, found by the same look as for rate limits: what a target states in its responses was not read. Server-Leaving reached the caller and changed nothing: calls went on until the target's own report, which some targets send late.

Its node takes the statement like a goodbye, before it passes the response on: waiting and later calls are refused as not run, other nodes are told, and heartbeats of that start no longer open it. A node that is restarted then forgets this, and a delayed heartbeat makes it announce the target as ready; senders therefore remember a process that left for a minute, unless the node that was there announces it again (it has seen a later start).

Ruled out: the memory on the sender alone (other nodes would go on); passing the statement in a header between nodes (the response has it already).

Tests of balance, traffic and platform pass.

--- a/internal/policy/balance/balancer.go
+++ b/internal/policy/balance/balancer.go
@@ -24,6 +24,8 @@
 		pools map[string]*pool
 	}
 
+	leaving leavingTargets
+
 	mu  sync.Mutex
 	rng *rand.Rand
 }
@@ -81,6 +83,7 @@
 			// A refusal as draining counts only until a newer announcement.
 			t.drainingUntil = 0
 		}
+		t.drainingUntil = max(t.drainingUntil, b.leaving.until(r))
 		t.record.Store(&r)
 		t.slots = float64(max(1, slots))
 		if own := r.Slots(); own > 0 {
--- a/internal/policy/balance/balancer_test.go
+++ b/internal/policy/balance/balancer_test.go
@@ -163,6 +163,45 @@
 	}
 }
 
+// Guards against calls to a target that is leaving, after its node was restarted and a delayed
+// heartbeat made it announce the target as ready.
+func TestTargetThatLeavesIsNotPickedAfterARestartOfItsNode(t *testing.T) {
+	t.Parallel()
+	announced := func(id string, boot, seq uint64) membership.Record {
+		return membership.NewRecord("target-0", membership.Domain("sabana"), membership.InState(membership.Ready),
+			membership.TargetID(id), membership.Boot(boot), membership.Seq(seq))
+	}
+	others := readyRecords(3)[1:]
+	for _, tc := range []struct {
+		name   string
+		record membership.Record
+		after  time.Duration
+		picked bool
+	}{
+		{"nothing new", announced("i-1", 1, 1), time.Second, false},
+		{"its node was restarted", announced("i-1", 2, 1), time.Second, false},
+		{"its node was restarted long ago", announced("i-1", 2, 1), maxLeaving, true},
+		{"its node has seen it start again", announced("i-1", 1, 2), time.Second, true},
+		{"another process has replaced it", announced("i-2", 1, 2), time.Second, true},
+		{"another process has replaced it, its node was restarted", announced("i-2", 2, 1), time.Second, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			b := New(sim.Start, sim.Rand(1), Domain("sabana"))
+			b.Update(sim.Start.Add(-time.Minute), "pool", slots, append([]membership.Record{announced("i-1", 1, 1)}, others...))
+			p := mustPick(t, b, sim.Start, broker, 0)
+			b.Leaving(sim.Start, p)
+			b.Done(sim.Start, p, broker, ms, Answered())
+			// A node that restarts is not ready for some time.
+			b.Update(sim.Start, "pool", slots, others)
+			b.Update(sim.Start, "pool", slots, append([]membership.Record{tc.record}, others...))
+			if _, ok := pickOnly(b, sim.Start.Add(tc.after), broker, 0); ok != tc.picked {
+				t.Errorf("picked: %v", ok)
+			}
+		})
+	}
+}
+
 func TestNoneSaysWhyThereIsNoTarget(t *testing.T) {
 	t.Parallel()
 	b := New(sim.Start, sim.Rand(1))
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -199,7 +199,7 @@
 	n.slots.SetProcess(n.tracker.Target())
 	n.targetHandler = target.New(n.slots, targetAddress, n.targetClient, nil, nil, n.clk,
 		target.WithLog(n.log), target.WithMetrics(n.metrics), target.WithHeaderNames(n.headerNames),
-		target.OnConnRefused(n.handleConnRefused), target.WithVersion(n.Version), target.WithCallLog(n.log),
+		target.OnConnRefused(n.handleConnRefused), target.OnLeaving(n.HandleGoodbye), target.WithVersion(n.Version), target.WithCallLog(n.log),
 		target.WithRollout(n.fleet.Admits, n.observe))
 	n.targetServer = target.NewServer(n.targetHandler, n.clk)
 	n.registerMetrics()
@@ -257,7 +257,8 @@
 	})
 }
 
-// HandleGoodbye handles a target's report that its process is stopping.
+// HandleGoodbye handles a target's report that its process is stopping, by a call of its own
+// or in a response.
 func (n *Node) HandleGoodbye(id string) {
 	n.updateTarget(func() bool { return n.tracker.HandleGoodbye(id) })
 }
--- a/internal/traffic/caller/send.go
+++ b/internal/traffic/caller/send.go
@@ -133,6 +133,9 @@
 		c.reportAttempt(pending.from, pending.start, nil, err)
 		return result{}, err
 	}
+	if c.h.headerNames.Leaving(pending.resp) {
+		c.h.balancer.Leaving(c.h.clk.Now(), pending.from)
+	}
 	if rollouts, ok := c.h.directory.(RolloutDirectory); ok {
 		rollouts.RecordResponse(c.rt.Pool())
 	}
--- a/internal/traffic/hop/header_names.go
+++ b/internal/traffic/hop/header_names.go
@@ -18,6 +18,7 @@
 	notRun               string
 	signature            string
 	rateLimit            string
+	leaving              string
 	fractionalRetryAfter bool
 }
 
@@ -54,6 +55,9 @@
 // from all nodes together.
 func RateLimitIn(name string) HeaderNameOption { return func(n *HeaderNames) { n.rateLimit = name } }
 
+// LeavingIn names the header with which a target states, by the value 1, that it is leaving.
+func LeavingIn(name string) HeaderNameOption { return func(n *HeaderNames) { n.leaving = name } }
+
 // FractionalRetryAfter allows fractions of a second in Retry-After.
 func FractionalRetryAfter() HeaderNameOption {
 	return func(n *HeaderNames) { n.fractionalRetryAfter = true }
@@ -127,6 +131,11 @@
 	return perSecond, err == nil && perSecond >= 0 && !math.IsInf(perSecond, 1)
 }
 
+// Leaving reports whether a response states that its target is leaving.
+func (n HeaderNames) Leaving(resp *Response) bool {
+	return n.leaving != "" && resp.Header().Get(n.leaving) == "1"
+}
+
 // FractionalRetryAfter reports whether Retry-After may hold fractions of a second.
 func (n HeaderNames) FractionalRetryAfter() bool { return n.fractionalRetryAfter }
 
--- a/internal/traffic/target/forward.go
+++ b/internal/traffic/target/forward.go
@@ -34,6 +34,9 @@
 	}
 	defer resp.Close()
 	c.readRateLimit(resp)
+	if c.h.headerNames.Leaving(resp) {
+		c.h.onLeaving(c.meta.Instance())
+	}
 	if c.h.headerNames.NotRun(resp) {
 		return false, 0, &TargetRejectedError{Status: resp.Status()}
 	}
--- a/internal/traffic/target/handler.go
+++ b/internal/traffic/target/handler.go
@@ -27,6 +27,7 @@
 	unauthenticatedLoggedAt atomic.Int64
 	headerNames             hop.HeaderNames
 	onConnRefused           func(instance string)
+	onLeaving               func(instance string)
 	version                 func() uint64
 	callLog                 *event.Logger // per-call events; nil disables them
 	responses               atomic.Uint64
@@ -50,6 +51,10 @@
 // refuses connections; it must not block.
 func OnConnRefused(f func(instance string)) Option { return func(h *Handler) { h.onConnRefused = f } }
 
+// OnLeaving sets a function that is called with the id of a target process before a
+// response is passed on that says that the process is leaving; it must not block.
+func OnLeaving(f func(instance string)) Option { return func(h *Handler) { h.onLeaving = f } }
+
 // WithRollout sets a function that reports whether the target's version may
 // receive calls, and one that receives the result of each call that the target
 // completed or failed.
@@ -78,7 +83,7 @@
 	h := &Handler{
 		slots: slots, local: local, client: client, credential: credential, sealer: sealer, clk: clk,
 		versionAdmitted: func() bool { return true }, observe: func(string, time.Duration, bool) {},
-		headerNames: hop.NewHeaderNames(), onConnRefused: func(string) {}, guard: noGuard{}, log: event.Discard(),
+		headerNames: hop.NewHeaderNames(), onConnRefused: func(string) {}, onLeaving: func(string) {}, guard: noGuard{}, log: event.Discard(),
 	}
 	h.callMetrics = newHandlerMetrics(metrics.NewSet(), slots, &h.rate)
 	for _, opt := range opts {
