traffic/hop: a pooled connection is not kept beyond what its peer states

A target may state its idle timeout in Keep-Alive; connections to targets were kept for 4 s whatever it said, and a call that crosses the target's close is lost with an unknown outcome.

The connection is now pooled for half of what the peer states, at most as long as before. The test fails without it: the second call waits on the connection that its peer no longer reads until its deadline.

--- a/internal/traffic/hop/client.go
+++ b/internal/traffic/hop/client.go
@@ -258,6 +258,7 @@
 		return &BadResponseError{To: res.pc.to, Reason: "its body has neither a length nor chunks, so its end can't be told from a crash"}
 	}
 	res.resp = resp
+	res.pc.idleTimeout = statedIdleTimeout(resp.Header, res.client.idleTimeout)
 	res.load = resp.Header.Get(LoadHeader)
 	res.version, _ = strconv.ParseUint(resp.Header.Get(VersionHeader), 10, 64)
 	if bodyless || resp.ContentLength == 0 {
--- a/internal/traffic/hop/pool.go
+++ b/internal/traffic/hop/pool.go
@@ -8,7 +8,10 @@
 	"io"
 	"math"
 	"net"
+	"net/http"
 	"net/netip"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -43,9 +46,13 @@
 	counted       *countingConn
 	authenticated bool
 	idleSince     time.Time
+	idleTimeout   time.Duration
 	onPooledClose func()
 }
 
+// expired reports whether a pooled connection has exceeded its idle timeout.
+func (pc *peerConn) expired(now time.Time) bool { return now.Sub(pc.idleSince) >= pc.idleTimeout }
+
 // discard closes a pooled connection.
 func (pc *peerConn) discard() {
 	_ = pc.conn.Close()
@@ -79,9 +86,9 @@
 	return n, err
 }
 
-func newPeerConn(to netip.AddrPort, conn net.Conn) *peerConn {
-	c := &countingConn{conn: conn, readLimit: math.MaxInt64}
-	return &peerConn{to: to, conn: conn, br: bufio.NewReader(c), bw: bufio.NewWriter(c), counted: c}
+func (c *Client) newPeerConn(to netip.AddrPort, conn net.Conn) *peerConn {
+	counted := &countingConn{conn: conn, readLimit: math.MaxInt64}
+	return &peerConn{to: to, conn: conn, br: bufio.NewReader(counted), bw: bufio.NewWriter(counted), counted: counted, idleTimeout: c.idleTimeout}
 }
 
 type poolShard struct {
@@ -101,7 +108,7 @@
 		if pc == nil {
 			return c.dial(ctx, to, deadline)
 		}
-		if c.clk.Since(pc.idleSince) < c.idleTimeout && http1.Reusable(pc.conn) {
+		if !pc.expired(c.clk.Now()) && http1.Reusable(pc.conn) {
 			return pc, nil
 		}
 		pc.discard()
@@ -123,6 +130,22 @@
 	return pc
 }
 
+// keepAliveDivisor is the part of the idle timeout that a peer states for which a
+// connection is pooled: a request that crosses the peer's close is lost.
+const keepAliveDivisor = 2
+
+// statedIdleTimeout returns how long to pool a connection whose peer has stated its own
+// idle timeout in a Keep-Alive header; it is at most d.
+func statedIdleTimeout(h http.Header, d time.Duration) time.Duration {
+	for param := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(param), "=")
+		if seconds, err := strconv.ParseUint(value, 10, 16); err == nil && strings.EqualFold(name, "timeout") {
+			return min(d, time.Duration(seconds)*time.Second/keepAliveDivisor)
+		}
+	}
+	return d
+}
+
 // release returns a connection to the pool and reports whether it was kept; if the
 // pool is full or closed, it closes the connection. The last response must have been
 // read to its end.
@@ -160,7 +183,7 @@
 	}
 	conn = http1.WithRawSyscalls(conn)
 	if c.tls == nil {
-		return newPeerConn(to, conn), nil
+		return c.newPeerConn(to, conn), nil
 	}
 	t := tls.Client(conn, c.tlsConfigFor(to))
 	_ = conn.SetDeadline(deadline)
@@ -168,7 +191,7 @@
 		_ = conn.Close()
 		return nil, dialError(to, err, deadlineLimited)
 	}
-	return newPeerConn(to, t), nil
+	return c.newPeerConn(to, t), nil
 }
 
 func dialError(to netip.AddrPort, err error, deadlineLimited bool) error {
@@ -206,10 +229,10 @@
 		for to, idle := range p.idle {
 			keep := idle[:0]
 			for _, pc := range idle {
-				if now.Sub(pc.idleSince) < c.idleTimeout {
-					keep = append(keep, pc)
-				} else {
+				if pc.expired(now) {
 					expired = append(expired, pc)
+				} else {
+					keep = append(keep, pc)
 				}
 			}
 			clear(idle[len(keep):])
--- a/internal/traffic/hop/pool_test.go
+++ b/internal/traffic/hop/pool_test.go
@@ -1,7 +1,10 @@
 package hop
 
 import (
+	"bufio"
 	"context"
+	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"testing"
@@ -63,3 +66,41 @@
 		}
 	}
 }
+
+func TestPeersStatedIdleTimeoutIsParsed(t *testing.T) {
+	t.Parallel()
+	const own = 4 * time.Second
+	for _, tc := range []struct {
+		value string
+		want  time.Duration
+	}{
+		{"", own},
+		{"timeout=10", own},
+		{"timeout=3", 1500 * time.Millisecond},
+		{"max=5, Timeout=1", 500 * time.Millisecond},
+		{"timeout=0", 0},
+		{"timeout=-1", own},
+		{"timeout=soon", own},
+		{"max=1", own},
+	} {
+		if got := statedIdleTimeout(http.Header{"Keep-Alive": {tc.value}}, own); got != tc.want {
+			t.Errorf("%q: %v, want %v", tc.value, got, tc.want)
+		}
+	}
+}
+
+// Guards against calls that are lost because the peer closes an idle connection sooner than
+// this side expects.
+func TestConnectionsAreNotReusedBeyondThePeersStatedIdleTimeout(t *testing.T) {
+	t.Parallel()
+	stated := "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 5\r\n\r\nfirst"
+	f := newFakePeer(t, func(c net.Conn, br *bufio.Reader) {
+		respondWith(stated)(c, br)
+		waitForClose(c, br)
+	}, respondWith(okResponse("second")))
+	for _, want := range []string{"first", "second"} {
+		if got, err := f.call(context.Background(), "POST", NewBuffered([]byte("x")), longTimeout); err != nil || got != want {
+			t.Errorf("%q, %v, want %q", got, err, want)
+		}
+	}
+}
