Limits that targets name hold across a restart of their nodes

Remains of the rate limit: a node that was restarted admits as many calls as its target has slots before the first response names the limit again.

Calls carry the limit that their sender was told by the same target process, and a gate takes it over until the process has responded to its own node. Older nodes ignore the field. Weighed: admitting few calls until the first response costs each start slots for the time of a long call, on all deployments, for a case that is rare.

--- a/internal/policy/balance/balancer.go
+++ b/internal/policy/balance/balancer.go
@@ -25,6 +25,7 @@
 	}
 
 	leaving leavingTargets
+	rates   namedRates
 
 	mu  sync.Mutex
 	rng *rand.Rand
--- a/internal/policy/balance/balancer_test.go
+++ b/internal/policy/balance/balancer_test.go
@@ -202,6 +202,34 @@
 	}
 }
 
+// Guards against calls that no longer carry the limit that their target has named because its
+// announcement has changed.
+func TestNamedRatesAreThoseOfTheTargetsProcess(t *testing.T) {
+	t.Parallel()
+	announced := func(id string, boot uint64) []membership.Record {
+		return []membership.Record{membership.NewRecord("target-0", membership.InState(membership.Ready), membership.TargetID(id), membership.Boot(boot))}
+	}
+	b := New(sim.Start, sim.Rand(1))
+	check := func(step string, now time.Time, want float64, named bool) {
+		t.Helper()
+		if got, ok := b.NamedRate(now, mustPick(t, b, now, broker, 0)); got != want || ok != named {
+			t.Errorf("%s: %v, %v", step, got, ok)
+		}
+	}
+	b.Update(sim.Start, "pool", slots, announced("i-1", 1))
+	check("nothing named", sim.Start, 0, false)
+	b.ObserveRate(sim.Start, mustPick(t, b, sim.Start, broker, 0), 50, true)
+	check("named", sim.Start, 50, true)
+	b.Update(sim.Start, "pool", slots, announced("i-1", 2))
+	check("after a restart of its node", sim.Start, 50, true)
+	check("long after", sim.Start.Add(maxNamedRateAge), 0, false)
+	b.Update(sim.Start, "pool", slots, announced("i-2", 2))
+	check("of another process", sim.Start, 0, false)
+	b.Update(sim.Start, "pool", slots, announced("i-1", 2))
+	b.ObserveRate(sim.Start, mustPick(t, b, sim.Start, broker, 0), 0, false)
+	check("no longer named", sim.Start, 0, false)
+}
+
 func TestNoneSaysWhyThereIsNoTarget(t *testing.T) {
 	t.Parallel()
 	b := New(sim.Start, sim.Rand(1))
--- a/internal/traffic/caller/send.go
+++ b/internal/traffic/caller/send.go
@@ -90,7 +90,7 @@
 	}
 	start := c.h.clk.Now()
 	left := c.deadline.Sub(start)
-	meta := c.meta.With(hop.Attempt(c.attempts.PathRetries()+1), hop.Remaining(left-responseReserve(left)), hop.ToInstance(p.Record().TargetID()), hop.SoftDeadline(c.softDeadlineIn(start)))
+	meta := c.meta.With(hop.Attempt(c.attempts.PathRetries()+1), hop.Remaining(left-responseReserve(left)), hop.ToInstance(p.Record().TargetID()), hop.SoftDeadline(c.softDeadlineIn(start)), hop.TargetRate(c.h.balancer.NamedRate(start, p)))
 	req := hop.NewRequest(c.r.Method, c.r.URL.RequestURI(), c.r.Host, c.r.Header, c.body,
 		hop.WithMeta(meta), hop.OnPooledClose(func() { c.h.balancer.ConnClosed(p) }))
 	c.tried = append(c.tried, p)
@@ -133,9 +133,7 @@
 		c.reportAttempt(pending.from, pending.start, nil, err)
 		return result{}, err
 	}
-	if c.h.headerNames.Leaving(pending.resp) {
-		c.h.balancer.Leaving(c.h.clk.Now(), pending.from)
-	}
+	c.observeTarget(pending)
 	if rollouts, ok := c.h.directory.(RolloutDirectory); ok {
 		rollouts.RecordResponse(c.rt.Pool())
 	}
@@ -147,6 +145,16 @@
 	return pending.relay(c)
 }
 
+// observeTarget records what a response of a target states of its process.
+func (c *call) observeTarget(p *pendingResponse) {
+	names, now := c.h.headerNames, c.h.clk.Now()
+	if names.Leaving(p.resp) {
+		c.h.balancer.Leaving(now, p.from)
+	}
+	limit, ok := names.RateLimit(p.resp)
+	c.h.balancer.ObserveRate(now, p.from, limit, ok)
+}
+
 // pendingResponse is a response that has not been relayed to the caller yet.
 type pendingResponse struct {
 	resp  *hop.Response
--- a/internal/traffic/hop/header.go
+++ b/internal/traffic/hop/header.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"math"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -70,6 +71,13 @@
 	instance     string
 	origin       string
 	softDeadline time.Duration
+	targetRate   targetRate
+}
+
+// targetRate is the limit that the target has named to the sender, if any.
+type targetRate struct {
+	perSecond float64
+	named     bool
 }
 
 // MetaOption sets properties of a Meta.
@@ -106,6 +114,12 @@
 // response is of little use to the caller. 0 means that there is none.
 func SoftDeadline(d time.Duration) MetaOption { return func(m *Meta) { m.softDeadline = d } }
 
+// TargetRate sets the limit of its rate, in calls per second, that the target has named to
+// the sender; named is false if it has named none.
+func TargetRate(perSecond float64, named bool) MetaOption {
+	return func(m *Meta) { m.targetRate = targetRate{perSecond, named} }
+}
+
 // FromOrigin sets the calling service.
 func FromOrigin(origin string) MetaOption { return func(m *Meta) { m.origin = origin } }
 
@@ -160,6 +174,12 @@
 // Origin returns the calling service, or "".
 func (m Meta) Origin() string { return m.origin }
 
+// TargetRate returns the limit of its rate, in calls per second, that the target has named
+// to the sender, and false if it has named none.
+func (m Meta) TargetRate() (perSecond float64, named bool) {
+	return m.targetRate.perSecond, m.targetRate.named
+}
+
 // Idempotent reports whether the call may run more than once.
 func (m Meta) Idempotent() bool { return m.idempotent }
 
@@ -179,6 +199,7 @@
 	fieldInstance      = "t"
 	fieldOrigin        = "f"
 	fieldSoftDeadline  = "u"
+	fieldTargetRate    = "l"
 	valueIdempotent    = "any"
 	valueNonIdempotent = "once"
 )
@@ -228,6 +249,10 @@
 		_, _ = w.WriteString(" " + fieldSoftDeadline + "=")
 		_, _ = w.Write(strconv.AppendInt(w.AvailableBuffer(), max(1, m.softDeadline.Milliseconds()), 10))
 	}
+	if m.targetRate.named {
+		_, _ = w.WriteString(" " + fieldTargetRate + "=")
+		_, _ = w.Write(strconv.AppendFloat(w.AvailableBuffer(), m.targetRate.perSecond, 'g', -1, 64))
+	}
 	_, _ = w.WriteString("\r\n")
 }
 
@@ -266,6 +291,8 @@
 			m.origin = value
 		case fieldSoftDeadline:
 			m.softDeadline = time.Duration(parseBounded(value, maxRemaining.Milliseconds())) * time.Millisecond
+		case fieldTargetRate:
+			m.targetRate.perSecond, m.targetRate.named = parseRate(value)
 		}
 	}
 	m.idempotent = idempotency == valueIdempotent
@@ -280,6 +307,12 @@
 	return m, nil
 }
 
+// parseRate parses a number of calls per second.
+func parseRate(text string) (perSecond float64, ok bool) {
+	perSecond, err := strconv.ParseFloat(text, 64)
+	return perSecond, err == nil && perSecond >= 0 && !math.IsInf(perSecond, 1)
+}
+
 // parseBounded parses an integer from 1 to high; it returns 0 for any other text.
 func parseBounded(text string, high int64) int64 {
 	n, err := strconv.ParseInt(text, 10, 64)
--- a/internal/traffic/hop/header_names.go
+++ b/internal/traffic/hop/header_names.go
@@ -1,7 +1,6 @@
 package hop
 
 import (
-	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -127,8 +126,7 @@
 // RateLimit returns the calls per second that a response's target takes, and false if the
 // response names no valid number.
 func (n HeaderNames) RateLimit(resp *Response) (perSecond float64, ok bool) {
-	perSecond, err := strconv.ParseFloat(resp.Header().Get(n.rateLimit), 64)
-	return perSecond, err == nil && perSecond >= 0 && !math.IsInf(perSecond, 1)
+	return parseRate(resp.Header().Get(n.rateLimit))
 }
 
 // Leaving reports whether a response states that its target is leaving.
--- a/internal/traffic/target/admit.go
+++ b/internal/traffic/target/admit.go
@@ -31,6 +31,8 @@
 	snap   atomic.Pointer[snapshot.Snapshot]
 	// process is the target process; nil where targets don't report their state.
 	process atomic.Pointer[lifecycle.Target]
+	// responded is set once the target process has responded to a call.
+	responded atomic.Bool
 
 	mu          sync.Mutex
 	waiting     map[admission.Ticket]chan admission.Decision
@@ -55,6 +57,7 @@
 	before := s.process.Swap(&t)
 	now := s.clk.Now()
 	if before != nil && (before.ID() != t.ID() || before.StartMs() != t.StartMs()) {
+		s.responded.Store(false)
 		s.deliver(s.gate.Configure(now, nil, admission.NoRate()))
 	}
 	if !t.AcceptsCalls() {
@@ -69,10 +72,19 @@
 	if t := s.process.Load(); t != nil && t.ID() != id {
 		return
 	}
+	s.responded.Store(true)
 	s.deliver(s.gate.ObserveRate(s.clk.Now(), perSecond, ok, nil))
 	s.scheduleExpiry()
 }
 
+// assumeRate takes over the limit that the target process has named to the sender of a
+// call, until the process itself responds to this node.
+func (s *Slots) assumeRate(meta hop.Meta) {
+	if perSecond, named := meta.TargetRate(); named && !s.responded.Load() {
+		s.deliver(s.gate.ObserveRate(s.clk.Now(), perSecond, true, nil))
+	}
+}
+
 // Load returns the calls that run or wait now, and the slots.
 func (s *Slots) Load() admission.Load { return s.gate.Load(s.clk.Now()) }
 
@@ -104,6 +116,7 @@
 // refuses the call.
 func (s *Slots) acquire(ctx context.Context, meta hop.Meta, deadline time.Time) (admission.Ticket, error) {
 	s.configure()
+	s.assumeRate(meta)
 	var softDeadline admission.RequestOption
 	if meta.SoftDeadline() > 0 {
 		softDeadline = admission.SoftDeadline(s.clk.Now().Add(meta.SoftDeadline()))
--- a/internal/traffic/target/admit_test.go
+++ b/internal/traffic/target/admit_test.go
@@ -168,6 +168,28 @@
 	}
 }
 
+// Guards against a node that takes over an older limit from a call although its target has
+// responded since.
+func TestSendersLimitCountsOnlyUntilTheTargetResponds(t *testing.T) {
+	t.Parallel()
+	clk := timer.NewManual(time.Unix(1_800_000_000, 0))
+	s := NewSlots(&testConfig{withSlots(t, snapshot.Empty(), 8)}, "p", clk)
+	const tooFew = 0.5 // a call would wait longer than its deadline
+	meta := hop.NewMeta(hop.ForOrganisation("harbour", snapshot.Paying), hop.TargetRate(tooFew, true))
+	admitted := func() bool {
+		_, err := s.acquire(t.Context(), meta, clk.Now().Add(time.Second))
+		return err == nil
+	}
+	if admitted() {
+		t.Error("before a response: a call beyond the sender's limit is admitted")
+	}
+	clk.Advance(time.Second)
+	s.observeRate("", 0, false)
+	if !admitted() {
+		t.Error("after a response without a limit: a call is refused by the sender's limit")
+	}
+}
+
 // waitForExpiryTimer waits until the queued call has scheduled its expiry.
 func (s *Slots) waitForExpiryTimer() {
 	for {
