traffic/target: a misdirected call's response says nothing of its target

Found by reading the diff: a process that answers 421, as the call is for another one, may state its own limit or that it is leaving; both were taken for the process that the call named.

--- a/internal/traffic/target/forward.go
+++ b/internal/traffic/target/forward.go
@@ -33,10 +33,7 @@
 		return false, 0, err
 	}
 	defer resp.Close()
-	c.readRateLimit(resp)
-	if c.h.headerNames.Leaving(resp) {
-		c.h.onLeaving(c.meta.Instance())
-	}
+	c.observeTarget(resp)
 	if c.h.headerNames.NotRun(resp) {
 		return false, 0, &TargetRejectedError{Status: resp.Status()}
 	}
@@ -56,6 +53,18 @@
 	return relayed.Began(), resp.Status(), err
 }
 
+// observeTarget reads what a response states of the target's process. A process that is not
+// the one that the call is meant for speaks for itself alone.
+func (c *call) observeTarget(resp *hop.Response) {
+	if resp.Status() == http.StatusMisdirectedRequest {
+		return
+	}
+	c.readRateLimit(resp)
+	if c.h.headerNames.Leaving(resp) {
+		c.h.onLeaving(c.meta.Instance())
+	}
+}
+
 func (c *call) targetRequest() *hop.Request {
 	remaining := c.deadline.Sub(c.h.clk.Now())
 	opts := c.h.headerNames.ToTarget(c.r.Header, c.meta, remaining)
