--- a/internal/policy/admission/mesh_test.go
+++ b/internal/policy/admission/mesh_test.go
@@ -61,10 +61,9 @@
 	rate    func() float64
 	running int
 	// starts are the times since the start at which calls reached the target.
-	starts []time.Duration
-	// expiryAt is when the gate's timer fires, if it is set.
-	expiryAt time.Time
-	waiting  map[admission.Ticket]func(admission.Decision)
+	starts  []time.Duration
+	expiry  sim.Alarm // of the gate
+	waiting map[admission.Ticket]func(admission.Decision)
 }
 
 // callKind is one kind of call with its results, by the second in which the calls
@@ -304,19 +303,7 @@
 
 // scheduleExpiry sets the timer of a target's gate.
 func (m *mesh) scheduleExpiry(t *simTarget) {
-	next, ok := t.gate.NextExpiry()
-	if !ok || !t.expiryAt.IsZero() && !next.Before(t.expiryAt) {
-		return
-	}
-	t.expiryAt = next
-	m.At(next, func() {
-		if !t.expiryAt.Equal(next) {
-			return // replaced by an earlier one
-		}
-		t.expiryAt = time.Time{}
-		t.wake(t.gate.Expire(m.Now(), nil))
-		m.scheduleExpiry(t)
-	})
+	m.Arm(&t.expiry, t.gate.NextExpiry, func() { t.wake(t.gate.Expire(m.Now(), nil)) })
 }
 
 // load returns the load that the target reports with its answers.
--- a/internal/policy/admission/simulation_test.go
+++ b/internal/policy/admission/simulation_test.go
@@ -60,8 +60,7 @@
 	// maxRunning is the highest number of calls of a class that ran at once.
 	maxRunning map[snapshot.Class]int
 	waiting    map[Ticket]*simCall
-	// expiryAt is when the gate's timer fires, if it is set.
-	expiryAt time.Time
+	expiry     sim.Alarm // of the gate
 	// slowdown multiplies service times.
 	slowdown func() float64
 	// rejects decides whether the target itself rejects a call that started.
@@ -168,19 +167,7 @@
 }
 
 func (g gatePolicy) scheduleExpiry() {
-	next, ok := g.gate.NextExpiry()
-	if !ok || !g.expiryAt.IsZero() && !next.Before(g.expiryAt) {
-		return
-	}
-	g.expiryAt = next
-	g.At(next, func() {
-		if !g.expiryAt.Equal(next) {
-			return // replaced by an earlier one
-		}
-		g.expiryAt = time.Time{}
-		g.wake(g.gate.Expire(g.Now(), nil))
-		g.scheduleExpiry()
-	})
+	g.Arm(&g.expiry, g.gate.NextExpiry, func() { g.wake(g.gate.Expire(g.Now(), nil)) })
 }
 
 func (g gatePolicy) wake(wakes []Wake) {
