policy/membership: a refutation that comes through another domain is none of its claims

A view turns such records into suspect claims, as the members may be dead.

A later announcement of a process that the view holds is now taken as it is: sequence numbers rise by the process alone. What is not held yet, another boot or one after a tombstone is still a claim.

--- a/internal/policy/membership/scenario_test.go
+++ b/internal/policy/membership/scenario_test.go
@@ -463,6 +463,33 @@
 	}
 }
 
+// Guards against a failure domain that stays split: a node that first heard of the others
+// through another domain holds them suspect, and takes each refutation that comes the same
+// way for another claim.
+func TestARefutationThroughAnotherDomainEndsTheClaim(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name     string
+		held     []Record
+		received Record
+		want     Record
+	}{
+		{"the first record of a member", nil, rec("a", 1, 1, Ready), rec("a", 1, 1, Suspect)},
+		{"the record that the claim is about", []Record{rec("a", 1, 1, Suspect)}, rec("a", 1, 1, Ready), rec("a", 1, 1, Suspect)},
+		{"a refutation", []Record{rec("a", 1, 1, Suspect)}, rec("a", 1, 2, Ready), rec("a", 1, 2, Ready)},
+		{"a later announcement of a live member", []Record{rec("a", 1, 1, Ready)}, rec("a", 1, 2, Draining), rec("a", 1, 2, Draining)},
+		{"a later announcement of a member that is gone", []Record{rec("a", 1, 1, Gone)}, rec("a", 1, 2, Ready), rec("a", 1, 1, Gone)},
+		{"the first record of a later boot", []Record{rec("a", 1, 1, Suspect)}, rec("a", 2, 1, Ready), rec("a", 2, 1, Suspect)},
+	} {
+		v := New(home, 1)
+		v.Merge(start, tc.held, FromPeer("b", home))
+		v.Merge(start, []Record{tc.received}, FromPeer("c", otherDomain))
+		if got, _ := v.Record(home, "a"); got != tc.want {
+			t.Errorf("%s: the view holds %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
 // Guards against races between updates that leave a pool different from the records.
 func TestPoolsMatchRecordsAfterConcurrentUse(t *testing.T) {
 	t.Parallel()
--- a/internal/policy/membership/view.go
+++ b/internal/policy/membership/view.go
@@ -156,9 +156,13 @@
 // Ignoring it could leave other domains sending calls to a dead member, as the home
 // domain's root may have restarted without state. The member refutes the claim, or
 // the claim ends in a tombstone that reaches every view.
+//
+// A later announcement of a process that the view already holds is not turned into a claim:
+// only the process itself makes one, and it may be the refutation of the claim that is held.
 func (v *View) downgradeForeign(r Record, o mergeOptions) Record {
 	if r.domain == v.homeDomain && o.fromDomain != v.homeDomain && r.state.alive() {
-		if held, ok := v.Record(r.domain, r.instance); !ok || r.Newer(held) {
+		held, ok := v.Record(r.domain, r.instance)
+		if known := ok && held.boot == r.boot && held.state != Gone; !known && (!ok || r.Newer(held)) {
 			r.state = Suspect
 		}
 	}
