traffic: a response that states nothing costs no error on the way

Read again: for a response without a limit and without Keep-Alive, both nodes of a call parsed an empty string and made an error of it; the target's node also looked twice for the timer of waiting calls, at the response and at the release. The timer is now looked for at a response only if it names a limit, which may bring the next token nearer; the release after it does so in any case.

--- a/internal/traffic/hop/header_names.go
+++ b/internal/traffic/hop/header_names.go
@@ -126,7 +126,10 @@
 // RateLimit returns the calls per second that a response's target takes, and false if the
 // response names no valid number.
 func (n HeaderNames) RateLimit(resp *Response) (perSecond float64, ok bool) {
-	return parseRate(resp.Header().Get(n.rateLimit))
+	if value := resp.Header().Get(n.rateLimit); value != "" {
+		return parseRate(value)
+	}
+	return 0, false
 }
 
 // Leaving reports whether a response states that its target is leaving.
--- a/internal/traffic/hop/pool.go
+++ b/internal/traffic/hop/pool.go
@@ -138,8 +138,11 @@
 // idle timeout in a Keep-Alive header; it is at most d.
 func statedIdleTimeout(h http.Header, d time.Duration) time.Duration {
 	for param := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(param), "=")
-		if seconds, err := strconv.ParseUint(value, 10, 16); err == nil && strings.EqualFold(name, "timeout") {
+		name, value, found := strings.Cut(strings.TrimSpace(param), "=")
+		if !found || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.ParseUint(value, 10, 16); err == nil {
 			return min(d, time.Duration(seconds)*time.Second/keepAliveDivisor)
 		}
 	}
--- a/internal/traffic/target/admit.go
+++ b/internal/traffic/target/admit.go
@@ -74,7 +74,9 @@
 	}
 	s.responded.Store(true)
 	s.deliver(s.gate.ObserveRate(s.clk.Now(), perSecond, ok, nil))
-	s.scheduleExpiry()
+	if ok {
+		s.scheduleExpiry()
+	}
 }
 
 // assumeRate takes over the limit that the target process has named to the sender of a
