policy/membership: the condition for a foreign record says what it means

Of the same boot, a record that is newer is always a later announcement, and none is newer than a tombstone. What is left of the condition: the view does not hold the member, or the record is of a later boot. The table of six cases and 3,000 cases of the stateful tests pass unchanged.

--- a/internal/policy/membership/view.go
+++ b/internal/policy/membership/view.go
@@ -161,8 +161,7 @@
 // only the process itself makes one, and it may be the refutation of the claim that is held.
 func (v *View) downgradeForeign(r Record, o mergeOptions) Record {
 	if r.domain == v.homeDomain && o.fromDomain != v.homeDomain && r.state.alive() {
-		held, ok := v.Record(r.domain, r.instance)
-		if known := ok && held.boot == r.boot && held.state != Gone; !known && (!ok || r.Newer(held)) {
+		if held, ok := v.Record(r.domain, r.instance); !ok || r.boot > held.boot {
 			r.state = Suspect
 		}
 	}
