policy/admission: the wait for a target's rate without a nested condition

The same values: a whole n is at most the whole part of the tokens if and only if no more than the tolerance is missing. Tests of the package pass unchanged, the property test among them.

--- a/internal/policy/admission/rate.go
+++ b/internal/policy/admission/rate.go
@@ -81,11 +81,16 @@
 
 // wait returns the time until n calls may have started, in nanoseconds.
 func (r *rateLimit) wait(at int64, n int) int64 {
-	if r.ready(at) && (!r.limited() || n <= int(r.tokens+tokenTolerance)) {
+	if !r.limited() {
+		return 0
+	}
+	r.refill(at)
+	missing := float64(n) - r.tokens
+	if missing <= tokenTolerance {
 		return 0
 	}
 	// Waits are compared with deadlines; the bound keeps sums in range.
-	return int64(min(math.Ceil((float64(n)-r.tokens)/r.perNano), float64(maxRateWait)))
+	return int64(min(math.Ceil(missing/r.perNano), float64(maxRateWait)))
 }
 
 const maxRateWait = time.Hour
