policy/balance: one memory for what target processes state

Leaving and named rates were two maps by process id with the same ageing, one under a lock, one a sync.Map whose look-up made a string an interface twice a call. Its reads share a lock and allocate nothing. The tests of the package, with the race detector, and those of platform pass unchanged.

--- a/internal/policy/balance/balancer.go
+++ b/internal/policy/balance/balancer.go
@@ -24,8 +24,10 @@
 		pools map[string]*pool
 	}
 
-	leaving leavingTargets
-	rates   namedRates
+	// leaving holds the announcements of target processes when they said that they are
+	// leaving, rates the limits of their rate, in calls per second.
+	leaving statements[membership.Record]
+	rates   statements[float64]
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -44,6 +46,7 @@
 // New returns a balancer without targets that draws random numbers from rng.
 func New(now time.Time, rng *rand.Rand, opts ...Option) *Balancer {
 	b := &Balancer{epoch: now, rng: rng}
+	b.leaving.maxAge, b.rates.maxAge = maxLeaving, maxNamedRateAge
 	b.tier = func(domain string) int {
 		if domain == b.domain {
 			return 0
@@ -84,7 +87,7 @@
 			// A refusal as draining counts only until a newer announcement.
 			t.drainingUntil = 0
 		}
-		t.drainingUntil = max(t.drainingUntil, b.leaving.until(r))
+		t.drainingUntil = max(t.drainingUntil, b.leavingUntil(b.nanos(now), r))
 		t.record.Store(&r)
 		t.slots = float64(max(1, slots))
 		if own := r.Slots(); own > 0 {
