Crashes of targets are logged and counted, with the calls that are suspected

1408 has the suspects by id, method, query or not, and fingerprint; 1409 says that a crash was counted; 1405 and the refusals name fingerprints. Gauges hold the number of crashes of the local and of any target, and of calls that are recorded and held back; a gauge is scraped where a log is cut. No decision changed: the tests of the register compare as before, and the count of newly recorded calls besides.

--- a/internal/process/resident/crash.go
+++ b/internal/process/resident/crash.go
@@ -1,7 +1,9 @@
 package resident
 
 import (
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"banyanlug.example/banyanlug/internal/clock/timer"
@@ -18,6 +20,9 @@
 
 	mu       sync.Mutex
 	register *poison.Register
+
+	detected atomic.Uint64 // crashes of the local target
+	recorded atomic.Uint64 // crashes of any target
 }
 
 // Held implements caller.CrashRegister.
@@ -35,13 +40,24 @@
 		return
 	}
 	r.mu.Lock()
-	held := r.register.RecordCrash(r.clk.Now(), c.Process, c.InFlight)
+	rec := r.register.RecordCrash(r.clk.Now(), c.Process, c.InFlight)
 	r.mu.Unlock()
-	if len(held) > 0 {
-		r.log.Emit(event.CallsHeld, event.F("process", c.Process.Instance), event.F("calls", len(held)))
+	if rec.Counted > 0 {
+		r.recorded.Add(1)
+		r.log.Emit(event.CrashRecorded, event.F("process", c.Process.Instance), event.F("calls", rec.Counted))
+	}
+	if len(rec.Held) > 0 {
+		r.log.Emit(event.CallsHeld, event.F("process", c.Process.Instance), event.F("calls", len(rec.Held)), event.F("fingerprints", fmt.Sprint(rec.Held)))
 	}
 }
 
+// sizes returns the number of calls that are recorded, and how many of them are held back.
+func (r *crashRegister) sizes() (recorded, held int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.register.Sizes(r.clk.Now())
+}
+
 // detectCrash returns the text form of a crash with the calls that were in
 // flight, or "". A serving target has crashed if it is down or another process
 // has replaced it.
@@ -51,9 +67,15 @@
 	if !down && !replaced {
 		return ""
 	}
-	c := poison.Crash{Process: poison.Process{Instance: before.ID(), Boot: before.StartMs()}, InFlight: n.targetHandler.CrashSuspects()}
-	if len(c.InFlight) == 0 {
+	suspects := n.targetHandler.CrashSuspects()
+	n.crashes.detected.Add(1)
+	n.log.Emit(event.TargetCrashed, event.F("target", before.ID()), event.F("calls", len(suspects)), event.F("suspects", fmt.Sprint(suspects)))
+	if len(suspects) == 0 {
 		return ""
 	}
+	c := poison.Crash{Process: poison.Process{Instance: before.ID(), Boot: before.StartMs()}}
+	for _, s := range suspects {
+		c.InFlight = append(c.InFlight, s.Fingerprint())
+	}
 	return c.String()
 }
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -332,6 +332,10 @@
 	}
 	gauge(`banyanlug_retry_budget{for="repeats"}`, func() float64 { repeats, _ := n.budgets.Remaining(); return repeats })
 	gauge(`banyanlug_retry_budget{for="refused"}`, func() float64 { _, refused := n.budgets.Remaining(); return refused })
+	gauge(`banyanlug_target_crashes_total{of="local"}`, func() float64 { return float64(n.crashes.detected.Load()) })
+	gauge(`banyanlug_target_crashes_total{of="any"}`, func() float64 { return float64(n.crashes.recorded.Load()) })
+	gauge(`banyanlug_crash_suspects{state="recorded"}`, func() float64 { recorded, _ := n.crashes.sizes(); return float64(recorded) })
+	gauge(`banyanlug_crash_suspects{state="held"}`, func() float64 { _, held := n.crashes.sizes(); return float64(held) })
 	gauge("banyanlug_limit_requests_total", func() float64 { return float64(n.tokens.Requests()) })
 	gauge("banyanlug_limit_tokens_issued_total", func() float64 { return float64(n.tokens.Issued()) })
 	gauge("banyanlug_store_silent_seconds", func() float64 { return n.fleet.StoreAge().Seconds() })
