Calls that a target process has completed are no suspects of its crash

What callers would see: a popular call, such as one view of a wall that all climbers refresh, is in flight at nearly every crash. After two crashes for any reason it is refused at all nodes for ten minutes.

Cause: all calls in flight count as equally suspect, though the target has evidence at hand: what it completed a moment ago does not crash it.

--- a/internal/process/resident/crash.go
+++ b/internal/process/resident/crash.go
@@ -67,7 +67,7 @@
 	if !down && !replaced {
 		return ""
 	}
-	suspects := n.targetHandler.CrashSuspects()
+	suspects := n.targetHandler.CrashSuspects(before.ID())
 	n.crashes.detected.Add(1)
 	n.log.Emit(event.TargetCrashed, event.F("target", before.ID()), event.F("calls", len(suspects)), event.F("suspects", fmt.Sprint(suspects)))
 	if len(suspects) == 0 {
--- a/internal/traffic/target/forward.go
+++ b/internal/traffic/target/forward.go
@@ -14,9 +14,15 @@
 func (c *call) forward() (headSent bool, status int, err error) {
 	c.h.inFlight.begin(c)
 	defer func() {
-		broke := brokenByTarget(err)
-		c.h.inFlight.end(c, c.h.clk.Now(), broke)
-		if broke {
+		result := runUnknown
+		switch {
+		case err == nil:
+			result = runCompleted
+		case brokenByTarget(err):
+			result = runBroken
+		}
+		c.h.inFlight.end(c, c.h.clk.Now(), result)
+		if result == runBroken {
 			c.h.probe(c.meta.Instance())
 		}
 	}()
--- a/internal/traffic/target/inflight.go
+++ b/internal/traffic/target/inflight.go
@@ -34,12 +34,14 @@
 	return fmt.Sprintf("%s %s%s %s", s.id, s.method, query, s.fingerprint)
 }
 
-// inFlightCalls holds the calls that the target's process runs, and those whose
-// connections it closed within the last brokenCallWindow.
+// inFlightCalls holds the calls that the target's process runs, those whose connections it
+// closed within the last brokenCallWindow, and those that it has completed lately.
 type inFlightCalls struct {
-	mu      sync.Mutex
-	running map[*call]Suspect
-	broken  []brokenCall
+	mu        sync.Mutex
+	running   map[*call]Suspect
+	broken    []brokenCall
+	process   string // that has completed calls
+	completed poison.Completed
 }
 
 type brokenCall struct {
@@ -47,6 +49,15 @@
 	at      time.Time
 }
 
+// runResult is how a call ended at the target's process.
+type runResult uint8
+
+const (
+	runUnknown   runResult = iota
+	runCompleted           // it was answered in full
+	runBroken              // the process closed the connection
+)
+
 func (f *inFlightCalls) begin(c *call) {
 	s := Suspect{c.id, c.r.Method, c.r.URL.RawQuery != "", hop.FingerprintOf(c.meta, c.r, c.body)}
 	f.mu.Lock()
@@ -57,13 +68,19 @@
 	f.running[c] = s
 }
 
-func (f *inFlightCalls) end(c *call, now time.Time, broke bool) {
+func (f *inFlightCalls) end(c *call, now time.Time, result runResult) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.running[c]
 	delete(f.running, c)
-	if broke {
+	switch result {
+	case runBroken:
 		f.broken = append(f.pruneBroken(now), brokenCall{s, now})
+	case runCompleted:
+		if id := c.meta.Instance(); id != f.process {
+			f.process, f.completed = id, poison.Completed{}
+		}
+		f.completed.Add(s.fingerprint)
 	}
 }
 
@@ -79,21 +96,27 @@
 	return kept
 }
 
-// suspects returns the calls that may have caused a crash of the process now.
-func (f *inFlightCalls) suspects(now time.Time) []Suspect {
+// suspects returns the calls that may have caused a crash of a process now.
+func (f *inFlightCalls) suspects(now time.Time, process string) []Suspect {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []Suspect
+	add := func(s Suspect) {
+		if process != f.process || !f.completed.Contains(s.fingerprint) {
+			out = append(out, s)
+		}
+	}
 	f.broken = f.pruneBroken(now)
 	for _, b := range f.broken {
-		out = append(out, b.suspect)
+		add(b.suspect)
 	}
 	for _, s := range f.running {
-		out = append(out, s)
+		add(s)
 	}
 	return out
 }
 
-// CrashSuspects returns the calls that may have caused a crash of the target's
-// process now.
-func (h *Handler) CrashSuspects() []Suspect { return h.inFlight.suspects(h.clk.Now()) }
+// CrashSuspects returns the calls that may have caused a crash of a target process now.
+func (h *Handler) CrashSuspects(process string) []Suspect {
+	return h.inFlight.suspects(h.clk.Now(), process)
+}
