The sender of a call hears at once that the call's target has crashed

Cause: a node learns of a crash only by the entry of the crashed target's node, through the store and its parents, in some tens of milliseconds; a caller that tries again at once, and the node's own retry, are faster. The node beside the target knows of the crash when it answers the call.

Fix: its refusal carries the crash report with this one call, and the sender counts it before it decides on a retry; a call that this holds back gets no further attempt.

--- a/internal/process/resident/crash.go
+++ b/internal/process/resident/crash.go
@@ -20,11 +20,20 @@
 
 	mu       sync.Mutex
 	register *poison.Register
+	seen     map[poison.Process]bool
 
 	detected atomic.Uint64 // crashes of the local target
 	recorded atomic.Uint64 // crashes of any target
 }
 
+// maxSeen bounds crashRegister.seen, which is cleared when full; crashes that are reported
+// again are then counted again.
+const maxSeen = 1 << 12
+
+func newCrashRegister(clk *timer.Service, log *event.Logger) *crashRegister {
+	return &crashRegister{clk: clk, log: log, register: poison.NewRegister(), seen: map[poison.Process]bool{}}
+}
+
 // Held implements caller.CrashRegister.
 func (r *crashRegister) Held(c poison.Call) (until time.Time, held bool) {
 	r.mu.Lock()
@@ -32,8 +41,8 @@
 	return r.register.Held(r.clk.Now(), c)
 }
 
-// record adds a crash in its text form; a crash reported again has no effect.
-func (r *crashRegister) record(text string) {
+// Record implements caller.CrashRegister; a crash reported again has no effect.
+func (r *crashRegister) Record(text string) {
 	c, ok := poison.ParseCrash(text)
 	if !ok {
 		r.log.Emit(event.RecordRefused, event.F("crash", text))
@@ -41,9 +50,15 @@
 	}
 	r.mu.Lock()
 	rec := r.register.RecordCrash(r.clk.Now(), c.Process, c.InFlight)
+	if !r.seen[c.Process] {
+		if len(r.seen) >= maxSeen {
+			clear(r.seen)
+		}
+		r.seen[c.Process] = true
+		r.recorded.Add(1)
+	}
 	r.mu.Unlock()
 	if rec.Counted > 0 {
-		r.recorded.Add(1)
 		r.log.Emit(event.CrashRecorded, event.F("process", c.Process.Instance), event.F("calls", rec.Counted))
 	}
 	if len(rec.Held) > 0 {
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -23,7 +23,6 @@
 	"banyanlug.example/banyanlug/internal/policy/balance"
 	"banyanlug.example/banyanlug/internal/policy/lifecycle"
 	"banyanlug.example/banyanlug/internal/policy/membership"
-	"banyanlug.example/banyanlug/internal/policy/poison"
 	"banyanlug.example/banyanlug/internal/policy/retry"
 	"banyanlug.example/banyanlug/internal/policy/token"
 	"banyanlug.example/banyanlug/internal/traffic/caller"
@@ -178,10 +177,10 @@
 	targetAddress, _ := netip.ParseAddrPort(n.cfg.Target)
 	self := membership.NewRecord(n.cfg.Instance, membership.Domain(n.cfg.Domain), membership.Pool(n.cfg.Pool),
 		membership.Address(mesh), membership.ControlAddress(peers), membership.Boot(uint64(n.clk.Now().UnixMilli())), membership.LinkMbps(n.cfg.Link))
-	n.crashes = &crashRegister{clk: n.clk, log: n.log, register: poison.NewRegister()}
+	n.crashes = newCrashRegister(n.clk, n.log)
 	n.fleet = fleet.New(store, n.clk, self, configKey, decode,
 		append([]fleet.Option{
-			fleet.WithLog(n.log), fleet.WithRandomSeed(seed), fleet.OnCrash(n.crashes.record), fleet.WithRunningCalls(n.runningCalls),
+			fleet.WithLog(n.log), fleet.WithRandomSeed(seed), fleet.OnCrash(n.crashes.Record), fleet.WithRunningCalls(n.runningCalls),
 		}, n.fleetOptions...)...)
 	n.budgets = retry.NewBudgets(rand.New(rand.NewPCG(seed, 4)), retry.RefusedRatio(refusedRetryShare), retry.WithBounds(n.retryBounds))
 	n.meshClient = hop.NewClient(n.clk, hop.ExpectContinue(), hop.WithDialTimeout(peerDialTimeout))
@@ -279,7 +278,7 @@
 	t := n.tracker.Target()
 	if crash := n.detectCrash(before, t); crash != "" {
 		n.lastCrash = crash
-		n.crashes.record(crash)
+		n.crashes.Record(crash)
 	}
 	if t.Version() != before.Version() {
 		n.targetHandler.ForgetCompleted()
--- /dev/null
+++ b/internal/traffic/caller/crash_test.go
@@ -0,0 +1,98 @@
+package caller_test
+
+import (
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"banyanlug.example/banyanlug/internal/policy/lifecycle"
+	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/policy/poison"
+	"banyanlug.example/banyanlug/internal/traffic/caller"
+	"banyanlug.example/banyanlug/internal/traffic/target"
+)
+
+// testRegister is a CrashRegister that no other node reports to.
+type testRegister struct {
+	mu       sync.Mutex
+	register *poison.Register
+}
+
+func (r *testRegister) Held(c poison.Call) (time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.register.Held(time.Now(), c)
+}
+
+func (r *testRegister) Record(crash string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c, ok := poison.ParseCrash(crash); ok {
+		r.register.RecordCrash(time.Now(), c.Process, c.InFlight)
+	}
+}
+
+// Guards against a call whose tries crash one target after another faster than the nodes
+// announce the crashes to each other.
+func TestTriesInQuickSuccessionCrashAtMostTwoTargets(t *testing.T) {
+	t.Parallel()
+	const targets = 5
+	var h *harness
+	var mu sync.Mutex
+	var trackers [targets]*lifecycle.Tracker
+	refused := func(i int) func(string) {
+		return func(id string) {
+			mu.Lock()
+			defer mu.Unlock()
+			trackers[i].HandleConnectionRefused(id)
+			h.targets[i].slots.SetProcess(trackers[i].Target())
+		}
+	}
+	h = newHarness(t, harnessOptions{
+		targets: targets,
+		caller:  []caller.Option{caller.WithCrashRegister(&testRegister{register: poison.NewRegister()})},
+		target:  func(i int) []target.Option { return []target.Option{target.OnConnRefused(refused(i))} },
+	})
+	ready := make([]membership.Record, targets)
+	for i, s := range h.targets {
+		id := "i-" + strconv.Itoa(i)
+		trackers[i] = lifecycle.NewTracker()
+		trackers[i].HandleHeartbeat(lifecycle.NewHeartbeat(id, lifecycle.Slots(12)))
+		s.slots.SetProcess(trackers[i].Target())
+		ready[i] = membership.NewRecord(s.record.Instance(), membership.Pool("quotes"), membership.Address(s.record.Address()),
+			membership.TargetID(id), membership.InState(membership.Ready))
+	}
+	h.mu.Lock()
+	h.ready = ready
+	h.mu.Unlock()
+	client := h.newHTTPClient()
+	for range 2 * targets {
+		h.do(client, h.newRequest(http.MethodGet, "/read?fault=crash", nil))
+	}
+	refusing := 0
+	for _, s := range h.targets {
+		if !accepts(s.local) {
+			refusing++
+		}
+	}
+	if refusing != 2 {
+		t.Errorf("%d targets crashed", refusing)
+	}
+	got, _, _ := h.do(client, h.newRequest(http.MethodGet, "/read?fault=crash", nil))
+	if got.Type != "held-back" {
+		t.Errorf("answered %v", got)
+	}
+}
+
+func accepts(address netip.AddrPort) bool {
+	conn, err := (&net.Dialer{}).Dial("tcp", address.String())
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
--- a/internal/traffic/caller/errors.go
+++ b/internal/traffic/caller/errors.go
@@ -117,6 +117,8 @@
 	// HasLoad.
 	Load    float64
 	HasLoad bool
+	// Crashed is set if the target's process ended while it ran the call.
+	Crashed bool
 }
 
 func (e *RefusedError) Error() string { return fmt.Sprintf("%s: %v", e.By, e.Refusal) }
--- a/internal/traffic/caller/send.go
+++ b/internal/traffic/caller/send.go
@@ -125,10 +125,11 @@
 func (c *call) receive(pending *pendingResponse) (result, error) {
 	if pending.resp.Header().Get(http1.OutcomeHeader) != "" {
 		load, loaded := pending.resp.Load()
+		crashed := c.recordCrash(pending.resp)
 		refusal, err := hop.ReadRefusal(pending.resp)
 		pending.resp.Close()
 		if err == nil {
-			err = &RefusedError{By: pending.from.Record().Instance(), Refusal: refusal, Load: load, HasLoad: loaded}
+			err = &RefusedError{By: pending.from.Record().Instance(), Refusal: refusal, Load: load, HasLoad: loaded, Crashed: crashed}
 		}
 		c.reportAttempt(pending.from, pending.start, nil, err)
 		return result{}, err
@@ -205,6 +206,9 @@
 // the delay before the next attempt, or the error that the call ends with.
 func (c *call) decideRetry(err error) (after time.Duration, gaveUp error) {
 	c.mayHaveRun = c.mayHaveRun || !notRun(err)
+	if c.heldBackSince(err) {
+		return 0, c.giveUp(err, 0)
+	}
 	switch d := c.h.budgets.After(c.h.clk.Now(), &c.attempts, outcomeOf(err)).(type) {
 	case retry.Retry:
 		if !hop.Replayable(c.body) || c.r.Context().Err() != nil {
--- a/internal/traffic/hop/header.go
+++ b/internal/traffic/hop/header.go
@@ -26,6 +26,9 @@
 	// VersionHeader holds, in responses between nodes, the version of the
 	// configuration that is active at the responding node.
 	VersionHeader = "Bl-Version"
+	// CrashHeader holds, in the refusal of a call that was in flight when the target's
+	// process ended, the report of that crash with this call alone.
+	CrashHeader = "Bl-Crash"
 	// DeadlineHeader holds the remaining time in milliseconds. Callers may send it,
 	// and targets receive it.
 	DeadlineHeader = "Banyanlug-Deadline-Ms"
--- a/internal/traffic/target/forward.go
+++ b/internal/traffic/target/forward.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"banyanlug.example/banyanlug/internal/policy/lifecycle"
+	"banyanlug.example/banyanlug/internal/policy/poison"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
 )
 
@@ -21,9 +23,10 @@
 		case brokenByTarget(err):
 			result = runBroken
 		}
-		c.h.inFlight.end(c, c.h.clk.Now(), result)
+		suspected := c.h.inFlight.end(c, c.h.clk.Now(), result)
 		if result == runBroken {
 			c.h.probe(c.meta.Instance())
+			c.reportCrash(suspected)
 		}
 	}()
 	c.countPassed()
@@ -125,11 +128,31 @@
 
 // probe opens a connection, for the next call, to a target that has just closed one.
 // If the port is closed, the process has crashed, and the probe reports it while the
-// broken calls still count as suspects.
+// broken calls still count as suspects. A probe that runs already is waited for.
 func (h *Handler) probe(instance string) {
-	if !h.probing.CompareAndSwap(false, true) {
+	h.probeMu.Lock()
+	if running := h.probing; running != nil {
+		h.probeMu.Unlock()
+		<-running
 		return
 	}
-	defer h.probing.Store(false)
+	done := make(chan struct{})
+	h.probing = done
+	h.probeMu.Unlock()
 	h.reportConnRefused(instance, h.client.Warm(h.local, h.clk.Now().Add(probeTimeout)))
+	h.probeMu.Lock()
+	h.probing = nil
+	h.probeMu.Unlock()
+	close(done)
+}
+
+// reportCrash tells the sender of a broken call that the target's process has ended, so
+// that it can count the crash before it tries another target.
+func (c *call) reportCrash(suspected poison.Call) {
+	t := c.h.slots.process.Load()
+	if suspected == (poison.Call{}) || t == nil || t.ID() != c.meta.Instance() || t.Phase() != lifecycle.Down {
+		return
+	}
+	crash := poison.Crash{Process: poison.Process{Instance: t.ID(), Boot: t.StartMs()}, InFlight: []poison.Call{suspected}}
+	c.w.Header()[hop.CrashHeader] = []string{crash.String()}
 }
--- a/internal/traffic/target/handler.go
+++ b/internal/traffic/target/handler.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,7 +35,8 @@
 	inFlight                inFlightCalls
 	versionAdmitted         func() bool
 	observe                 func(route string, took time.Duration, failed bool)
-	probing                 atomic.Bool
+	probeMu                 sync.Mutex
+	probing                 chan struct{} // closed when the running probe ends; nil without one
 	rate                    rateMonitor
 }
 
--- a/internal/traffic/target/inflight.go
+++ b/internal/traffic/target/inflight.go
@@ -68,7 +68,9 @@
 	f.running[c] = s
 }
 
-func (f *inFlightCalls) end(c *call, now time.Time, result runResult) {
+// end records the end of a call. It returns the fingerprints under which a broken call is
+// suspected if the process has crashed.
+func (f *inFlightCalls) end(c *call, now time.Time, result runResult) (suspected poison.Call) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.running[c]
@@ -76,9 +78,11 @@
 	switch result {
 	case runBroken:
 		f.broken = append(f.pruneBroken(now), brokenCall{s, now})
+		return s.call.Without(f.completed.Contains)
 	case runCompleted:
 		f.completed.Add(s.call)
 	}
+	return poison.Call{}
 }
 
 // pruneBroken drops the broken calls older than brokenCallWindow and returns
