control/fleet: the report of a crash outlasts a restart of its node

What callers would see: a call that crashes targets, and was held back, crashes two more each time the nodes have been restarted.

Cause: class of fault, a decision that all nodes follow, kept in the memory of processes alone. The entry in the store has the last crash, but a new process announced its target without it and so wrote it away before most others had read it; its own entry it did not read for crashes at all.

Fix: the node takes the crash over from the entry of its earlier process, whatever came first, the read or the announcement, and at another address too; and it counts that crash itself.

--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -95,8 +95,9 @@
 	return func(f *Fleet) { f.rng = rand.New(rand.NewPCG(seed, 1)) }
 }
 
-// OnCrash sets a callback for target crashes. It may be called more than once for the
-// same crash and must not block.
+// OnCrash sets a callback for the target crashes in members' entries, this node's own entry
+// of an earlier process included. It may be called more than once for the same crash and
+// must not block.
 func OnCrash(f func(text string)) Option { return func(fl *Fleet) { fl.onCrash = f } }
 
 // dialTimeout bounds connecting to another node. It is well below the kernel's SYN
--- a/internal/control/fleet/ownentry.go
+++ b/internal/control/fleet/ownentry.go
@@ -36,10 +36,14 @@
 }
 
 // Announce sets the state that this node publishes in its entry, which Run writes to the
-// store. crash describes the target's last crash, if there was one.
+// store. crash describes the target's last crash, "" if there was none since the process
+// started: the entry keeps that of an earlier process.
 func (f *Fleet) Announce(state membership.State, target string, slots int, crash string, opts ...membership.RecordOption) {
 	f.mu.Lock()
 	o := &f.own
+	if crash == "" {
+		crash = o.self.Crash()
+	}
 	next := func(seq uint64) membership.Record {
 		base := o.base
 		return membership.NewRecord(base.Instance(), append([]membership.RecordOption{
@@ -67,6 +71,9 @@
 func (f *Fleet) applyOwnRecord(r membership.Record, revision uint64) {
 	f.mu.Lock()
 	o := &f.own
+	if o.self.Crash() == "" && r.Crash() != "" {
+		o.self = o.self.WithCrash(r.Crash()).WithSeq(o.self.Seq() + 1)
+	}
 	switch {
 	case !o.announced && r.State() != membership.Gone && sameNode(r, o.base):
 		o.self = r
--- a/internal/control/fleet/syncstore.go
+++ b/internal/control/fleet/syncstore.go
@@ -259,7 +259,7 @@
 		f.applyOwnRecord(members[own].record, members[own].revision)
 	}
 	for _, m := range members {
-		if m.record.Crash() != "" && !f.isOwn(m.record) {
+		if m.record.Crash() != "" {
 			f.onCrash(m.record.Crash())
 		}
 	}
--- a/internal/policy/membership/record.go
+++ b/internal/policy/membership/record.go
@@ -161,6 +161,12 @@
 	return r
 }
 
+// WithCrash returns a copy of the record with another description of a crash.
+func (r Record) WithCrash(text string) Record {
+	r.crash = text
+	return r
+}
+
 // AsGone returns a copy of the record in state Gone.
 func (r Record) AsGone() Record {
 	r.state = Gone
