traffic/target: the report of a crash begins with its latest suspects

Cause: a report has at most 64 calls, and those that broke in the three seconds before came first, the oldest of them at the front. A target that loses many answers and then crashes would be reported without the call that it ran.

The test has the order the other way round before: oldest, older, newest, running.

--- a/internal/traffic/target/inflight.go
+++ b/internal/traffic/target/inflight.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -97,7 +98,8 @@
 	return kept
 }
 
-// suspects returns the calls that may have caused a crash of the target's process now.
+// suspects returns the calls that may have caused a crash of the target's process now, those
+// that run before those that broke, and these latest first: a report may hold only the first.
 func (f *inFlightCalls) suspects(now time.Time) []Suspect {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -107,13 +109,13 @@
 			out = append(out, s)
 		}
 	}
-	f.broken = f.pruneBroken(now)
-	for _, b := range f.broken {
-		add(b.suspect)
-	}
 	for _, s := range f.running {
 		add(s)
 	}
+	f.broken = f.pruneBroken(now)
+	for _, b := range slices.Backward(f.broken) {
+		add(b.suspect)
+	}
 	return out
 }
 
--- a/internal/traffic/target/inflight_test.go
+++ b/internal/traffic/target/inflight_test.go
@@ -54,3 +54,27 @@
 		t.Errorf("another version: %s", diff)
 	}
 }
+
+// Guards against a report that lacks the call that caused the crash, because calls that broke
+// before fill it.
+func TestTheLatestSuspectsComeFirst(t *testing.T) {
+	t.Parallel()
+	var f inFlightCalls
+	now := time.Unix(1_800_000_000, 0)
+	begin := func(id string) *call {
+		c := &call{id: id, r: httptest.NewRequest("GET", "/"+id, nil)}
+		f.begin(c)
+		return c
+	}
+	for _, id := range []string{"oldest", "older", "newest"} {
+		f.end(begin(id), now, runBroken)
+	}
+	begin("running")
+	var ids []string
+	for _, s := range f.suspects(now) {
+		ids = append(ids, s.id)
+	}
+	if diff := cmp.Diff([]string{"running", "newest", "older", "oldest"}, ids); diff != "" {
+		t.Error(diff)
+	}
+}
