policy/lifecycle: a delayed heartbeat of a crashed predecessor reactivates nothing

What callers would see: a target that was restarted after a crash takes no call until its next heartbeat, and calls in flight there at that moment are held back for ten minutes.

Cause: where heartbeats report no start time, which is the rule on the users' platform, the tracker took whoever sent last for the live process. A heartbeat of the crashed process, delayed by seconds, then replaced its successor, which counted as crashed, and the successor's next heartbeat replaced the dead process, which counted as crashed again: two crashes with the same calls in flight. Only processes that had announced their leave were remembered.

Fix: a process that another one replaces is remembered like one that has left. Four orders in the table fail before.

--- a/internal/policy/lifecycle/tracker.go
+++ b/internal/policy/lifecycle/tracker.go
@@ -108,8 +108,8 @@
 	target   Target
 	sequence uint64
 	warming  bool
-	// departed maps the id of each process that has left to its start time, so
-	// that a delayed heartbeat can't reactivate it.
+	// departed maps the id of each process that has left or been replaced to its start
+	// time, so that a delayed heartbeat can't reactivate it.
 	departed map[string]uint64
 }
 
@@ -133,6 +133,9 @@
 		return false
 	}
 	before := t.target
+	if before.id != "" && before.id != h.id {
+		t.rememberDeparted(before.id, before.startMs)
+	}
 	t.sequence, t.warming = h.sequence, h.warming
 	t.target.id, t.target.startMs, t.target.slots, t.target.version = h.id, h.startMs, max(1, h.slots), h.version
 	t.target.phase = Serving
@@ -153,8 +156,8 @@
 	case h.startMs != t.target.startMs:
 		return h.startMs > t.target.startMs
 	case h.id != t.target.id:
-		// The start times are equal or not reported. The sender counts as the live
-		// process, since one that has ended sends no more heartbeats.
+		// The start times are equal or not reported. Delayed heartbeats of predecessors
+		// are excluded above, so the sender is a later process.
 		return true
 	default:
 		return h.sequence > t.sequence
--- a/internal/policy/lifecycle/tracker_test.go
+++ b/internal/policy/lifecycle/tracker_test.go
@@ -59,6 +59,10 @@
 		{"a refused connection to another process is ignored", "a:1:1 b:2:1 no:a", "b serving"},
 		{"a refused connection does not replace leaving", "a:1:1D no:a", "a leaving"},
 		{"a successor that reports no start time starts serving", "a:0:5 b:0:1", "b serving"},
+		{"a delayed heartbeat of a crashed predecessor without a start time is ignored", "a:0:5 b:0:1 a:0:6", "b serving"},
+		{"a delayed heartbeat of a crashed predecessor with the same start time is ignored", "a:1:5 b:1:1 a:1:6", "b serving"},
+		{"a delayed heartbeat of a predecessor of the predecessor is ignored", "a:0:5 b:0:1 c:0:1 a:0:6", "c serving"},
+		{"a delayed heartbeat of a predecessor that was seen down is ignored", "a:0:5 no:a b:0:1 a:0:6", "b serving"},
 		{"a delayed heartbeat of a departed predecessor without a start time is ignored", "a:0:5 bye:a b:0:1 a:0:6", "b serving"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
