--- a/internal/traffic/target/forward.go
+++ b/internal/traffic/target/forward.go
@@ -18,7 +18,7 @@
 	defer func() {
 		result := runUnknown
 		switch {
-		case err == nil:
+		case err == nil && bodyKnown(c.body):
 			result = runCompleted
 		case brokenByTarget(err):
 			result = runBroken
@@ -62,6 +62,13 @@
 	return relayed.Began(), resp.Status(), err
 }
 
+// bodyKnown reports whether the fingerprints of a call are of its whole body. If not, its
+// completion says nothing of others that have the same ones.
+func bodyKnown(b hop.Body) bool {
+	_, streamed := b.(*hop.Stream)
+	return !streamed
+}
+
 // observeTarget reads what a response states of the target's process. A process that is not
 // the one that the call is meant for speaks for itself alone.
 func (c *call) observeTarget(resp *hop.Response) {
