control/fleet: the next node by rank reads the store where it turns the root away

The store was silent to just the three nodes that read it, one in each failure domain; it answered the others.

Cause: class of fault, knowledge that its holder keeps to itself. The readers noticed at 3.8 to 4.6 s, by a renewal that timed out, and said nothing; their children left them only once the data had been stale for 2.5 to 5 s more.

Fix: a pull's response says that the store does not answer the root, at once to those that wait; the next by rank then reads in its place.

Weighed: shorter bounds for stale data (a larger fleet would read during each slow moment), a standby that reads all the time (a watch more for each domain, always), this one.

--- a/internal/control/fleet/domainkey.go
+++ b/internal/control/fleet/domainkey.go
@@ -82,7 +82,7 @@
 		case <-ctx.Done():
 		case <-tick.C():
 			switch {
-			case f.readsStore() && f.synced.Load():
+			case f.readsStore() && f.synced.Load() && !f.untried():
 				f.renewDomainKey(ctx)
 			case f.orphaned.Load() && !f.storeOK.Load():
 				f.checkStore(ctx)
@@ -155,7 +155,7 @@
 		return
 	}
 	f.storeAnswered()
-	f.signal(f.orphanedChanged)
+	f.signal(f.readerChanged)
 }
 
 // domainUnreachable marks the ready members of a failure domain as missing, so that they are
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -44,10 +44,12 @@
 	synced          atomic.Bool
 	storeOK         atomic.Bool
 	orphaned        atomic.Bool  // no parent answers with fresh data
+	rootSilent      atomic.Bool  // the store does not answer the root, as that has said
+	standbyAnswered atomic.Bool  // the store has answered this node since it became a standby
 	lastStoreAnswer atomic.Int64 // Unix nanoseconds
 	hints           chan hint
 	bootstrapped    chan struct{} // closed once the node knows its position in the tree
-	orphanedChanged chan struct{} // signals that orphaned has changed
+	readerChanged   chan struct{} // signals that orphaned or rootSilent has changed
 
 	ownEntryRead atomic.Bool // the store's entry of this node, if any, is known
 	rereadNeeded atomic.Bool // the store has to be read as a whole
@@ -57,6 +59,7 @@
 	own           ownEntry
 	entryChanged  chan struct{}
 	applied       chan struct{} // closed when the next version becomes active
+	storeChanged  chan struct{} // closed when storeOK changes
 	syncedChanged chan struct{} // closed when the node knows the members
 
 	rollouts *rolloutSet
@@ -111,7 +114,7 @@
 		store: store, clk: clk, log: event.Discard(), configKey: configKey, decode: decode,
 		rng: rand.New(rand.NewPCG(1, 1)), view: newView(), own: ownEntry{base: self, self: self},
 		onCrash: func(string) {}, hints: make(chan hint, 1), entryChanged: make(chan struct{}, 1),
-		bootstrapped: make(chan struct{}), orphanedChanged: make(chan struct{}, 1), applied: make(chan struct{}),
+		bootstrapped: make(chan struct{}), readerChanged: make(chan struct{}, 1), applied: make(chan struct{}), storeChanged: make(chan struct{}),
 		syncedChanged: make(chan struct{}), startedAt: clk.Now(),
 		rollouts: newRolloutSet(),
 	}
--- a/internal/control/fleet/position.go
+++ b/internal/control/fleet/position.go
@@ -78,17 +78,37 @@
 	return ranked.nodes[:min(n, len(ranked.nodes))]
 }
 
-// readsStore reports whether the node reads the store for its failure domain: as the
-// root, or while it is orphaned. An orphaned node that can't reach the store leaves reading
-// to the root, as otherwise all nodes would send requests during an outage.
+// readsStore reports whether the node reads the store for its failure domain: as the root,
+// while it is orphaned, or as a standby. A node that can't reach the store leaves reading to
+// the root, as otherwise all nodes would send requests during an outage.
 func (f *Fleet) readsStore() bool {
-	return f.position().IsRoot() || f.orphaned.Load() && f.storeOK.Load()
+	return f.position().IsRoot() || (f.orphaned.Load() || f.isStandby()) && f.storeOK.Load()
+}
+
+// isStandby reports whether the node is the next by rank after a root that the store does not
+// answer. The store may turn some nodes away and serve the others, which only a call can tell.
+func (f *Fleet) isStandby() bool { return f.rootSilent.Load() && f.position().Rank() == 1 }
+
+// untried reports whether the node is a standby that has not had an answer of the store yet.
+// It makes one call until then: in an outage all standbys would otherwise go on calling.
+func (f *Fleet) untried() bool {
+	return f.isStandby() && !f.orphaned.Load() && !f.standbyAnswered.Load()
+}
+
+// setRootSilent records whether the store answers the root, and signals a change.
+func (f *Fleet) setRootSilent(silent bool) {
+	if f.rootSilent.Load() == silent {
+		return
+	}
+	f.standbyAnswered.Store(false)
+	f.rootSilent.Store(silent)
+	f.signal(f.readerChanged)
 }
 
 // setOrphaned records whether the node is orphaned, and signals a change.
 func (f *Fleet) setOrphaned(orphaned bool) {
 	if f.orphaned.Swap(orphaned) != orphaned {
-		f.signal(f.orphanedChanged)
+		f.signal(f.readerChanged)
 	}
 }
 
--- a/internal/control/fleet/pull.go
+++ b/internal/control/fleet/pull.go
@@ -58,10 +58,12 @@
 	reports  sentReports
 }
 
-// cursor is a position in the sequence of member changes of another node.
+// cursor is a position in the sequence of member changes of another node, and whether that
+// node has said that the store does not answer it.
 type cursor struct {
 	instance      string
 	epoch, change uint64
+	storeSilent   bool
 }
 
 // cursor returns the position up to which the node has a parent's changes. It outlasts
@@ -121,7 +123,8 @@
 		f.log.Emit(event.RecordRefused, event.F("error", err), event.F("from", from.Instance()))
 		return
 	}
-	p.setCursor(cursor{from.Instance(), resp.GetEpoch(), resp.GetCursor()})
+	p.setCursor(cursor{from.Instance(), resp.GetEpoch(), resp.GetCursor(), resp.GetStoreSilent()})
+	f.setRootSilent(resp.GetStoreSilent())
 	f.mergeRollouts(resp.GetRollouts(), !resp.GetRolloutsUnknown())
 	f.setSynced(f.Size(), 0)
 	announced := resp.GetVersion()
@@ -253,7 +256,7 @@
 	resp, err := client.Pull(ctx, &fleetpb.PullRequest{
 		Version: f.Current().Version(), Epoch: at.epoch, Cursor: at.change,
 		WaitMs: uint32(f.requestedWait().Milliseconds()), Members: members, Peer: self.ControlAddress().String(),
-		Rollouts: f.rollouts.revisions(), Reports: reports, Domains: f.domainDigests(at, members),
+		Rollouts: f.rollouts.revisions(), Reports: reports, Domains: f.domainDigests(at, members), StoreSilent: at.storeSilent,
 	})
 	if err == nil {
 		sent.markSent(from.Instance(), seqs)
--- a/internal/control/fleet/pullserver.go
+++ b/internal/control/fleet/pullserver.go
@@ -30,7 +30,8 @@
 	}
 	f.rollouts.addReports(r.GetReports())
 	for {
-		changed, applied, rolloutsChanged := f.view.changes(), f.nextApplied(), f.rollouts.changes()
+		changed, rolloutsChanged := f.view.changes(), f.rollouts.changes()
+		applied, storeChanged := f.nextApplied(), f.nextStoreChange()
 		resp, updated := f.buildPullResponse(r)
 		if updated {
 			return resp, nil
@@ -44,6 +45,7 @@
 		case <-changed:
 		case <-applied:
 		case <-rolloutsChanged:
+		case <-storeChanged:
 		}
 	}
 }
@@ -133,6 +135,7 @@
 	if !r.GetMembers() {
 		return resp, resp.Version > r.GetVersion() || len(resp.Rollouts) > 0
 	}
+	resp.StoreSilent = f.position().IsRoot() && !f.storeOK.Load()
 	after := r.GetCursor()
 	if r.GetEpoch() != f.epoch {
 		after = 0
@@ -148,7 +151,8 @@
 	} else {
 		resp.Members = encodeMembers(changes.members)
 	}
-	return resp, changes.complete != nil || len(changes.members) > 0 || resp.Version > r.GetVersion() || len(resp.Rollouts) > 0
+	updated := changes.complete != nil || len(changes.members) > 0 || resp.Version > r.GetVersion() || len(resp.Rollouts) > 0
+	return resp, updated || resp.StoreSilent != r.GetStoreSilent()
 }
 
 // nextApplied returns a channel that is closed when the next version becomes active.
@@ -158,6 +162,14 @@
 	return f.applied
 }
 
+// nextStoreChange returns a channel that is closed when the store next answers this node
+// again, or no longer does.
+func (f *Fleet) nextStoreChange() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.storeChanged
+}
+
 // memberEntry is a member record and its store revision, as sent to other nodes.
 type memberEntry struct {
 	record   membership.Record
--- a/internal/control/fleet/syncstore.go
+++ b/internal/control/fleet/syncstore.go
@@ -41,7 +41,7 @@
 			m = fullRead
 			select {
 			case <-ctx.Done():
-			case <-f.orphanedChanged:
+			case <-f.readerChanged:
 			case <-changed:
 			}
 			continue
@@ -51,6 +51,7 @@
 		var compacted *platform.CompactedError
 		if result.err == nil || errors.As(result.err, &compacted) {
 			f.storeAnswered()
+			f.standbyAnswered.Store(true)
 			f.freshness.update(f.clk.Now(), 0)
 			backoff = minRetry
 			_ = f.clk.Sleep(ctx, m.pause(changes, result))
@@ -293,15 +294,24 @@
 	f.lastStoreAnswer.Store(f.clk.Now().UnixNano())
 	if !f.storeOK.Swap(true) {
 		f.log.Emit(event.StoreAvailable)
+		f.notifyStoreChanged()
 	}
 }
 
 func (f *Fleet) storeFailed(ctx context.Context, err error) {
 	if ctx.Err() == nil && f.storeOK.Swap(false) {
 		f.log.Emit(event.StoreUnavailable, event.F("error", err))
+		f.notifyStoreChanged()
 	}
 }
 
+func (f *Fleet) notifyStoreChanged() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.storeChanged)
+	f.storeChanged = make(chan struct{})
+}
+
 // jitter returns a random duration from d to 1.5*d, so that nodes that lost the store at
 // the same time don't reconnect at the same time.
 func (f *Fleet) jitter(d time.Duration) time.Duration { return f.randomDuration(d, d+d/2) }
