--- a/internal/policy/poison/crash.go
+++ b/internal/policy/poison/crash.go
@@ -30,7 +30,7 @@
 	var raw []byte
 	for _, call := range c.InFlight[:min(len(c.InFlight), maxReportedCalls)] {
 		for _, f := range [...]Fingerprint{call.Exact, call.Content} {
-			raw = binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(raw, f.hi), f.lo)
+			raw = f.appendTo(raw)
 		}
 	}
 	return c.Process.Instance + "/" + strconv.FormatUint(c.Process.Boot, 10) + "/" + hex.EncodeToString(raw)
--- a/internal/process/resident/crash.go
+++ b/internal/process/resident/crash.go
@@ -22,8 +22,8 @@
 	register *poison.Register
 	seen     map[poison.Process]bool
 
-	detected atomic.Uint64 // crashes of the local target
-	recorded atomic.Uint64 // crashes of any target
+	detected atomic.Uint64 // crashes of the local target under calls that are suspected
+	recorded atomic.Uint64 // such crashes of any target
 }
 
 // maxSeen bounds crashRegister.seen, which is cleared when full; crashes that are reported
@@ -83,11 +83,11 @@
 		return ""
 	}
 	suspects := n.targetHandler.CrashSuspects()
-	n.crashes.detected.Add(1)
 	n.log.Emit(event.TargetCrashed, event.F("target", before.ID()), event.F("calls", len(suspects)), event.F("suspects", fmt.Sprint(suspects)))
 	if len(suspects) == 0 {
 		return ""
 	}
+	n.crashes.detected.Add(1)
 	c := poison.Crash{Process: poison.Process{Instance: before.ID(), Boot: before.StartMs()}}
 	for _, s := range suspects {
 		c.InFlight = append(c.InFlight, s.Call())
--- a/internal/traffic/target/forward.go
+++ b/internal/traffic/target/forward.go
@@ -15,20 +15,7 @@
 // forward sends the call to the target and relays the response.
 func (c *call) forward() (headSent bool, status int, err error) {
 	c.h.inFlight.begin(c)
-	defer func() {
-		result := runUnknown
-		switch {
-		case err == nil && bodyKnown(c.body):
-			result = runCompleted
-		case brokenByTarget(err):
-			result = runBroken
-		}
-		suspected := c.h.inFlight.end(c, c.h.clk.Now(), result)
-		if result == runBroken {
-			c.h.probe(c.meta.Instance())
-			c.reportCrash(suspected)
-		}
-	}()
+	defer func() { c.endRun(err) }()
 	c.countPassed()
 	sent := c.h.clk.Now()
 	resp, err := c.h.client.Do(c.r.Context(), c.h.local, c.targetRequest(), c.deadline)
@@ -62,11 +49,21 @@
 	return relayed.Began(), resp.Status(), err
 }
 
-// bodyKnown reports whether the fingerprints of a call are of its whole body. If not, its
-// completion says nothing of others that have the same ones.
-func bodyKnown(b hop.Body) bool {
-	_, streamed := b.(*hop.Stream)
-	return !streamed
+// endRun records how the call ended at the target. If the target's process broke it, that
+// may have crashed.
+func (c *call) endRun(err error) {
+	switch _, streamed := c.body.(*hop.Stream); {
+	case brokenByTarget(err):
+		suspected := c.h.inFlight.end(c, c.h.clk.Now(), runBroken)
+		c.h.probe(c.meta.Instance())
+		c.reportCrash(suspected)
+	case err == nil && !streamed:
+		c.h.inFlight.end(c, c.h.clk.Now(), runCompleted)
+	default:
+		// The completion of a call whose body is not in its fingerprints says nothing of
+		// others that have the same ones.
+		c.h.inFlight.end(c, c.h.clk.Now(), runUnknown)
+	}
 }
 
 // observeTarget reads what a response states of the target's process. A process that is not
