A call that crashes targets is recognised at the node of another service

Cause: both fingerprints had the service of the node where a try came in, so a call that came to nodes of three services could crash two targets from each. Such a call comes again at any machine; the caller that it keeps is the organisation where there are keys.

Fix: the fingerprint of the content has the organisation, the path and the body.

--- a/internal/policy/poison/call.go
+++ b/internal/policy/poison/call.go
@@ -12,7 +12,7 @@
 
 // Call identifies a call across its retries, by two fingerprints: one of all that its
 // caller chose, and one of what its retries have in common even if they differ in
-// method, query or route.
+// origin, route, method or query.
 type Call struct{ Exact, Content Fingerprint }
 
 // Description is what a call is identified by.
@@ -31,7 +31,7 @@
 // organisation can have the calls of another held back.
 func NewCall(d Description) Call {
 	var space [256]byte // enough for most calls, so that none is allocated
-	b := appendParts(space[:0], d.Organisation, d.Origin, d.Key)
+	b := appendParts(space[:0], d.Organisation, d.Key)
 	if d.Key != "" {
 		f := fingerprintOf(appendParts(b, d.Route))
 		return Call{f, f}
@@ -42,7 +42,7 @@
 		b = fingerprintOf(d.Body).appendTo(b)
 	}
 	content := fingerprintOf(b)
-	return Call{fingerprintOf(appendParts(content.appendTo(b[:0]), d.Route, d.Method, d.Query)), content}
+	return Call{fingerprintOf(appendParts(content.appendTo(b[:0]), d.Origin, d.Route, d.Method, d.Query)), content}
 }
 
 // appendParts appends strings with their lengths: without these, ("a", "bc") and ("ab", "c")
