control/fleet: a root notices each removal of its failure domain's key

Cause, two orders: the removal is read before the response to the root's own write, which then overwrites it; the root reads the whole store after the removal, and a key of its own that is absent there changed nothing. On the users' platform the lease ends with its key, so a renewal told; after a store that goes back to a copy none would.

--- a/internal/control/fleet/domainkey.go
+++ b/internal/control/fleet/domainkey.go
@@ -31,6 +31,23 @@
 	mu       sync.Mutex
 	revision uint64 // 0 if the store is not known to have the key
 	lease    platform.LeaseID
+	removed  uint64 // revision of the key's last known removal
+}
+
+func (k *domainKey) knownRevision() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.revision
+}
+
+// removeIf records at a revision of the store that the key is absent, unless it has been
+// written since it was known at the revision known.
+func (k *domainKey) removeIf(known, at uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if known > 0 && k.revision == known {
+		k.revision, k.lease, k.removed = 0, 0, at
+	}
 }
 
 // domainKeyValue is the JSON form of a domain's key. The lease is in it so that each root
@@ -59,7 +76,7 @@
 }
 
 // domainKeyDeleted handles the deletion of a key, which may be that of a domain.
-func (f *Fleet) domainKeyDeleted(key string) {
+func (f *Fleet) domainKeyDeleted(key string, revision uint64) {
 	domain, ok := strings.CutPrefix(key, domainsPrefix)
 	if !ok {
 		return
@@ -70,7 +87,7 @@
 	}
 	f.domainKey.mu.Lock()
 	defer f.domainKey.mu.Unlock()
-	f.domainKey.revision, f.domainKey.lease = 0, 0
+	f.domainKey.revision, f.domainKey.lease, f.domainKey.removed = 0, 0, revision
 }
 
 // maintainDomainKey keeps the domain's key alive while this node reads the store.
@@ -142,7 +159,10 @@
 	}
 	f.domainKey.mu.Lock()
 	defer f.domainKey.mu.Unlock()
-	f.domainKey.revision, f.domainKey.lease = written, lease
+	// The removal may have been read before the response to the write.
+	if written > f.domainKey.removed {
+		f.domainKey.revision, f.domainKey.lease = written, lease
+	}
 	return nil
 }
 
--- a/internal/control/fleet/syncstore.go
+++ b/internal/control/fleet/syncstore.go
@@ -94,6 +94,7 @@
 
 // readAll reads and applies all values of the store and returns its revision.
 func (f *Fleet) readAll(ctx context.Context) (uint64, error) {
+	ownKey := f.domainKey.knownRevision()
 	values, revision, err := f.store.Range(ctx, allKeys)
 	if err != nil {
 		return 0, err
@@ -110,6 +111,9 @@
 	}
 	now := f.clk.Now()
 	self, _ := f.ownRecord()
+	if !reachable[self.Domain()] {
+		f.domainKey.removeIf(ownKey, revision)
+	}
 	f.view.update(func(b *batch) {
 		b.dropAbsent(allDomains, present, now)
 		for _, domain := range slices.Collect(maps.Keys(f.view.domains)) {
@@ -172,7 +176,7 @@
 			left = append(left, instance)
 			written = slices.DeleteFunc(written, func(v platform.Value) bool { return v.Key() == key })
 		case e.Deleted():
-			f.domainKeyDeleted(key)
+			f.domainKeyDeleted(key, e.Value().Revision())
 		case key == f.configKey:
 			lastVersion = e.Value()
 			versions++
