control/fleet: failure domains renew by turns, and a late renewal is told

Cause: machines that start together renewed their domains' leases at the same moments, so that all readers noticed at once, and as late as a whole interval and the timeout of a call (1.5 and 1.2 s) after the store fell silent to them; two seconds are allowed for a version.

Fix: the domains renew by turns, as they end their watches, and a renewal without a response for 0.4 s is told to those that pull as if it had failed. The call itself goes on to its timeout, so that a slow store loses no watch; the standby then makes a call more.

Test: of four domains one renews within a fourth of the interval, whatever the time of day.

--- a/internal/control/fleet/domainkey.go
+++ b/internal/control/fleet/domainkey.go
@@ -24,6 +24,9 @@
 	// whether the store is available: if one times out, the store's client cancels pending
 	// watches. The bound on applying versions depends on this interval.
 	renewInterval = 1500 * time.Millisecond
+	// renewalLate is how long a renewal may be without a response until the standby reads the
+	// store as well. It is well below the timeout of a call, which is for a store that is slow.
+	renewalLate = 400 * time.Millisecond
 )
 
 // domainKey is the key of the node's own failure domain.
@@ -92,22 +95,38 @@
 
 // maintainDomainKey keeps the domain's key alive while this node reads the store.
 func (f *Fleet) maintainDomainKey(ctx context.Context) {
-	tick := f.clk.Subscribe(renewInterval)
-	defer tick.Stop()
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-tick.C():
-			switch {
-			case f.readsStore() && f.synced.Load() && !f.untried():
-				f.renewDomainKey(ctx)
-			case f.orphaned.Load() && !f.storeOK.Load():
-				f.checkStore(ctx)
-			}
+	for f.clk.Sleep(ctx, f.untilRenewal()) == nil {
+		switch {
+		case f.readsStore() && f.synced.Load() && !f.untried():
+			late := f.clk.AfterFunc(renewalLate, func() { f.setStoreLate(true) })
+			f.renewDomainKey(ctx)
+			late.Stop()
+			f.setStoreLate(false)
+		case f.orphaned.Load() && !f.storeOK.Load():
+			f.checkStore(ctx)
 		}
 	}
 }
 
+// untilRenewal returns the time until the next renewal. The failure domains renew by turns, by
+// the time of day, so that one of them soon notices that the store does not answer the roots.
+func (f *Fleet) untilRenewal() time.Duration {
+	self, _ := f.ownRecord()
+	index, domains := f.view.domainIndex(self.Domain())
+	return untilTurn(f.clk.Now(), renewInterval, index, domains)
+}
+
+// untilTurn returns the time until the next turn of one of several that share an interval; if
+// it is about to begin, until the one after.
+func untilTurn(now time.Time, interval time.Duration, index, of int) time.Duration {
+	turn := interval * time.Duration(index) / time.Duration(max(1, of))
+	wait := interval - (time.Duration(now.UnixNano())-turn)%interval
+	if wait < interval/10 {
+		wait += interval
+	}
+	return wait
+}
+
 // renewDomainKey renews the lease of the domain's key, or writes the key with a new one.
 func (f *Fleet) renewDomainKey(ctx context.Context) {
 	f.domainKey.mu.Lock()
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -43,6 +43,7 @@
 	config          atomic.Pointer[activeConfig]
 	synced          atomic.Bool
 	storeOK         atomic.Bool
+	storeLate       atomic.Bool  // a renewal has been without a response for renewalLate
 	orphaned        atomic.Bool  // no parent answers with fresh data
 	rootSilent      atomic.Bool  // the store does not answer the root, as that has said
 	standbyAnswered atomic.Bool  // the store has answered this node since it became a standby
@@ -59,7 +60,7 @@
 	own           ownEntry
 	entryChanged  chan struct{}
 	applied       chan struct{} // closed when the next version becomes active
-	storeChanged  chan struct{} // closed when storeOK changes
+	storeChanged  chan struct{} // closed when storeOK or storeLate changes
 	syncedChanged chan struct{} // closed when the node knows the members
 
 	rollouts *rolloutSet
--- a/internal/control/fleet/pullserver.go
+++ b/internal/control/fleet/pullserver.go
@@ -135,7 +135,7 @@
 	if !r.GetMembers() {
 		return resp, resp.Version > r.GetVersion() || len(resp.Rollouts) > 0
 	}
-	resp.StoreSilent = f.position().IsRoot() && !f.storeOK.Load()
+	resp.StoreSilent = f.position().IsRoot() && (!f.storeOK.Load() || f.storeLate.Load())
 	after := r.GetCursor()
 	if r.GetEpoch() != f.epoch {
 		after = 0
--- a/internal/control/fleet/syncstore.go
+++ b/internal/control/fleet/syncstore.go
@@ -309,6 +309,13 @@
 	}
 }
 
+// setStoreLate records whether the store's response to a renewal is late.
+func (f *Fleet) setStoreLate(late bool) {
+	if f.storeLate.Swap(late) != late {
+		f.notifyStoreChanged()
+	}
+}
+
 func (f *Fleet) notifyStoreChanged() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/control/fleet/watchschedule_test.go
+++ b/internal/control/fleet/watchschedule_test.go
@@ -80,3 +80,24 @@
 		}
 	}
 }
+
+// Guards against roots that all notice late that the store does not answer them, as machines
+// that start together renew at the same moment.
+func TestFailureDomainsRenewByTurns(t *testing.T) {
+	t.Parallel()
+	const interval, domains = 1500 * time.Millisecond, 4
+	for offset := range 300 {
+		now := time.Unix(1_800_000_000, 0).Add(time.Duration(offset) * 5 * time.Millisecond)
+		first := 2 * interval
+		for index := range domains {
+			wait := untilTurn(now, interval, index, domains)
+			if wait <= 0 || wait > interval+interval/10 {
+				t.Fatalf("at %v domain %d waits %v", now, index, wait)
+			}
+			first = min(first, wait)
+		}
+		if first > interval/domains+interval/10 {
+			t.Errorf("at %v the first renewal is in %v", now, first)
+		}
+	}
+}
