policy/poison: reports of crashes have the time of the crash

What callers would see: after each start of a node a call that crashed targets long ago is refused for ten minutes anew, once entries keep the last crash across restarts.

Cause: a report read in an entry counted as of the moment when it was read.

Beside it: a test of the store's readers has the name of what it checks since the standby's one call.

--- a/internal/control/fleet/position.go
+++ b/internal/control/fleet/position.go
@@ -86,7 +86,8 @@
 }
 
 // isStandby reports whether the node is the next by rank after a root that the store does not
-// answer, or late. The store may turn some nodes away and serve the others, which only a call can tell.
+// answer, or late. The store may turn some nodes away and serve the others, which only a call
+// can tell.
 func (f *Fleet) isStandby() bool { return f.rootSilent.Load() && f.position().Rank() == 1 }
 
 // untried reports whether the node is a standby that has not had an answer of the store yet.
--- a/internal/control/fleet/tree_test.go
+++ b/internal/control/fleet/tree_test.go
@@ -151,7 +151,7 @@
 
 // Guards against a large fleet whose nodes all retry the store during an outage and overload
 // it when it recovers.
-func TestOnlyOneNodePerFailureDomainContactsTheStoreInAnOutage(t *testing.T) {
+func TestOnlyOneNodePerFailureDomainRetriesTheStoreInAnOutage(t *testing.T) {
 	t.Parallel()
 	h := newHarness(t)
 	stores := map[string]*nodeStore{}
--- a/internal/policy/poison/crash.go
+++ b/internal/policy/poison/crash.go
@@ -3,14 +3,17 @@
 import (
 	"encoding/binary"
 	"encoding/hex"
+	"fmt"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Crash reports that a target process ended with calls in flight. Nodes send it to each
-// other.
+// other, and read it from entries that may be old.
 type Crash struct {
 	Process  Process
+	At       time.Time // in milliseconds, by the clock of the reporting node
 	InFlight []Call
 }
 
@@ -23,8 +26,8 @@
 	callBytes        = 2 * fingerprintBytes
 )
 
-// String encodes the crash for ParseCrash as instance, boot and the concatenated
-// fingerprints in hexadecimal, separated by slashes. It encodes at most maxReportedCalls
+// String encodes the crash for ParseCrash as instance, boot, the time in Unix milliseconds and
+// the concatenated fingerprints in hexadecimal, separated by slashes. It encodes at most maxReportedCalls
 // calls.
 func (c Crash) String() string {
 	var raw []byte
@@ -33,21 +36,22 @@
 			raw = f.appendTo(raw)
 		}
 	}
-	return c.Process.Instance + "/" + strconv.FormatUint(c.Process.Boot, 10) + "/" + hex.EncodeToString(raw)
+	return fmt.Sprintf("%s/%d/%d/%x", c.Process.Instance, c.Process.Boot, c.At.UnixMilli(), raw)
 }
 
 // ParseCrash decodes the result of Crash.String, and returns false for any other string.
 func ParseCrash(s string) (Crash, bool) {
 	parts := strings.Split(s, "/")
-	if len(parts) != 3 {
+	if len(parts) != 4 {
 		return Crash{}, false
 	}
 	boot, err := strconv.ParseUint(parts[1], 10, 64)
-	raw, hexErr := hex.DecodeString(parts[2])
-	if err != nil || hexErr != nil || parts[0] == "" || len(raw)%callBytes != 0 || len(raw) > maxReportedCalls*callBytes {
+	at, timeErr := strconv.ParseInt(parts[2], 10, 64)
+	raw, hexErr := hex.DecodeString(parts[3])
+	if err != nil || timeErr != nil || hexErr != nil || parts[0] == "" || len(raw)%callBytes != 0 || len(raw) > maxReportedCalls*callBytes {
 		return Crash{}, false
 	}
-	c := Crash{Process: Process{Instance: parts[0], Boot: boot}}
+	c := Crash{Process: Process{Instance: parts[0], Boot: boot}, At: time.UnixMilli(at)}
 	for ; len(raw) > 0; raw = raw[callBytes:] {
 		c.InFlight = append(c.InFlight, Call{decodeFingerprint(raw), decodeFingerprint(raw[fingerprintBytes:])})
 	}
--- a/internal/process/resident/crash.go
+++ b/internal/process/resident/crash.go
@@ -49,7 +49,7 @@
 		return
 	}
 	r.mu.Lock()
-	rec := r.register.RecordCrash(r.clk.Now(), c.Process, c.InFlight)
+	rec := r.register.Record(r.clk.Now(), c)
 	if !r.seen[c.Process] {
 		if len(r.seen) >= maxSeen {
 			clear(r.seen)
@@ -88,7 +88,7 @@
 		return ""
 	}
 	n.crashes.detected.Add(1)
-	c := poison.Crash{Process: poison.Process{Instance: before.ID(), Boot: before.StartMs()}}
+	c := poison.Crash{Process: poison.Process{Instance: before.ID(), Boot: before.StartMs()}, At: n.clk.Now()}
 	for _, s := range suspects {
 		c.InFlight = append(c.InFlight, s.Call())
 	}
--- a/internal/traffic/caller/crash_test.go
+++ b/internal/traffic/caller/crash_test.go
@@ -32,7 +32,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if c, ok := poison.ParseCrash(crash); ok {
-		r.register.RecordCrash(time.Now(), c.Process, c.InFlight)
+		r.register.Record(time.Now(), c)
 	}
 }
 
--- a/internal/traffic/target/forward.go
+++ b/internal/traffic/target/forward.go
@@ -157,6 +157,8 @@
 	if suspected == (poison.Call{}) || t == nil || t.ID() != c.meta.Instance() || t.Phase() != lifecycle.Down {
 		return
 	}
-	crash := poison.Crash{Process: poison.Process{Instance: t.ID(), Boot: t.StartMs()}, InFlight: []poison.Call{suspected}}
+	crash := poison.Crash{
+		Process: poison.Process{Instance: t.ID(), Boot: t.StartMs()}, At: c.h.clk.Now(), InFlight: []poison.Call{suspected},
+	}
 	c.w.Header()[hop.CrashHeader] = []string{crash.String()}
 }
