--- a/internal/control/fleet/crash_test.go
+++ b/internal/control/fleet/crash_test.go
@@ -40,16 +40,7 @@
 			f := New(h.store, h.clk, record(tt.address, membership.Boot(9)), configKey, decodeNumber,
 				OnCrash(func(crash string) { heard = append(heard, crash) }))
 			w := &entryWriter{f: f}
-			announce := func() { f.Announce(membership.Ready, "after", 12, tt.crash) }
-			if tt.early {
-				announce()
-			}
-			if _, err := f.readDomain(t.Context()); err != nil {
-				t.Fatal(err)
-			}
-			if !tt.early {
-				announce()
-			}
+			readAndAnnounce(t, f, tt.early, func() { f.Announce(membership.Ready, "after", 12, tt.crash) })
 			if err := w.reconcile(t.Context()); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -372,6 +372,21 @@
 	})
 }
 
+// readAndAnnounce has a node read the entries of its failure domain, and announce its target
+// before or after that.
+func readAndAnnounce(t *testing.T, f *Fleet, early bool, announce func()) {
+	t.Helper()
+	if early {
+		announce()
+	}
+	if _, err := f.readDomain(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if !early {
+		announce()
+	}
+}
+
 // Guards against a write for each process that is restarted: the entry of the earlier one is
 // still right.
 func TestARestartedProcessWritesNothingIfItsEntryIsRight(t *testing.T) {
@@ -402,16 +417,7 @@
 			t.Errorf("%s: the node announces %q before it has read its entry, error %v", tt.name, view.GetEntry(), err)
 		}
 		w := &entryWriter{f: f}
-		announce := func() { f.Announce(membership.Ready, tt.target, 12, "") }
-		if tt.early {
-			announce()
-		}
-		if _, err := f.readDomain(t.Context()); err != nil {
-			t.Fatal(err)
-		}
-		if !tt.early {
-			announce()
-		}
+		readAndAnnounce(t, f, tt.early, func() { f.Announce(membership.Ready, tt.target, 12, "") })
 		h.store.mu.Lock()
 		calls := h.store.calls
 		h.store.mu.Unlock()
