control/fleet: one computation of a failure domain's turn, for watches and renewals

Found in reading the whole change: untilTurn wrote again what the schedule of watches computed, with another least time. One function serves both now, and the least gap between renewals has a name. Package tests with the race detector pass.

--- a/internal/control/fleet/domainkey.go
+++ b/internal/control/fleet/domainkey.go
@@ -24,6 +24,8 @@
 	// whether the store is available: if one times out, the store's client cancels pending
 	// watches. The bound on applying versions depends on this interval.
 	renewInterval = 1500 * time.Millisecond
+	// minRenewGap is the shortest time between two renewals.
+	minRenewGap = renewInterval / 10
 	// renewalLate is how long a renewal may be without a response until the standby reads the
 	// store as well. It is well below the timeout of a call, which is for a store that is slow.
 	renewalLate = 400 * time.Millisecond
@@ -113,18 +115,7 @@
 func (f *Fleet) untilRenewal() time.Duration {
 	self, _ := f.ownRecord()
 	index, domains := f.view.domainIndex(self.Domain())
-	return untilTurn(f.clk.Now(), renewInterval, index, domains)
-}
-
-// untilTurn returns the time until the next turn of one of several that share an interval; if
-// it is about to begin, until the one after.
-func untilTurn(now time.Time, interval time.Duration, index, of int) time.Duration {
-	turn := interval * time.Duration(index) / time.Duration(max(1, of))
-	wait := interval - (time.Duration(now.UnixNano())-turn)%interval
-	if wait < interval/10 {
-		wait += interval
-	}
-	return wait
+	return untilTurn(f.clk.Now(), renewInterval, minRenewGap, index, domains)
 }
 
 // renewDomainKey renews the lease of the domain's key, or writes the key with a new one.
--- a/internal/control/fleet/watchschedule.go
+++ b/internal/control/fleet/watchschedule.go
@@ -41,9 +41,15 @@
 		return burstWatch
 	}
 	period := min(max(time.Duration(domains)*checkInterval, minPeriod), maxPeriod)
-	slot := period * time.Duration(index) / time.Duration(max(1, domains))
+	return untilTurn(now, period, minWatch, index, domains)
+}
+
+// untilTurn returns the time until the next turn of one of several that take turns in each
+// period, by the time of day; if that is in less than least, until the turn after.
+func untilTurn(now time.Time, period, least time.Duration, index, of int) time.Duration {
+	slot := period * time.Duration(index) / time.Duration(max(1, of))
 	remaining := period - (time.Duration(now.UnixNano())-slot)%period
-	if remaining < minWatch {
+	if remaining < least {
 		remaining += period
 	}
 	return remaining
--- a/internal/control/fleet/watchschedule_test.go
+++ b/internal/control/fleet/watchschedule_test.go
@@ -90,7 +90,7 @@
 		now := time.Unix(1_800_000_000, 0).Add(time.Duration(offset) * 5 * time.Millisecond)
 		first := 2 * interval
 		for index := range domains {
-			wait := untilTurn(now, interval, index, domains)
+			wait := untilTurn(now, interval, interval/10, index, domains)
 			if wait <= 0 || wait > interval+interval/10 {
 				t.Fatalf("at %v domain %d waits %v", now, index, wait)
 			}
