cmd/resident: a program of the resident node alone

Cause: banyanlug links the plots and fonts of the burn report, the declaration parser and the operators' subcommands. On a resident node they take memory and never run.

Change: cmd/resident has the resident subcommand alone. The core of the command line (App, flags, environment variables, exit codes, UsageError, SettingError) moves from internal/cli/command to internal/cli/app, which imports no package of the project. The exit codes of operators' errors are set by command through app.ExitCode. deploy/system.toml builds and runs the new program; banyanlug resident continues to work. A test lists the program's packages and fails on plots, fonts, images, YAML, declarations, operators' code, reports and stand-ins.

Ruled out: a build tag for the report, as the tested program would not be the one that runs; a program without a subcommand, as its arguments would differ from those of banyanlug.

--- a/cmd/banyanlug/main.go
+++ b/cmd/banyanlug/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"syscall"
 
+	"banyanlug.example/banyanlug/internal/cli/app"
 	"banyanlug.example/banyanlug/internal/cli/command"
 	"banyanlug.example/banyanlug/internal/process/node"
 	"banyanlug.example/banyanlug/platform"
@@ -15,12 +16,12 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := app().Run(ctx, os.Args[1:])
+	code := newApp().Run(ctx, os.Args[1:])
 	stop()
 	os.Exit(code)
 }
 
-// app returns the command-line application with all subcommands.
-func app() *command.App {
-	return command.New(command.Subcommand(node.Command), command.Subcommand(platform.Command))
+// newApp returns the command-line application with all subcommands.
+func newApp() *command.App {
+	return command.New(app.Subcommand(node.Command), app.Subcommand(platform.Command))
 }
--- a/internal/cli/command/app.go
+++ b/internal/cli/command/app.go
@@ -1,125 +1,33 @@
 package command
 
 import (
-	"bytes"
-	"context"
-	"errors"
-	"flag"
-	"fmt"
-	"io"
-	"os"
-
-	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"banyanlug.example/banyanlug/internal/cli/app"
 	"banyanlug.example/banyanlug/internal/clock/timer"
 )
 
-const (
-	name      = "banyanlug"
-	envPrefix = "BANYANLUG"
-)
+const name = app.Name
 
 // App is the banyanlug command line with its subcommands.
 type App struct {
-	stdin  io.Reader
-	stdout io.Writer
-	stderr io.Writer
-	clock  *timer.Service
-	extra  []Constructor
-	// flagOutput collects the output of the flag package. Run copies help to
-	// stdout and drops the text on a bad flag, which it reports in one line.
-	flagOutput bytes.Buffer
-}
-
-// Constructor makes a subcommand. It creates its flags with App.Flags and
-// writes results to App.Stdout; Run maps its errors to exit codes.
-type Constructor func(*App) *ffcli.Command
-
-// Option configures an App.
-type Option func(*App)
-
-// Streams sets the standard input, output and error; the default is the
-// process's own.
-func Streams(stdin io.Reader, stdout, stderr io.Writer) Option {
-	return func(a *App) { a.stdin, a.stdout, a.stderr = stdin, stdout, stderr }
-}
-
-// Subcommand adds a subcommand defined outside this package.
-func Subcommand(c Constructor) Option { return func(a *App) { a.extra = append(a.extra, c) } }
-
-// New returns an App with the built-in subcommands.
-func New(opts ...Option) *App {
-	a := &App{stdin: os.Stdin, stdout: os.Stdout, stderr: os.Stderr, clock: timer.New()}
-	for _, opt := range opts {
-		opt(a)
-	}
-	return a
-}
-
-// Stdout returns the writer for results.
-func (a *App) Stdout() io.Writer { return a.stdout }
-
-// Stderr returns the writer for error messages.
-func (a *App) Stderr() io.Writer { return a.stderr }
-
-// Flags returns a flag set for a subcommand. Run also reads its flags from
-// environment variables.
-func (a *App) Flags(command string) *flag.FlagSet {
-	fs := flag.NewFlagSet(name+" "+command, flag.ContinueOnError)
-	fs.SetOutput(&a.flagOutput)
-	return fs
-}
-
-// Run runs the subcommand named in args, reports an error on stderr and returns
-// the exit code.
-func (a *App) Run(ctx context.Context, args []string) int {
-	root := a.root()
-	err := root.Parse(args)
-	if errors.Is(err, flag.ErrHelp) {
-		_, _ = a.flagOutput.WriteTo(a.stdout)
-		return exitDone
-	}
-	if err != nil {
-		return a.fail(usageError(err))
-	}
-	if err := root.Run(ctx); err != nil {
-		return a.fail(err)
-	}
-	return exitDone
+	*app.App
+	clock *timer.Service
 }
 
-func (a *App) root() *ffcli.Command {
-	fs := a.Flags("")
-	fs.Init(name, flag.ContinueOnError)
-	root := &ffcli.Command{
-		Name: name, ShortUsage: name + " SUBCOMMAND [flags]", FlagSet: fs,
-		LongHelp: "Carries calls for one instance of a service mesh, and drives the mesh's\nconfiguration: state an intent, read the plan, confirm it.\n\n" + exitHelp,
+// New returns an App with the operators' subcommands and those that opts add.
+func New(opts ...app.Option) *App {
+	a := &App{clock: timer.New()}
+	builtin := []app.Option{
+		app.Description("Carries calls for one instance of a service mesh, and drives the mesh's\nconfiguration: state an intent, read the plan, confirm it.\n\n" + app.ExitHelp),
+		app.ExitCode(exitCode),
 	}
-	constructors := []Constructor{
+	for _, c := range []func(*App) *ffcli.Command{
 		checkCommand, planCommand, confirmCommand, abandonCommand, restoreCommand, statusCommand, historyCommand, reportCommand,
 		keyCommand, explainCommand, causesCommand, versionCommand,
+	} {
+		builtin = append(builtin, app.Subcommand(func(*app.App) *ffcli.Command { return c(a) }))
 	}
-	for _, c := range append(constructors, a.extra...) {
-		root.Subcommands = append(root.Subcommands, c(a))
-	}
-	a.prepare(root)
-	root.Exec = func(_ context.Context, args []string) error {
-		if len(args) > 0 {
-			return &UsageError{Text: fmt.Sprintf("no subcommand %q; see %s -h", args[0], name)}
-		}
-		_, _ = fmt.Fprintln(a.stderr, helpText(root))
-		return &UsageError{Text: "a subcommand is needed"}
-	}
-	return root
-}
-
-// prepare sets up environment variables and help for a command and its
-// subcommands.
-func (a *App) prepare(c *ffcli.Command) {
-	c.Options = append(c.Options, ff.WithEnvVarPrefix(envPrefix))
-	c.UsageFunc = helpText
-	for _, sub := range c.Subcommands {
-		a.prepare(sub)
-	}
+	a.App = app.New(append(builtin, opts...)...)
+	return a
 }
--- a/internal/cli/command/causes.go
+++ b/internal/cli/command/causes.go
@@ -8,6 +8,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"banyanlug.example/banyanlug/internal/cli/app"
 	"banyanlug.example/banyanlug/internal/report/explain"
 )
 
@@ -19,7 +20,7 @@
 		Name: "causes", ShortUsage: name + " causes [flags] [FILE...]", FlagSet: fs,
 		ShortHelp: "count why calls got no answer, from the logs of several nodes",
 		LongHelp: "Reads the logs of the nodes, or standard input, and counts by pool and route why\n" +
-			"calls ended without their target's answer, and who decided so.\n\n" + exitHelp,
+			"calls ended without their target's answer, and who decided so.\n\n" + app.ExitHelp,
 		Exec: func(_ context.Context, args []string) error {
 			log, err := a.readLogs(args)
 			if err != nil {
--- a/internal/cli/command/command_test.go
+++ b/internal/cli/command/command_test.go
@@ -21,6 +21,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"go.uber.org/goleak"
 
+	"banyanlug.example/banyanlug/internal/cli/app"
 	"banyanlug.example/banyanlug/internal/clock/timer"
 	"banyanlug.example/banyanlug/internal/config/declaration"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
@@ -204,21 +205,21 @@
 func TestAddedSubcommandReadsEnvironmentAndMapsExitCodes(t *testing.T) {
 	t.Setenv("BANYANLUG_WORD", "from the environment")
 	var stdout, stderr strings.Builder
-	app := New(Streams(strings.NewReader(""), &stdout, &stderr), Subcommand(func(a *App) *ffcli.Command {
+	a := New(app.Streams(strings.NewReader(""), &stdout, &stderr), app.Subcommand(func(a *app.App) *ffcli.Command {
 		fs := a.Flags("echo")
 		word := fs.String("word", "", "a `word`")
 		return &ffcli.Command{Name: "echo", FlagSet: fs, Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
-				return &SettingError{"word", "is given as a flag"}
+				return &app.SettingError{Setting: "word", Reason: "is given as a flag"}
 			}
 			_, err := fmt.Fprint(a.Stdout(), *word)
 			return err
 		}}
 	}))
-	if code := app.Run(context.Background(), []string{"echo"}); code != exitDone || stdout.String() != "from the environment" {
+	if code := a.Run(context.Background(), []string{"echo"}); code != app.ExitDone || stdout.String() != "from the environment" {
 		t.Errorf("got %d, %q, %q", code, stdout.String(), stderr.String())
 	}
-	if code := app.Run(context.Background(), []string{"echo", "x"}); code != exitUsage || !strings.Contains(stderr.String(), "-word (BANYANLUG_WORD): ") {
+	if code := a.Run(context.Background(), []string{"echo", "x"}); code != app.ExitUsage || !strings.Contains(stderr.String(), "-word (BANYANLUG_WORD): ") {
 		t.Errorf("got %d, %q", code, stderr.String())
 	}
 }
--- a/internal/cli/command/exit.go
+++ b/internal/cli/command/exit.go
@@ -6,85 +6,30 @@
 	"fmt"
 	"strings"
 
+	"banyanlug.example/banyanlug/internal/cli/app"
 	"banyanlug.example/banyanlug/internal/config/declaration"
 	"banyanlug.example/banyanlug/internal/control/operator"
 )
 
-// Process exit codes.
-const (
-	exitDone     = 0
-	exitFailed   = 1
-	exitUsage    = 2
-	exitConflict = 3
-	exitUnknown  = 4
-)
-
-const exitHelp = "Exit codes: 0 done, 1 failed, 2 bad usage, 3 conflict, 4 outcome unknown."
-
-// UsageError reports wrong arguments or flags.
-type UsageError struct{ Text string }
-
-func (e *UsageError) Error() string { return e.Text }
-
-// SettingError reports a setting with an invalid value. Setting is the flag's
-// name without the hyphen.
-type SettingError struct{ Setting, Reason string }
-
-func (e *SettingError) Error() string {
-	return fmt.Sprintf("-%s (%s): %s", e.Setting, envVar(e.Setting), e.Reason)
-}
-
-// usageError turns an error of the flag library into a UsageError of one line.
-func usageError(err error) error {
-	var setting *SettingError
-	if errors.As(err, &setting) {
-		return err
-	}
-	text, _, _ := strings.Cut(err.Error(), "\n")
-	text = strings.TrimPrefix(text, "error parsing commandline arguments: ")
-	text = strings.TrimPrefix(text, "error parsing environment variables: ")
-	return &UsageError{Text: text}
-}
-
-// writtenError wraps an error that was already written as JSON, so that fail
-// doesn't print it again.
-type writtenError struct{ err error }
-
-func (e *writtenError) Error() string { return e.err.Error() }
-
-func (e *writtenError) Unwrap() error { return e.err }
-
-// fail prints err to stderr, unless it is a writtenError, and returns its exit code.
-func (a *App) fail(err error) int {
-	var written *writtenError
-	if !errors.As(err, &written) {
-		_, _ = fmt.Fprintf(a.stderr, "%s: %v\n", name, err)
-	}
-	return exitCode(err)
-}
-
+// exitCode returns the exit code of an error of the operators' subcommands.
 func exitCode(err error) int {
 	var (
-		usage    *UsageError
-		setting  *SettingError
 		unknown  *operator.OutcomeUnknownError
 		step     *operator.StepUnknownError
 		conflict *operator.ConflictError
 		remote   *operator.RemoteError
 	)
 	switch {
-	case errors.As(err, &usage), errors.As(err, &setting):
-		return exitUsage
 	case errors.As(err, &unknown), errors.As(err, &step):
-		return exitUnknown
+		return app.ExitUnknown
 	case errors.As(err, &conflict):
-		return exitConflict
+		return app.ExitConflict
 	case errors.As(err, &remote) && remote.Type == operator.TypeConflict:
-		return exitConflict
+		return app.ExitConflict
 	case errors.As(err, &remote) && remote.Type == operator.TypeUnknown:
-		return exitUnknown
+		return app.ExitUnknown
 	default:
-		return exitFailed
+		return app.ExitFailed
 	}
 }
 
@@ -137,7 +82,7 @@
 	if writeErr := a.writeJSON(map[string]failureJSON{"error": failure}); writeErr != nil {
 		return err
 	}
-	return &writtenError{err}
+	return &app.WrittenError{Err: err}
 }
 
 func (a *App) writeJSON(v any) error {
@@ -145,7 +90,7 @@
 	if err != nil {
 		return fmt.Errorf("encode the result: %w", err)
 	}
-	if _, err := a.stdout.Write(append(b, '\n')); err != nil {
+	if _, err := a.Stdout().Write(append(b, '\n')); err != nil {
 		return fmt.Errorf("write the result: %w", err)
 	}
 	return nil
--- a/internal/cli/command/explain.go
+++ b/internal/cli/command/explain.go
@@ -10,6 +10,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"banyanlug.example/banyanlug/internal/cli/app"
 	"banyanlug.example/banyanlug/internal/report/explain"
 )
 
@@ -28,10 +29,10 @@
 		Name: "explain", ShortUsage: name + " explain [flags] ID [FILE...]", FlagSet: fs,
 		ShortHelp: "tell the life of one call from the logs of several nodes",
 		LongHelp: "Reads the logs of the nodes, or standard input, and prints the lines that name the\n" +
-			"call in order of time, below each what its node believed then and for how long.\n\n" + exitHelp,
+			"call in order of time, below each what its node believed then and for how long.\n\n" + app.ExitHelp,
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) == 0 {
-				return &UsageError{Text: "explain needs the id of a call"}
+				return &app.UsageError{Text: "explain needs the id of a call"}
 			}
 			log, err := a.readLogs(args[1:])
 			if err != nil {
@@ -53,7 +54,7 @@
 func (a *App) readLogs(files []string) (*explain.Log, error) {
 	log := &explain.Log{}
 	if len(files) == 0 {
-		return log, log.Read("standard input", a.stdin)
+		return log, log.Read("standard input", a.Stdin())
 	}
 	for _, file := range files {
 		f, err := os.Open(file)
--- a/internal/process/node/layout_test.go
+++ b/internal/process/node/layout_test.go
@@ -78,7 +78,7 @@
 		}, nil},
 		{
 			"the product does not depend on its stand-ins",
-			[]string{"internal/config", "internal/control", "internal/traffic", "internal/policy", "internal/process", "internal/cli", "cmd/banyanlug"},
+			[]string{"internal/config", "internal/control", "internal/traffic", "internal/policy", "internal/process", "internal/cli", "cmd/banyanlug", "cmd/resident"},
 			[]string{modulePrefix + "internal/standin", modulePrefix + "examples"},
 			nil,
 		},
@@ -88,7 +88,7 @@
 			modulePrefix + "internal/standin",
 		}, nil},
 		{"no package imports a command", []string{"internal", "cmd", "examples"}, []string{modulePrefix + "cmd"}, nil},
-		{"no process starts another", []string{"internal/config", "internal/control", "internal/traffic", "internal/policy", "internal/process", "internal/cli", "cmd/banyanlug", "platform"}, []string{"os/exec"}, nil},
+		{"no process starts another", []string{"internal/config", "internal/control", "internal/traffic", "internal/policy", "internal/process", "internal/cli", "cmd/banyanlug", "cmd/resident", "platform"}, []string{"os/exec"}, nil},
 	}
 	for _, s := range sources(t) {
 		for _, r := range rules {
