--- a/internal/config/snapshot/pathtrie.go
+++ b/internal/config/snapshot/pathtrie.go
@@ -22,10 +22,7 @@
 		child := n.children[segment]
 		if child == nil {
 			child = &pathNode{}
-			if n.children == nil {
-				n.children = map[string]*pathNode{}
-			}
-			n.children[segment] = child
+			n.setChild(segment, child)
 		}
 		n = child
 	}
@@ -33,9 +30,27 @@
 	if slash {
 		list = &n.slashRoutes
 	}
-	*list = append(*list, r)
-	// Routes limited to some methods precede those for any method.
-	slices.SortFunc(*list, func(x, y Route) int { return len(y.methods) - len(x.methods) })
+	*list = insertRoute(*list, r)
+}
+
+// insertRoute adds a route to those with the same path. Routes limited to some methods
+// precede those for any method.
+func insertRoute(list []Route, r Route) []Route {
+	list = append(list, r)
+	slices.SortFunc(list, func(x, y Route) int { return len(y.methods) - len(x.methods) })
+	return list
+}
+
+func (n *pathNode) setChild(segment string, child *pathNode) {
+	if n.children == nil {
+		n.children = map[string]*pathNode{}
+	}
+	n.children[segment] = child
+}
+
+// empty reports whether no path of a route leads to n or beyond it.
+func (n *pathNode) empty() bool {
+	return len(n.children) == 0 && len(n.routes) == 0 && len(n.slashRoutes) == 0
 }
 
 // match returns the route with the longest matching path prefix that accepts
