report/chart: the drawing of charts, taken from report/burn

Cause: a second report is to draw lines over time, and the colours, sizes, legend and SVG output were private to the burn report. Ruled out: sharing with internal/standin/measure, whose plots have another size, may have a logarithmic axis and are drawn with plotutil; the product must not import stand-ins.

--- /dev/null
+++ b/internal/report/chart/doc.go
@@ -0,0 +1,2 @@
+// Package chart draws the line charts of the reports as SVG.
+package chart
