--- a/internal/report/explain/causes.go
+++ b/internal/report/explain/causes.go
@@ -54,7 +54,7 @@
 			rows[c] = row
 		}
 		row.Calls++
-		row.InUse += line.numberField("running") / max(1, line.numberField("slots"))
+		row.InUse += line.slotsInUse()
 	}
 	for _, row := range rows {
 		row.InUse /= float64(row.Calls)
@@ -90,6 +90,9 @@
 	}
 }
 
+// slotsInUse returns the fraction of the target's slots that were in use.
+func (l Line) slotsInUse() float64 { return l.numberField("running") / max(1, l.numberField("slots")) }
+
 func (l Line) stringField(name string) string {
 	if v, ok := l.fields[name]; ok {
 		return fmt.Sprint(v)
--- a/internal/report/explain/explain.go
+++ b/internal/report/explain/explain.go
@@ -90,11 +90,17 @@
 // any prefix that a log collector puts before the first brace of a line. It
 // returns a ReadError if reading fails or a line is longer than 1 MiB.
 func (l *Log) Read(name string, r io.Reader) error {
+	return readLines(name, r, func(line Line) { l.lines = append(l.lines, line) })
+}
+
+// readLines passes the lines of a log to add one at a time, as Log.Read
+// describes.
+func readLines(name string, r io.Reader, add func(Line)) error {
 	s := bufio.NewScanner(r)
 	s.Buffer(nil, maxLineBytes)
 	for s.Scan() {
 		if line, ok := parseLine(s.Bytes()); ok {
-			l.lines = append(l.lines, line)
+			add(line)
 		}
 	}
 	if err := s.Err(); err != nil {
