--- a/internal/cli/command/explain.go
+++ b/internal/cli/command/explain.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"os"
 	"strings"
 	"time"
 
@@ -52,21 +50,7 @@
 // readLogs reads the files, or standard input if files is empty.
 func (a *App) readLogs(files []string) (*explain.Log, error) {
 	log := &explain.Log{}
-	if len(files) == 0 {
-		return log, log.Read("standard input", a.stdin)
-	}
-	for _, file := range files {
-		f, err := os.Open(file)
-		if err != nil {
-			return nil, &explain.ReadError{Name: file, Err: err}
-		}
-		err = log.Read(file, io.Reader(f))
-		_ = f.Close()
-		if err != nil {
-			return nil, err
-		}
-	}
-	return log, nil
+	return log, a.readEach(files, log.Read)
 }
 
 func callText(lines []explain.Line) string {
