report/explain: slots in use by reason of refusal

Cause: one mean for all refusals of a row mixes targets that refuse calls themselves with most slots free (0.56 in a real log) and nodes that refuse for full slots (1.00); the row said 0.68. Change: each reason has its own mean, in the text behind the reason. Ruled out: the mean of the row beside it, as it hides what the parts show.

--- a/internal/cli/command/causes.go
+++ b/internal/cli/command/causes.go
@@ -38,11 +38,13 @@
 			"calls ended without their target's answer, and who decided so.\n\n" +
 			"With -by path, each row is a path, a route to a pool; with -by second, a path in an\n" +
 			"interval. Intervals are those of each node's own clock: clocks of nodes may differ by\n" +
-			"seconds, so a refusal and the call that it ended may be in different rows. FAILED and\n" +
-			"REFUSED are counts by reason, REFUSED those of targets' nodes; RETRIED are calls served\n" +
-			"after more than one attempt; AT DEADLINE are calls cut off at their deadline, with the\n" +
-			"nodes of the targets that most of them were last sent to; SERVER ERRORS are targets'\n" +
-			"responses by status, from 500: where a target calls others, these are nested failures.\n\n" + exitHelp,
+			"seconds, so a refusal and the call that it ended may be in different rows. FAILED\n" +
+			"counts calls by cause, REFUSED the refusals of targets' nodes by reason, at the fraction\n" +
+			"of the slots that was in use on average. FAILED ATTEMPTS may be several for a call.\n" +
+			"RETRIED are calls served after more than one attempt. AT DEADLINE are calls cut off at\n" +
+			"their deadline, with the nodes of the targets that most of them were last sent to.\n" +
+			"SERVER ERRORS are targets' responses from status 500: where a target calls others, these\n" +
+			"may be nested failures. Nodes leave out log lines under load; counts are lower then.\n\n" + exitHelp,
 		Exec: func(_ context.Context, args []string) error {
 			if err := s.check(); err != nil {
 				return err
@@ -159,14 +161,10 @@
 		start = func(t time.Time) string { return t.Format(layout) + "\t" }
 		_, _ = fmt.Fprint(w, "START\t")
 	}
-	_, _ = fmt.Fprintln(w, "POOL\tROUTE\tFAILED\tREFUSED\tSLOTS IN USE\tFAILED ATTEMPTS\tRETRIED\tAT DEADLINE\tSERVER ERRORS")
+	_, _ = fmt.Fprintln(w, "POOL\tROUTE\tFAILED\tREFUSED\tFAILED ATTEMPTS\tRETRIED\tAT DEADLINE\tSERVER ERRORS")
 	for _, r := range rows {
-		inUse := "-"
-		if len(r.Refused) > 0 {
-			inUse = fmt.Sprintf("%.2f", r.InUse)
-		}
-		_, _ = fmt.Fprintf(w, "%s%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\n", start(r.Start), textOrDash(r.Pool), textOrDash(r.Route),
-			countsText(r.Failed), countsText(r.Refused), inUse, r.FailedAttempts, r.Retried,
+		_, _ = fmt.Fprintf(w, "%s%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\n", start(r.Start), textOrDash(r.Pool), textOrDash(r.Route),
+			countsText(r.Failed), refusalsText(r.Refused), r.FailedAttempts, r.Retried,
 			deadlineText(r.DeadlineTargets), responsesText(r.ServerErrors))
 	}
 	_ = w.Flush()
@@ -182,6 +180,14 @@
 	return textOrDash(strings.Join(texts, ", "))
 }
 
+func refusalsText(refusals []explain.Refusals) string {
+	var texts []string
+	for _, r := range refusals {
+		texts = append(texts, fmt.Sprintf("%d %s at %.2f", r.Calls, r.Reason, r.InUse))
+	}
+	return textOrDash(strings.Join(texts, ", "))
+}
+
 func deadlineText(targets []explain.TargetCount) string {
 	total := 0
 	var texts []string
--- a/internal/report/explain/paths.go
+++ b/internal/report/explain/paths.go
@@ -21,8 +21,7 @@
 	Pool            string        `json:"pool"`
 	Route           string        `json:"route"`
 	Failed          []Count       `json:"failed"`          // calls without their target's response, by cause
-	Refused         []Count       `json:"refused"`         // refusals by targets' nodes, by reason
-	InUse           float64       `json:"in_use"`          // mean fraction of the slots in use at these refusals
+	Refused         []Refusals    `json:"refused"`         // refusals by targets' nodes
 	FailedAttempts  int           `json:"failed_attempts"` // one call may have several
 	Retried         int           `json:"retried"`         // calls served after more than one attempt, without a server error
 	DeadlineTargets []TargetCount `json:"deadline_targets"`
@@ -44,6 +43,13 @@
 	return c.Reason
 }
 
+// Refusals counts the refusals by targets' nodes with the same reason.
+type Refusals struct {
+	Reason string  `json:"reason"`
+	Calls  int     `json:"calls"`
+	InUse  float64 `json:"in_use"` // mean fraction of the target's slots in use
+}
+
 // TargetCount counts the calls that were cut off at their deadline by the
 // target that they were last sent to.
 type TargetCount struct {
@@ -66,8 +72,9 @@
 
 // pathCounts holds the counts of a row while logs are read.
 type pathCounts struct {
-	failed, refused map[Count]int
-	inUse           float64
+	failed          map[Count]int
+	refused         map[string]int
+	inUse           map[string]float64 // sums over the refusals, by reason
 	failedAttempts  int
 	retried         int
 	deadlineTargets map[TargetCount]int
@@ -76,7 +83,7 @@
 
 func newPathCounts() *pathCounts {
 	return &pathCounts{
-		failed: map[Count]int{}, refused: map[Count]int{},
+		failed: map[Count]int{}, refused: map[string]int{}, inUse: map[string]float64{},
 		deadlineTargets: map[TargetCount]int{}, serverErrors: map[int]int{},
 	}
 }
@@ -212,8 +219,9 @@
 			c.deadlineTargets[TargetCount{Instance: l.stringField("instance"), Target: l.stringField("target")}]++
 		}
 	case event.SlotRefused:
-		c.refused[Count{Where: TargetNode, Reason: l.stringField("reason")}]++
-		c.inUse += l.slotsInUse()
+		reason := l.stringField("reason")
+		c.refused[reason]++
+		c.inUse[reason] += l.slotsInUse()
 	case event.AttemptFailed:
 		c.failedAttempts++
 	case event.CallServed:
@@ -228,12 +236,12 @@
 	addCounts(c.refused, other.refused)
 	addCounts(c.deadlineTargets, other.deadlineTargets)
 	addCounts(c.serverErrors, other.serverErrors)
-	c.inUse += other.inUse
+	addCounts(c.inUse, other.inUse)
 	c.failedAttempts += other.failedAttempts
 	c.retried += other.retried
 }
 
-func addCounts[K comparable](to, from map[K]int) {
+func addCounts[K comparable, N int | float64](to, from map[K]N) {
 	for k, n := range from {
 		to[k] += n
 	}
@@ -242,18 +250,19 @@
 func (c *pathCounts) row(key pathKey) PathRow {
 	row := PathRow{
 		Pool: key.pool, Route: key.route,
-		Failed: sortedCounts(c.failed), Refused: sortedCounts(c.refused),
+		Failed: sortedCounts(c.failed), Refused: []Refusals{},
 		FailedAttempts: c.failedAttempts, Retried: c.retried,
 		DeadlineTargets: []TargetCount{}, ServerErrors: []StatusCount{},
 	}
 	if key.start != 0 {
 		row.Start = time.Unix(0, key.start).UTC()
 	}
-	refusals := 0
-	for _, n := range c.refused {
-		refusals += n
+	for reason, n := range c.refused {
+		row.Refused = append(row.Refused, Refusals{Reason: reason, Calls: n, InUse: c.inUse[reason] / float64(n)})
 	}
-	row.InUse = c.inUse / float64(max(1, refusals))
+	slices.SortFunc(row.Refused, func(a, b Refusals) int {
+		return cmp.Or(cmp.Compare(b.Calls, a.Calls), cmp.Compare(a.Reason, b.Reason))
+	})
 	for target, n := range c.deadlineTargets {
 		target.Calls = n
 		row.DeadlineTargets = append(row.DeadlineTargets, target)
