--- a/internal/cli/command/causes.go
+++ b/internal/cli/command/causes.go
@@ -89,7 +89,7 @@
 	switch s.by {
 	case bySecond:
 		if s.interval < minInterval {
-			return &app.SettingError{"interval", fmt.Sprintf("is %v, must be at least %v", s.interval, minInterval)}
+			return &app.SettingError{Setting: "interval", Reason: fmt.Sprintf("is %v, must be at least %v", s.interval, minInterval)}
 		}
 		return nil
 	case byPath:
@@ -98,7 +98,7 @@
 			return &app.UsageError{Text: "-only-pool and -only-route need -by path or -by second"}
 		}
 	default:
-		return &app.SettingError{"by", fmt.Sprintf("is %q, must be %s or %s", s.by, byPath, bySecond)}
+		return &app.SettingError{Setting: "by", Reason: fmt.Sprintf("is %q, must be %s or %s", s.by, byPath, bySecond)}
 	}
 	if s.plot != "" {
 		return &app.UsageError{Text: "-plot needs -by second"}
