policy/balance, policy/retry: refusals by nodes short of processor time

Such a refusal says nothing of the target's load, so neither a shed response nor a refusal as full fits it. The target is excluded until its Retry-After while at most half of the pool is unusable; the next attempt spends no budget and counts like a target that is gone, at most three for a call.

--- a/internal/policy/balance/balancer_test.go
+++ b/internal/policy/balance/balancer_test.go
@@ -370,3 +370,22 @@
 		})
 	}
 }
+
+// Guards against a pool without usable targets because its nodes are all overloaded, and
+// against calls to an overloaded one before its Retry-After has passed.
+func TestOverloadedTargetsAreExcludedUnlessMostAre(t *testing.T) {
+	t.Parallel()
+	b := New(sim.Start, sim.Rand(1))
+	b.Update(sim.Start.Add(-time.Minute), "pool", slots, readyRecords(4))
+	for i := range 4 {
+		b.Done(sim.Start, mustPick(t, b, sim.Start, broker, i), broker, ms, Overloaded(time.Minute))
+	}
+	for i, excluded := range []bool{true, true, false, false} {
+		if _, ok := pickOnly(b, sim.Start.Add(maxShedWait-ms), broker, i); ok == excluded {
+			t.Errorf("target %d: picked %v", i, ok)
+		}
+		if _, ok := pickOnly(b, sim.Start.Add(maxShedWait), broker, i); !ok {
+			t.Errorf("target %d is still excluded after %v", i, maxShedWait)
+		}
+	}
+}
--- a/internal/policy/balance/pool.go
+++ b/internal/policy/balance/pool.go
@@ -16,7 +16,8 @@
 	// farCostFactor multiplies the cost of a farther target, for the traffic between
 	// failure domains.
 	farCostFactor = 3
-	// maxEjectedFraction bounds the part of a pool that failures may eject. If more
+	// maxEjectedFraction bounds the part of a pool that failures may eject, and that may
+	// be unusable with a target that is excluded as overloaded. If more
 	// fails, the cause is seldom the targets, and ejecting them all would turn one
 	// fault into an outage.
 	maxEjectedFraction = 0.5
@@ -250,6 +251,8 @@
 		}
 	case shed:
 		t.recordShed(at, info, r.scope, r.retryAfter)
+	case overloaded:
+		p.excludeOverloaded(at, t, info, r.retryAfter)
 	case draining:
 		t.drainingUntil = at + int64(maxDraining)
 	case noCapacity:
@@ -259,6 +262,20 @@
 	}
 }
 
+// excludeOverloaded excludes a target whose node is overloaded, unless too few targets of
+// the pool would be left: then it keeps its calls, since the others are no better.
+func (p *pool) excludeOverloaded(at int64, t *target, info CallInfo, after time.Duration) {
+	excluded := 1
+	for _, other := range p.all {
+		if other != t && (other.ejected || other.draining(at) || other.shedAllUntil > at) {
+			excluded++
+		}
+	}
+	if float64(excluded) <= maxEjectedFraction*float64(len(p.all)) {
+		t.recordShed(at, info, ForAll, after)
+	}
+}
+
 // observeLatency updates the latencies of the pool and of the target.
 func (p *pool) observeLatency(at int64, t *target, latency float64) {
 	if p.latency == 0 {
--- a/internal/policy/balance/report.go
+++ b/internal/policy/balance/report.go
@@ -23,6 +23,7 @@
 	draining
 	cancelled
 	noCapacity
+	overloaded
 )
 
 // Scope is whom a target's refusal applies to.
@@ -79,6 +80,12 @@
 // picked again at once: only the reported load counts.
 func NoCapacity(opts ...ReportOption) Report { return report(Report{kind: noCapacity}, opts) }
 
+// Overloaded reports a refusal by a node that is short of processor time, with the time
+// after which it may be tried again.
+func Overloaded(retryAfter time.Duration, opts ...ReportOption) Report {
+	return report(Report{kind: overloaded, retryAfter: retryAfter}, opts)
+}
+
 // Draining reports a refusal because the target is draining.
 func Draining() Report { return Report{kind: draining} }
 
--- a/internal/policy/retry/budget.go
+++ b/internal/policy/retry/budget.go
@@ -33,7 +33,7 @@
 	// initialTokens is low, so that many nodes that start together don't cause a
 	// burst of retries.
 	initialTokens = 1
-	// maxTargetsGone bounds the targets that a call may find gone. The loss of a rack takes
+	// maxTargetsGone bounds the targets that a call may find gone or overloaded. The loss of a rack takes
 	// some targets of a pool; three misses in a row are rare while most of the pool is there.
 	maxTargetsGone = 3
 	// maxPathRetries bounds the retries on a path of calls: after so many, the fault
@@ -174,7 +174,7 @@
 	if c.mayHaveRun && !c.idempotent {
 		return 0, false
 	}
-	if o.kind == targetGone {
+	if o.kind == targetGone || o.kind == overloaded {
 		c.targetsGone++
 		return 0, c.targetsGone <= maxTargetsGone
 	}
@@ -206,7 +206,7 @@
 func (s *shard) spend(c *Call, o Outcome) bool {
 	budget := s.budget(c.service)
 	switch o.kind {
-	case targetGone:
+	case targetGone, overloaded:
 		return true
 	case refused, noTarget:
 		return spendToken(&budget.refused)
--- a/internal/policy/retry/budget_test.go
+++ b/internal/policy/retry/budget_test.go
@@ -25,7 +25,7 @@
 func TestAfterRetriesOnlyWhatMayRunAgain(t *testing.T) {
 	t.Parallel()
 	outcomes := map[string]Outcome{
-		"moved": TargetGone(), "refused": Refused(7 * ms), "nowhere": NoTarget(10 * ms), "nowhere long": NoTarget(time.Second),
+		"moved": TargetGone(), "overloaded": Overloaded(7 * ms), "refused": Refused(7 * ms), "nowhere": NoTarget(10 * ms), "nowhere long": NoTarget(time.Second),
 		"broken": Incomplete(), "erred": ErrorResponse(),
 	}
 	idempotent := []CallOption{Idempotent(), Retries(2)}
@@ -40,6 +40,7 @@
 		{"a non-idempotent call is retried after a refusal that certifies that it did not run", []CallOption{Retries(2)}, "refused", "retry"},
 		{"without retries a refusal is final", nil, "refused", "not_run"},
 		{"finding a target gone costs no retry", nil, "moved, moved, moved, moved", "retry, retry, retry, not_run"},
+		{"finding a node overloaded costs no retry", nil, "overloaded, moved, overloaded, overloaded", "retry, retry, retry, not_run"},
 		{"an idempotent call is repeated", idempotent, "broken, erred, broken", "retry, retry, outcome_unknown"},
 		{"a call that may have run is not reported as not run after refusals", idempotent, "broken, refused, refused", "retry, retry, outcome_unknown"},
 		{"a call that may have run is not reported as not run after finding targets gone", idempotent, "broken, moved, moved, moved, moved", "retry, retry, retry, retry, outcome_unknown"},
--- a/internal/policy/retry/call.go
+++ b/internal/policy/retry/call.go
@@ -113,6 +113,7 @@
 	noTarget
 	incomplete
 	errorResponse
+	overloaded
 )
 
 // String returns the outcome as metrics show it.
@@ -124,6 +125,8 @@
 		return "refused"
 	case rejected:
 		return "rejected"
+	case overloaded:
+		return "overloaded"
 	case noTarget:
 		return "nowhere"
 	case incomplete:
@@ -137,6 +140,10 @@
 // and no sign of load.
 func TargetGone() Outcome { return Outcome{kind: targetGone} }
 
+// Overloaded is an attempt that a node short of processor time has refused: certified not
+// run, and no sign of load at the targets. It counts as a target that is gone.
+func Overloaded(retryAfter time.Duration) Outcome { return Outcome{overloaded, retryAfter} }
+
 // Refused is an attempt that the target's node refused before it reached the target:
 // certified not run.
 func Refused(retryAfter time.Duration) Outcome { return Outcome{refused, retryAfter} }
