traffic: calls refused as overloaded run at another target

The target's node asks the overload controller before the admission controller, and adds the delay to the service time in Bl-Load. Senders exclude the target and try another at once. A sender that is overloaded itself says so in Bl-Call (b=1).

--- a/internal/traffic/caller/errors.go
+++ b/internal/traffic/caller/errors.go
@@ -48,6 +48,13 @@
 	return fmt.Sprintf("call is %d deep, at most %d are allowed", e.Depth, e.Max)
 }
 
+// OverloadedError reports a call with less time left than this node needs to carry it.
+type OverloadedError struct{ Delay, Remaining time.Duration }
+
+func (e *OverloadedError) Error() string {
+	return fmt.Sprintf("this node is overloaded: it would delay the call by %v, which has %v left", e.Delay, e.Remaining)
+}
+
 // LimitError reports an organisation that has reached one of its limits.
 type LimitError struct {
 	Organisation string
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -17,6 +17,7 @@
 	"banyanlug.example/banyanlug/internal/policy/callerwait"
 	"banyanlug.example/banyanlug/internal/policy/limit"
 	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/policy/overload"
 	"banyanlug.example/banyanlug/internal/policy/retry"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
 	"banyanlug.example/banyanlug/internal/traffic/http1"
@@ -77,6 +78,8 @@
 	refusalRetries int
 	anonymous      *snapshot.Organisation
 	onNewerVersion func(peer netip.AddrPort, version uint64)
+	// overload is nil where the scheduling delay is not measured.
+	overload *overload.Controller
 
 	callLog       *event.Logger // per-call events; nil disables them
 	crashRegister CrashRegister
@@ -143,6 +146,10 @@
 	return func(h *Handler) { h.onNewerVersion = f }
 }
 
+// WithOverload sets the controller that measures the node's scheduling delay. Calls with
+// less time left than it adds to them are refused.
+func WithOverload(c *overload.Controller) Option { return func(h *Handler) { h.overload = c } }
+
 // WithMetrics registers the handler's metrics in set.
 func WithMetrics(set *metrics.Set) Option { return func(h *Handler) { h.callMetrics.set = set } }
 
@@ -227,6 +234,9 @@
 	if err := c.route(); err != nil {
 		return result{}, err
 	}
+	if err := c.refuseOverloaded(); err != nil {
+		return result{}, err
+	}
 	release, err := c.admit()
 	if err != nil {
 		return result{}, err
--- a/internal/traffic/caller/harness_test.go
+++ b/internal/traffic/caller/harness_test.go
@@ -83,6 +83,7 @@
 	caller  []caller.Option
 	server  []http1.Option
 	target  func(i int) []target.Option
+	slots   func(i int) []target.SlotsOption
 }
 
 func newHarness(t testing.TB, o harnessOptions) *harness {
@@ -138,7 +139,11 @@
 	if o.target != nil {
 		opts = o.target(i)
 	}
-	s.slots = target.NewSlots(h.config, "quotes", h.clk)
+	var slotsOpts []target.SlotsOption
+	if o.slots != nil {
+		slotsOpts = o.slots(i)
+	}
+	s.slots = target.NewSlots(h.config, "quotes", h.clk, slotsOpts...)
 	handler := target.New(s.slots, s.local, h.newHopClient(), hop.NewCredential(fleetKey), hop.NewSealer(fleetKey), h.clk, opts...)
 	s.node = target.NewServer(handler, h.clk)
 	s.record = membership.NewRecord("t"+strconv.Itoa(i), membership.Pool("quotes"),
--- a/internal/traffic/caller/pick.go
+++ b/internal/traffic/caller/pick.go
@@ -167,6 +167,11 @@
 		// The announcement of a restarted node may be the same as before, so nothing else
 		// ends what counts as draining.
 		return balance.Shed(balance.ForAll, e.Refusal.RetryAfter)
+	case hop.KindOverloaded:
+		if e.HasLoad {
+			return balance.Overloaded(e.Refusal.RetryAfter, balance.Load(e.Load))
+		}
+		return balance.Overloaded(e.Refusal.RetryAfter)
 	case hop.KindDisplaced:
 		return balance.Shed(balance.ForOrganisation, e.Refusal.RetryAfter)
 	case hop.KindQueueFull, hop.KindTooLate, hop.KindOutranked, hop.KindNoTrialSlots:
--- a/internal/traffic/caller/result.go
+++ b/internal/traffic/caller/result.go
@@ -84,6 +84,7 @@
 		refused *RefusedError
 		refusal *http1.Refusal
 		limit   *LimitError
+		delayed *OverloadedError
 		failure hop.Failure
 	)
 	switch {
@@ -96,6 +97,11 @@
 			Status: http.StatusTooManyRequests, Type: "limit", Message: err.Error(),
 			Outcome: http1.NotRun, RetryAfter: limit.RetryAfter,
 		}
+	case errors.As(err, &delayed):
+		return &http1.Refusal{
+			Status: http.StatusServiceUnavailable, Type: hop.KindOverloaded, Message: err.Error(),
+			Outcome: http1.NotRun, RetryAfter: overloadedRetryAfter,
+		}
 	case errors.As(err, &failure):
 		return hop.RefusalOf(failure)
 	default:
--- a/internal/traffic/caller/send.go
+++ b/internal/traffic/caller/send.go
@@ -66,6 +66,10 @@
 	if !errors.As(last, &refused) || refused.Refusal.RetryAfter <= 0 {
 		return after
 	}
+	if refused.Refusal.Type == hop.KindOverloaded {
+		// Its Retry-After is about that target alone; others may be free sooner.
+		return min(after, refused.Refusal.RetryAfter, poolFullRetryAfter)
+	}
 	return min(after, refused.Refusal.RetryAfter)
 }
 
@@ -90,7 +94,8 @@
 	}
 	start := c.h.clk.Now()
 	left := c.deadline.Sub(start)
-	meta := c.meta.With(hop.Attempt(c.attempts.PathRetries()+1), hop.Remaining(left-responseReserve(left)), hop.ToInstance(p.Record().TargetID()), hop.SoftDeadline(c.softDeadlineIn(start)), hop.TargetRate(c.h.balancer.NamedRate(start, p)))
+	meta := c.meta.With(hop.Attempt(c.attempts.PathRetries()+1), hop.Remaining(left-responseReserve(left)), hop.ToInstance(p.Record().TargetID()), hop.SoftDeadline(c.softDeadlineIn(start)), hop.TargetRate(c.h.balancer.NamedRate(start, p)),
+		hop.FromOverloaded(c.h.overload != nil && c.h.overload.Overloaded()))
 	req := hop.NewRequest(c.r.Method, c.r.URL.RequestURI(), c.r.Host, c.r.Header, c.body,
 		hop.WithMeta(meta), hop.OnPooledClose(func() { c.h.balancer.ConnClosed(p) }))
 	c.tried = append(c.tried, p)
@@ -257,6 +262,8 @@
 		return retry.Incomplete()
 	case errors.As(err, &refused) && refused.Refusal.Type == hop.KindTargetFull:
 		return retry.Rejected(refused.Refusal.RetryAfter)
+	case errors.As(err, &refused) && refused.Refusal.Type == hop.KindOverloaded:
+		return retry.Overloaded(min(refused.Refusal.RetryAfter, poolFullRetryAfter))
 	case errors.As(err, &refused) && refused.overload():
 		return retry.Refused(refused.Refusal.RetryAfter)
 	default:
--- a/internal/traffic/hop/header.go
+++ b/internal/traffic/hop/header.go
@@ -75,6 +75,8 @@
 	origin       string
 	softDeadline time.Duration
 	targetRate   targetRate
+	// fromOverloaded is set if the sending node is overloaded itself.
+	fromOverloaded bool
 }
 
 // targetRate is the limit that the target has named to the sender, if any.
@@ -123,6 +125,11 @@
 	return func(m *Meta) { m.targetRate = targetRate{perSecond, named} }
 }
 
+// FromOverloaded sets whether the sending node is overloaded itself.
+func FromOverloaded(overloaded bool) MetaOption {
+	return func(m *Meta) { m.fromOverloaded = overloaded }
+}
+
 // FromOrigin sets the calling service.
 func FromOrigin(origin string) MetaOption { return func(m *Meta) { m.origin = origin } }
 
@@ -183,6 +190,9 @@
 	return m.targetRate.perSecond, m.targetRate.named
 }
 
+// FromOverloaded reports whether the sending node is overloaded itself.
+func (m Meta) FromOverloaded() bool { return m.fromOverloaded }
+
 // Idempotent reports whether the call may run more than once.
 func (m Meta) Idempotent() bool { return m.idempotent }
 
@@ -203,6 +213,8 @@
 	fieldOrigin        = "f"
 	fieldSoftDeadline  = "u"
 	fieldTargetRate    = "l"
+	fieldOverloaded    = "b"
+	valueOverloaded    = "1"
 	valueIdempotent    = "any"
 	valueNonIdempotent = "once"
 )
@@ -256,6 +268,9 @@
 		_, _ = w.WriteString(" " + fieldTargetRate + "=")
 		_, _ = w.Write(strconv.AppendFloat(w.AvailableBuffer(), m.targetRate.perSecond, 'g', -1, 64))
 	}
+	if m.fromOverloaded {
+		_, _ = w.WriteString(" " + fieldOverloaded + "=" + valueOverloaded)
+	}
 	_, _ = w.WriteString("\r\n")
 }
 
@@ -294,6 +309,8 @@
 			m.origin = value
 		case fieldSoftDeadline:
 			m.softDeadline = time.Duration(parseBounded(value, maxRemaining.Milliseconds())) * time.Millisecond
+		case fieldOverloaded:
+			m.fromOverloaded = value == valueOverloaded
 		case fieldTargetRate:
 			m.targetRate.perSecond, m.targetRate.named = parseRate(value)
 		}
--- a/internal/traffic/hop/kind.go
+++ b/internal/traffic/hop/kind.go
@@ -25,6 +25,9 @@
 	KindTooLate = "too-late"
 	// KindNoTrialSlots: all slots are reserved for paying organisations.
 	KindNoTrialSlots = "no-trial-slots"
+	// KindOverloaded: the node is short of processor time, and the call would have
+	// taken too long because of it.
+	KindOverloaded = "overloaded"
 	// KindTargetFull: the target itself rejected the call, although its node had a free
 	// slot.
 	KindTargetFull = "target-full"
--- a/internal/traffic/target/admit.go
+++ b/internal/traffic/target/admit.go
@@ -13,6 +13,7 @@
 	"banyanlug.example/banyanlug/internal/config/snapshot"
 	"banyanlug.example/banyanlug/internal/policy/admission"
 	"banyanlug.example/banyanlug/internal/policy/lifecycle"
+	"banyanlug.example/banyanlug/internal/policy/overload"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
 )
 
@@ -28,7 +29,9 @@
 	pool   string
 	clk    *timer.Service
 	gate   *admission.Gate
-	snap   atomic.Pointer[snapshot.Snapshot]
+	// overload is nil where the scheduling delay is not measured.
+	overload *overload.Controller
+	snap     atomic.Pointer[snapshot.Snapshot]
 	// process is the target process; nil where targets don't report their state.
 	process atomic.Pointer[lifecycle.Target]
 	// responded is set once the target process has responded to a call.
@@ -40,13 +43,23 @@
 	expiryAt    time.Time
 }
 
+// SlotsOption sets one property of slots.
+type SlotsOption func(*Slots)
+
+// WithOverload sets the controller that refuses calls while the node is short of
+// processor time.
+func WithOverload(c *overload.Controller) SlotsOption { return func(s *Slots) { s.overload = c } }
+
 // NewSlots returns the slots of a target that belongs to a pool, with the
 // number of slots that the active configuration gives that pool.
-func NewSlots(config Config, pool string, clk *timer.Service) *Slots {
+func NewSlots(config Config, pool string, clk *timer.Service, opts ...SlotsOption) *Slots {
 	s := &Slots{
 		config: config, pool: pool, clk: clk, gate: admission.NewGate(clk.Now()),
 		waiting: map[admission.Ticket]chan admission.Decision{},
 	}
+	for _, opt := range opts {
+		opt(s)
+	}
 	s.configure()
 	return s
 }
@@ -91,9 +104,13 @@
 func (s *Slots) Load() admission.Load { return s.gate.Load(s.clk.Now()) }
 
 // loadHeader returns the value of the load header in responses: the utilization, and the
-// usual service time of a route.
+// usual service time of a route with the node's scheduling delay.
 func (s *Slots) loadHeader(route string) string {
-	return hop.FormatLoad(s.Load().Utilization(), s.gate.RouteServiceTime(route))
+	service := s.gate.RouteServiceTime(route)
+	if s.overload != nil && service > 0 {
+		service += s.overload.Delay()
+	}
+	return hop.FormatLoad(s.Load().Utilization(), service)
 }
 
 // Drain refuses the waiting calls and all later ones.
@@ -244,9 +261,29 @@
 	if !c.h.versionAdmitted() {
 		return admission.Ticket{}, &RefusedError{Reason: hop.KindSuperseded}
 	}
+	if err := c.refuseOverloaded(); err != nil {
+		return admission.Ticket{}, err
+	}
 	return c.h.slots.acquire(c.r.Context(), c.meta, c.deadline)
 }
 
+// refuseOverloaded refuses a call that this node is too short of processor time to serve.
+func (c *call) refuseOverloaded() error {
+	o := c.h.slots.overload
+	if o == nil || !o.Overloaded() {
+		return nil
+	}
+	now := c.h.clk.Now()
+	call := overload.NewCall(c.h.slots.gate.RouteServiceTime(c.meta.Route()), c.meta.SoftDeadline(), c.deadline.Sub(now))
+	if c.meta.FromOverloaded() {
+		call = call.FromOverloaded()
+	}
+	if after, refused := o.Refuse(now, call); refused {
+		return &RefusedError{Reason: hop.KindOverloaded, RetryAfter: after}
+	}
+	return nil
+}
+
 // release frees the call's slot and reports the outcome to the gate.
 func (c *call) release(t admission.Ticket, status int, err error) {
 	outcome := admission.Done
