--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -23,6 +23,7 @@
 	"banyanlug.example/banyanlug/internal/policy/balance"
 	"banyanlug.example/banyanlug/internal/policy/lifecycle"
 	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/policy/overload"
 	"banyanlug.example/banyanlug/internal/policy/retry"
 	"banyanlug.example/banyanlug/internal/policy/token"
 	"banyanlug.example/banyanlug/internal/traffic/caller"
@@ -56,6 +57,7 @@
 	targetServer  *target.Server
 	targetHandler *target.Handler
 	crashes       *crashRegister
+	overload      *overload.Controller
 
 	reloadable atomic.Pointer[Reloadable]
 	stopping   atomic.Bool
@@ -178,6 +180,7 @@
 	self := membership.NewRecord(n.cfg.Instance, membership.Domain(n.cfg.Domain), membership.Pool(n.cfg.Pool),
 		membership.Address(mesh), membership.ControlAddress(peers), membership.Boot(uint64(n.clk.Now().UnixMilli())), membership.LinkMbps(n.cfg.Link))
 	n.crashes = newCrashRegister(n.clk, n.log)
+	n.overload = overload.NewController()
 	n.fleet = fleet.New(store, n.clk, self, configKey, decode,
 		append([]fleet.Option{
 			fleet.WithLog(n.log), fleet.WithRandomSeed(seed), fleet.OnCrash(n.crashes.Record), fleet.WithRunningCalls(n.runningCalls),
@@ -192,9 +195,9 @@
 		caller.WithMetrics(n.metrics), caller.OnNewerVersion(n.fleet.Hint),
 		caller.WithBalancer(balance.New(n.clk.Now(), rand.New(rand.NewPCG(seed, 3)), balance.Domain(n.cfg.Domain))),
 		caller.WithRefusalRetries(refusedRetries), caller.WithCallLog(n.log), caller.WithCrashRegister(n.crashes),
-		caller.WithBudgets(n.budgets), caller.WithLimits(n.tokens),
+		caller.WithBudgets(n.budgets), caller.WithLimits(n.tokens), caller.WithOverload(n.overload),
 	), n.clk, n.log)
-	n.slots = target.NewSlots(n.fleet, n.cfg.Pool, n.clk)
+	n.slots = target.NewSlots(n.fleet, n.cfg.Pool, n.clk, target.WithOverload(n.overload))
 	n.slots.SetProcess(n.tracker.Target())
 	n.targetHandler = target.New(n.slots, targetAddress, n.targetClient, nil, nil, n.clk,
 		target.WithLog(n.log), target.WithMetrics(n.metrics), target.WithHeaderNames(n.headerNames),
@@ -342,6 +345,13 @@
 	gauge("banyanlug_limit_tokens_issued_total", func() float64 { return float64(n.tokens.Issued()) })
 	gauge("banyanlug_store_silent_seconds", func() float64 { return n.fleet.StoreAge().Seconds() })
 	gauge("banyanlug_log_dropped_lines", func() float64 { return float64(n.out.Dropped()) })
+	gauge("banyanlug_scheduling_delay_seconds", func() float64 { return n.overload.Delay().Seconds() })
+	gauge("banyanlug_overloaded", func() float64 {
+		if n.overload.Overloaded() {
+			return 1
+		}
+		return 0
+	})
 	gauge("banyanlug_ready", func() float64 {
 		if n.Ready() {
 			return 1
