traffic/hop: no option for FromOverloaded on calls of nodes that are not overloaded

An option that captures a bool is built for every attempt; it is now only added while the node is overloaded. Allocations were not measured.

--- a/internal/traffic/caller/send.go
+++ b/internal/traffic/caller/send.go
@@ -94,8 +94,10 @@
 	}
 	start := c.h.clk.Now()
 	left := c.deadline.Sub(start)
-	meta := c.meta.With(hop.Attempt(c.attempts.PathRetries()+1), hop.Remaining(left-responseReserve(left)), hop.ToInstance(p.Record().TargetID()), hop.SoftDeadline(c.softDeadlineIn(start)), hop.TargetRate(c.h.balancer.NamedRate(start, p)),
-		hop.FromOverloaded(c.h.overload != nil && c.h.overload.Overloaded()))
+	meta := c.meta.With(hop.Attempt(c.attempts.PathRetries()+1), hop.Remaining(left-responseReserve(left)), hop.ToInstance(p.Record().TargetID()), hop.SoftDeadline(c.softDeadlineIn(start)), hop.TargetRate(c.h.balancer.NamedRate(start, p)))
+	if c.h.overload != nil && c.h.overload.Overloaded() {
+		meta = meta.With(hop.FromOverloaded())
+	}
 	req := hop.NewRequest(c.r.Method, c.r.URL.RequestURI(), c.r.Host, c.r.Header, c.body,
 		hop.WithMeta(meta), hop.OnPooledClose(func() { c.h.balancer.ConnClosed(p) }))
 	c.tried = append(c.tried, p)
--- a/internal/traffic/hop/header.go
+++ b/internal/traffic/hop/header.go
@@ -125,10 +125,8 @@
 	return func(m *Meta) { m.targetRate = targetRate{perSecond, named} }
 }
 
-// FromOverloaded sets whether the sending node is overloaded itself.
-func FromOverloaded(overloaded bool) MetaOption {
-	return func(m *Meta) { m.fromOverloaded = overloaded }
-}
+// FromOverloaded sets that the sending node is overloaded itself.
+func FromOverloaded() MetaOption { return func(m *Meta) { m.fromOverloaded = true } }
 
 // FromOrigin sets the calling service.
 func FromOrigin(origin string) MetaOption { return func(m *Meta) { m.origin = origin } }
