policy/admission: an assumed service time for routes without a finished call

Cause: while no call had ended, a gate expected calls to take no time, so after a start of all nodes it queued calls that it could only serve late.

Change: a route without a finished call is assumed to take a third of the time until its calls' soft deadline; the first measured times count against a weight of two calls. Calls without a soft deadline are treated as before. A call beside a free slot is admitted whatever is assumed.

Ruled out: the longest assumption of any route for all calls together, as one rare route with a late soft deadline would fill the others' estimate.

--- a/internal/policy/admission/gate.go
+++ b/internal/policy/admission/gate.go
@@ -247,6 +247,9 @@
 		c = &call{}
 	}
 	stats := g.statsOf(r.route)
+	if !stats.seen && r.softDeadline.Before(r.deadline) {
+		g.assume(stats, float64(g.nanos(r.softDeadline)-at)*assumedFraction)
+	}
 	c.class, c.org, c.stats = r.class, o, stats
 	c.long = stats.isLong(&g.all)
 	c.deadline, c.softDeadline, c.rank = g.nanos(r.deadline), g.nanos(r.softDeadline), r.rank
@@ -255,6 +258,18 @@
 	return c
 }
 
+// assume sets the service time of a route without a finished call, and that of all calls. The
+// route keeps the longest assumption, as retries have less time left than first calls.
+func (g *Gate) assume(s *routeStats, ns float64) {
+	if ns > 0 && (!s.assumed || ns > s.mean) {
+		s.assume(ns)
+	}
+	if s.assumed {
+		g.all.assumeMix(s.mean)
+		g.short.assumeMix(s.mean)
+	}
+}
+
 func (g *Gate) release(c *call) {
 	c.gen++
 	c.state = idle
