token: a level says which part of its limit an organisation uses

An admission controller sees a call or two of most organisations, so it can't tell which of them use much of their limits. The issuer of an organisation's tokens can: it sees the demand of its failure domain.

Issuer.Level counts the tokens requested, weighted to the last 3 s, and compares them with the limit in quarters. A level rises if the count less its square root passes the threshold and falls below 0.9 of it. SetOthers adds the demand at the other issuers; one that doesn't answer counts as much as this one. Cache keeps the level of the last answer for 5 s and then counts the node's own calls. Every third call above level 0 is sent at level 0.

--- a/internal/policy/token/cache.go
+++ b/internal/policy/token/cache.go
@@ -52,6 +52,8 @@
 	retryAt     time.Time // when the issuer has the next token
 	retries     retryTimes
 
+	level nodeLevel
+
 	fallback bucket // tokens of the node's own, while no issuer answers
 }
 
--- a/internal/policy/token/doc.go
+++ b/internal/policy/token/doc.go
@@ -8,6 +8,9 @@
 // tokens follow demand within one exchange. A limit too small to be split is issued in
 // fewer domains.
 //
+// Issuers also tell which part of its limit an organisation uses, as a level by which
+// targets order calls: see HighestLevel.
+//
 // This answers a load of many organisations whose calls come at few nodes each, and of
 // single organisations far beyond their limit. No token is issued twice, so the sum of all
 // calls has a bound that does not depend on messages: see Plan.
--- a/internal/policy/token/issuer.go
+++ b/internal/policy/token/issuer.go
@@ -33,6 +33,7 @@
 type issued struct {
 	bucket
 	demand      demand // for tokens
+	usage       usage
 	noLendersAt time.Time
 }
 
--- /dev/null
+++ b/internal/policy/token/usage.go
@@ -0,0 +1,192 @@
+package token
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"banyanlug.example/banyanlug/internal/config/snapshot"
+)
+
+// HighestLevel is the level of an organisation that uses at least three quarters of its
+// limit. Each level below stands for a further quarter.
+const HighestLevel = 3
+
+const (
+	// usageTime is the time constant of the count behind a level.
+	usageTime = 3 * time.Second
+	// fallRatio is the part of the threshold at which a level rises below which it falls, so
+	// that a steady use close to a threshold does not change the order of calls repeatedly.
+	fallRatio = 0.9
+	// reliefCalls is how many calls above level 0 a node makes for each one that it sends at
+	// level 0. Targets run calls strictly in order of level, so that without it an
+	// organisation of a higher level would get nothing while the others fill all slots.
+	reliefCalls = 3
+	// levelTime is how long a node keeps a level without an answer of an issuer.
+	levelTime = 5 * time.Second
+)
+
+// usage counts the use of a limit, weighted towards the last usageTime.
+type usage struct {
+	calls   float64 // expected to be rate x usageTime
+	at      time.Time
+	level   int
+	refused uint64
+
+	limit    float64 // per second, in the whole fleet
+	issuers  int
+	others   float64 // demand per second at the other issuers
+	othersAt time.Time
+}
+
+// add counts n calls against a limit per second and adjusts the level. A level rises only if
+// the count less its square root is above the threshold: few calls say little about a rate,
+// and organisations with a call or two per second would otherwise change their level by
+// chance.
+func (u *usage) add(now time.Time, n int, limit float64) {
+	u.decay(now)
+	u.limit = limit
+	u.calls += float64(n)
+	total := u.calls
+	if now.Sub(u.othersAt) < levelTime {
+		total += u.others * usageTime.Seconds()
+	}
+	for u.level < HighestLevel && total-math.Sqrt(total) >= u.step()*float64(u.level+1) {
+		u.level++
+	}
+	for u.level > 0 && total < u.step()*float64(u.level)*fallRatio {
+		u.level--
+	}
+}
+
+// step returns by how much the counts of two levels differ.
+func (u *usage) step() float64 { return u.limit * usageTime.Seconds() / (HighestLevel + 1) }
+
+func (u *usage) decay(now time.Time) {
+	if d := now.Sub(u.at); d > 0 && !u.at.IsZero() {
+		u.calls *= math.Exp(-d.Seconds() / usageTime.Seconds())
+	}
+	u.at = now
+}
+
+// Level records a request for n tokens, of which some were refused, and returns the level of
+// the organisation before and after it: the part of its limit that the organisation uses at
+// this issuer and, as far as SetOthers has said, at the others.
+func (s *Issuer) Level(now time.Time, l snapshot.Limit, p Plan, n, refused int) (before, after int) {
+	s.withBucket(now, l, p, func(b *issued) Issue {
+		before = b.usage.level
+		b.usage.issuers = p.issuers
+		b.usage.add(now, n, l.Rate())
+		b.usage.refused += uint64(refused)
+		after = b.usage.level
+		return Issue{}
+	})
+	return before, after
+}
+
+// SetOthers records what part of the limit is demanded at the other issuers, as the sum of
+// their answers. Of an issuer that has not answered the demand is taken as equal to that of
+// this one, so that an issuer alone compares its demand with its own part of the limit.
+func (s *Issuer) SetOthers(now time.Time, l snapshot.Limit, p Plan, part float64, silent int) {
+	s.withBucket(now, l, p, func(b *issued) Issue {
+		b.usage.decay(now)
+		own := b.usage.calls / usageTime.Seconds()
+		b.usage.others, b.usage.othersAt = part*l.Rate()+float64(silent)*own, now
+		return Issue{}
+	})
+}
+
+// Part returns which part of the limit is demanded at this issuer.
+func (s *Issuer) Part(now time.Time, l snapshot.Limit, p Plan) (part float64) {
+	s.withBucket(now, l, p, func(b *issued) Issue {
+		b.usage.decay(now)
+		part = b.usage.calls / usageTime.Seconds() / l.Rate()
+		return Issue{}
+	})
+	return part
+}
+
+// Usage is the use of an organisation's limit at one issuer.
+type Usage struct {
+	organisation string
+	perSecond    float64
+	level        int
+	refused      uint64
+	askOthers    bool
+}
+
+// Organisation returns the organisation's name.
+func (u Usage) Organisation() string { return u.organisation }
+
+// PerSecond returns the recent demand for tokens per second.
+func (u Usage) PerSecond() float64 { return u.perSecond }
+
+// Level returns the organisation's level.
+func (u Usage) Level() int { return u.level }
+
+// Refused returns how many of the tokens requested were not issued.
+func (u Usage) Refused() uint64 { return u.refused }
+
+// AskOthers reports whether the demand at the other issuers matters: if no issuer has a
+// quarter of its own part of the limit, all together have no quarter of the limit.
+func (u Usage) AskOthers() bool { return u.askOthers }
+
+// Usages returns the use of the limits of at most n organisations: those of the highest
+// levels, and among them those with the most demand.
+func (s *Issuer) Usages(now time.Time, n int) []Usage {
+	var out []Usage
+	for i := range s.shards {
+		shard := &s.shards[i]
+		shard.mu.Lock()
+		for name, b := range shard.buckets {
+			if b.usage.at.IsZero() {
+				continue // has only lent tokens
+			}
+			u := b.usage
+			u.decay(now)
+			ask := u.issuers > 1 && u.calls*float64(u.issuers) >= u.step()*fallRatio
+			out = append(out, Usage{name, u.calls / usageTime.Seconds(), u.level, u.refused, ask})
+		}
+		shard.mu.Unlock()
+	}
+	slices.SortFunc(out, func(a, b Usage) int {
+		return cmp.Or(cmp.Compare(b.level, a.level), cmp.Compare(b.perSecond, a.perSecond), cmp.Compare(a.organisation, b.organisation))
+	})
+	return out[:min(n, len(out))]
+}
+
+// nodeLevel is what a node knows of an organisation's level.
+type nodeLevel struct {
+	level  int
+	until  time.Time // when the level of the issuer is too old to be used
+	own    usage     // the node's calls since then
+	raised int       // calls above level 0
+}
+
+// SetLevel records the level that an issuer has answered.
+func (c *Cache) SetLevel(now time.Time, l snapshot.Limit, level int) {
+	c.with(now, l, func(o *cached) {
+		o.level.level, o.level.until, o.level.own = min(max(0, level), HighestLevel), now.Add(levelTime), usage{}
+	})
+}
+
+// Level returns the level of an organisation's next call. Without a recent answer of an
+// issuer the node compares its own calls with its part of the limit, as one of some nodes in
+// the same position.
+func (c *Cache) Level(now time.Time, l snapshot.Limit, p Plan, nodes int) (level int) {
+	c.with(now, l, func(o *cached) {
+		n := &o.level
+		if level = n.level; !now.Before(n.until) {
+			n.own.add(now, 1, p.fallbackRate/float64(max(1, nodes)))
+			level = n.own.level
+		}
+		if level == 0 {
+			return
+		}
+		if n.raised++; n.raised%reliefCalls == 0 {
+			level = 0
+		}
+	})
+	return level
+}
