admission: calls of one rank run in the order of their level

Calls were ordered by the calls of their organisation that run or wait at one target. Over a pool, an organisation that has a call or two at each target is not held back by that.

A request has a level. Of waiting calls of one rank those of a lower level go first, whatever runs of their organisations, and in a full queue a newcomer takes the place of the last one of its rank and a higher level. Calls of a lower level are not displaced by those of a higher one. With level 0 for all each decision is that of before.

The reason is outranked: displaced would make senders leave the target out for the whole organisation, also for its calls of level 0.

--- a/internal/policy/admission/decision.go
+++ b/internal/policy/admission/decision.go
@@ -51,7 +51,8 @@
 	// Displaced refuses a waiting call in favour of an organisation with fewer
 	// waiting calls.
 	Displaced
-	// Outranked refuses a waiting call in favour of one of a higher rank.
+	// Outranked refuses a waiting call in favour of one of a higher rank, or of the same
+	// rank and a lower level.
 	Outranked
 	// Draining refuses a call to a target that is draining.
 	Draining
--- a/internal/policy/admission/gate.go
+++ b/internal/policy/admission/gate.go
@@ -108,7 +108,10 @@
 		return g.refuse(at, c.class, o, TooLate), wakes
 	}
 	if !g.hasQueueSpace(at, c) {
-		i, reason := q.displaceable(c), Displaced
+		i, reason := q.higherLevel(c), Outranked
+		if i < 0 {
+			i, reason = q.displaceable(c), Displaced
+		}
 		if i < 0 {
 			i, reason = q.outranked(c), Outranked
 		}
@@ -250,6 +253,7 @@
 	c.class, c.org, c.stats = r.class, o, stats
 	c.long = stats.isLong(&g.all)
 	c.deadline, c.softDeadline, c.rank = g.nanos(r.deadline), g.nanos(r.softDeadline), r.rank
+	c.level = r.level
 	c.late = !c.wellBelowMean(&g.all) && c.softDeadline-stats.expected(&g.all) < at
 	c.latestStart = g.latestStart(at, c)
 	return c
--- a/internal/policy/admission/queue.go
+++ b/internal/policy/admission/queue.go
@@ -55,12 +55,23 @@
 }
 
 // next returns the index of the call to run next, or -1: the first call of the
-// organisation with the fewest running calls, among the calls that may run.
+// organisation with the fewest running calls, among the calls that may run. Within a rank
+// only those of the lowest level count: the organisations of higher levels, which use more
+// of their limits, may have no call running here.
 func (q *queue) next(canRun func(*call) bool) int {
 	best := -1
+	var lowest *call // of the current rank, the first that may run
 	for i, c := range q.calls {
-		if (best < 0 || c.org.running < q.calls[best].org.running) && canRun(c) {
-			best = i
+		if lowest != nil && c.rank == lowest.rank && c.level > lowest.level {
+			continue
+		}
+		fewer := best < 0 || c.org.running < q.calls[best].org.running
+		if !fewer && !c.long {
+			// A short call may run wherever best may.
+			lowest = c
+		}
+		if fewer && canRun(c) {
+			best, lowest = i, c
 			if c.org.running == 0 {
 				break
 			}
@@ -73,11 +84,12 @@
 // -1. Among the calls of the newcomer's kind, long or short, it is the last one of
 // the organisation with the most waiting calls, if that organisation has at least
 // two more than the newcomer's. With a difference of one the two organisations
-// would displace each other in turn.
+// would displace each other in turn. Calls of the newcomer's rank and a lower level are
+// kept.
 func (q *queue) displaceable(newcomer *call) int {
 	best := -1
 	for i, c := range q.calls {
-		if c.long == newcomer.long && (best < 0 || c.org.queued >= q.calls[best].org.queued) {
+		if c.long == newcomer.long && !c.goesFirst(newcomer) && (best < 0 || c.org.queued >= q.calls[best].org.queued) {
 			best = i
 		}
 	}
@@ -87,6 +99,17 @@
 	return best
 }
 
+// higherLevel returns the index of the call to refuse in favour of a newcomer of a lower
+// level, or -1: the last one of the same rank whose removal gives the newcomer space.
+func (q *queue) higherLevel(newcomer *call) int {
+	for i := len(q.calls) - 1; i >= 0 && q.calls[i].rank >= newcomer.rank; i-- {
+		if c := q.calls[i]; newcomer.goesFirst(c) && (c.long || !newcomer.long) {
+			return i
+		}
+	}
+	return -1
+}
+
 // outranked returns the index of the call to refuse in favour of a newcomer of a
 // higher rank, or -1: the last one whose removal gives the newcomer space.
 //
--- a/internal/policy/admission/request.go
+++ b/internal/policy/admission/request.go
@@ -14,6 +14,7 @@
 	deadline     time.Time
 	softDeadline time.Time
 	rank         int
+	level        int
 }
 
 // RequestOption sets one property of a request. It is a struct because a closure
@@ -21,6 +22,7 @@
 type RequestOption struct {
 	softDeadline time.Time
 	rank         int
+	level        int
 }
 
 // SoftDeadline sets the soft deadline, after which the answer has lost most of its
@@ -31,6 +33,10 @@
 // Rank sets the call's priority within its class: 0 is the highest.
 func Rank(n int) RequestOption { return RequestOption{rank: n} }
 
+// Level sets which part of its limit the organisation uses: of calls of one rank, those of
+// a lower level go first.
+func Level(n int) RequestOption { return RequestOption{level: n} }
+
 // NewRequest returns a request by an organisation of a class, on a route whose
 // calls take about equally long. The soft deadline is the deadline unless
 // SoftDeadline sets an earlier one.
@@ -41,6 +47,7 @@
 			r.softDeadline = opt.softDeadline
 		}
 		r.rank += opt.rank
+		r.level += opt.level
 	}
 	return r
 }
@@ -82,18 +89,21 @@
 	deadline     int64
 	softDeadline int64
 	rank         int
+	level        int
 	late         bool // not expected to end by its soft deadline
 	latestStart  int64
 }
 
-// before reports whether c goes before other in their queue: by rank, then calls
-// that can still meet their soft deadline, then the earlier soft deadline. Rank
-// comes first, since otherwise a flood of calls with early soft deadlines would
-// delay higher-ranked calls until these can no longer end in time.
+// before reports whether c goes before other in their queue: by rank, then by
+// level, then calls that can still meet their soft deadline, then the earlier soft
+// deadline. Rank comes first, since otherwise a flood of calls with early soft
+// deadlines would delay higher-ranked calls until these can no longer end in time.
 func (c *call) before(other *call) bool {
 	switch {
 	case c.rank != other.rank:
 		return c.rank < other.rank
+	case c.level != other.level:
+		return c.level < other.level
 	case c.late != other.late:
 		return other.late
 	default:
@@ -101,6 +111,9 @@
 	}
 }
 
+// goesFirst reports whether c is of the rank of other and of a lower level.
+func (c *call) goesFirst(other *call) bool { return c.rank == other.rank && c.level < other.level }
+
 type callState uint8
 
 const (
--- a/internal/traffic/hop/kind.go
+++ b/internal/traffic/hop/kind.go
@@ -17,7 +17,8 @@
 	KindSuperseded = "superseded"
 	// KindDisplaced: the waiting call was evicted in favour of another organisation's.
 	KindDisplaced = "displaced"
-	// KindOutranked: the waiting call was evicted in favour of one of higher priority.
+	// KindOutranked: the waiting call was evicted in favour of one of higher priority,
+	// or of an organisation that uses a smaller part of its limit.
 	KindOutranked = "outranked"
 	// KindQueueFull: the queue was full.
 	KindQueueFull = "queue-full"
