traffic: calls carry the level of their organisation

The field s= of Bl-Call has the level from 1 to 3 of an organisation with a limit; absent is 0, and an unknown value is read as 0. The target's node passes it to its gate and counts calls served and refused by level.

--- a/internal/traffic/caller/failure_test.go
+++ b/internal/traffic/caller/failure_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/go-cmp/cmp"
 
 	"banyanlug.example/banyanlug/internal/config/snapshot"
@@ -19,6 +20,7 @@
 	"banyanlug.example/banyanlug/internal/traffic/caller"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
 	"banyanlug.example/banyanlug/internal/traffic/http1"
+	"banyanlug.example/banyanlug/internal/traffic/target"
 )
 
 // reply is the response that a caller gets to a call.
@@ -414,6 +416,42 @@
 	})
 }
 
+// levelLimits limits nothing and gives all organisations the same level.
+type levelLimits struct {
+	*limit.Limiter
+	level int
+}
+
+func (l levelLimits) Level(time.Time, snapshot.Limit) int { return l.level }
+
+// Guards against a level that does not reach the target's node, or that is sent for
+// organisations without a limit.
+func TestCallsCarryTheLevelOfTheirOrganisation(t *testing.T) {
+	t.Parallel()
+	set := metrics.NewSet()
+	limits := levelLimits{limit.NewLimiter(limit.InitialShare(1)), 3}
+	h := newHarness(t, harnessOptions{
+		targets: 1, caller: []caller.Option{caller.WithLimits(limits)},
+		target: func(int) []target.Option { return []target.Option{target.WithMetrics(set)} },
+	})
+	served := func(level int) uint64 {
+		return set.GetOrCreateCounter(fmt.Sprintf(`banyanlug_target_level_calls_total{level="%d",outcome="served"}`, level)).Get()
+	}
+	h.do(h.newHTTPClient(), h.newRequest("GET", "/read?size=1", nil))
+	if served(0) != 1 || served(3) != 0 {
+		t.Errorf("without a limit %d calls have level 0, %d level 3", served(0), served(3))
+	}
+	_, limited, err := h.config.Current().Next(snapshot.NewChange([]snapshot.Object{snapshot.NewLimit("harbour", 0, 10)}, nil), snapshot.Stamp{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.config.snap.Store(limited)
+	h.do(h.newHTTPClient(), h.newRequest("GET", "/read?size=1", nil))
+	if served(0) != 1 || served(3) != 1 {
+		t.Errorf("with a limit %d calls have level 0, %d level 3", served(0), served(3))
+	}
+}
+
 func TestEachEndedCallIsObserved(t *testing.T) {
 	t.Parallel()
 	seen := make(chan caller.Observation, 10)
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -97,6 +97,13 @@
 	Done(now time.Time, l snapshot.Limit, notRun bool)
 }
 
+// LevelLimits is a Limits that knows which part of their limits organisations use.
+type LevelLimits interface {
+	Limits
+	// Level returns the level that the organisation's next call carries, from 0 to 3.
+	Level(now time.Time, l snapshot.Limit) int
+}
+
 // WithLimits enforces organisations' limits with l. Without it none are enforced.
 func WithLimits(l Limits) Option { return func(h *Handler) { h.limits = l } }
 
--- a/internal/traffic/hop/header.go
+++ b/internal/traffic/hop/header.go
@@ -75,6 +75,7 @@
 	origin       string
 	softDeadline time.Duration
 	targetRate   targetRate
+	level        int
 }
 
 // targetRate is the limit that the target has named to the sender, if any.
@@ -123,6 +124,9 @@
 	return func(m *Meta) { m.targetRate = targetRate{perSecond, named} }
 }
 
+// Level sets the part of its limit that the organisation uses, as a level from 0 to 3.
+func Level(n int) MetaOption { return func(m *Meta) { m.level = n } }
+
 // FromOrigin sets the calling service.
 func FromOrigin(origin string) MetaOption { return func(m *Meta) { m.origin = origin } }
 
@@ -183,6 +187,9 @@
 	return m.targetRate.perSecond, m.targetRate.named
 }
 
+// Level returns the part of its limit that the organisation uses, as a level from 0 to 3.
+func (m Meta) Level() int { return m.level }
+
 // Idempotent reports whether the call may run more than once.
 func (m Meta) Idempotent() bool { return m.idempotent }
 
@@ -203,6 +210,7 @@
 	fieldOrigin        = "f"
 	fieldSoftDeadline  = "u"
 	fieldTargetRate    = "l"
+	fieldLevel         = "s"
 	valueIdempotent    = "any"
 	valueNonIdempotent = "once"
 )
@@ -214,6 +222,8 @@
 	maxAttempts = 100
 	// maxPriority is above any priority that can be declared.
 	maxPriority = 255
+	// maxLevel is the highest level of an organisation.
+	maxLevel = 3
 )
 
 func (m *Meta) write(w *bufio.Writer) {
@@ -248,6 +258,10 @@
 		_, _ = w.WriteString(" " + fieldPriority + "=")
 		_, _ = w.Write(strconv.AppendInt(w.AvailableBuffer(), int64(m.priority), 10))
 	}
+	if m.level > 0 {
+		_, _ = w.WriteString(" " + fieldLevel + "=")
+		_, _ = w.Write(strconv.AppendInt(w.AvailableBuffer(), int64(m.level), 10))
+	}
 	if m.softDeadline > 0 {
 		_, _ = w.WriteString(" " + fieldSoftDeadline + "=")
 		_, _ = w.Write(strconv.AppendInt(w.AvailableBuffer(), max(1, m.softDeadline.Milliseconds()), 10))
@@ -294,6 +308,8 @@
 			m.origin = value
 		case fieldSoftDeadline:
 			m.softDeadline = time.Duration(parseBounded(value, maxRemaining.Milliseconds())) * time.Millisecond
+		case fieldLevel:
+			m.level = int(parseBounded(value, maxLevel))
 		case fieldTargetRate:
 			m.targetRate.perSecond, m.targetRate.named = parseRate(value)
 		}
--- a/internal/traffic/hop/header_test.go
+++ b/internal/traffic/hop/header_test.go
@@ -32,7 +32,7 @@
 func TestMetaRoundTripsAndInvalidFieldsAreRejected(t *testing.T) {
 	t.Parallel()
 	rt := snapshot.NewRoute("bind", "/bind", "binding", "bindings", snapshot.Idempotent())
-	want := NewMeta(Remaining(1500*time.Millisecond), Attempt(2), Depth(3), ForOrganisation("harbour", snapshot.Paying), ForRoute(rt), TargetRate(52.25, true))
+	want := NewMeta(Remaining(1500*time.Millisecond), Attempt(2), Depth(3), ForOrganisation("harbour", snapshot.Paying), ForRoute(rt), TargetRate(52.25, true), Level(3))
 	var b bytes.Buffer
 	w := bufio.NewWriter(&b)
 	if err := NewRequest("GET", "/", "a", http.Header{}, None{}, WithMeta(want)).writeHead(w, "", false); err != nil {
@@ -48,6 +48,10 @@
 		t.Errorf("%+v, %v, want %+v", got, err, want)
 	}
 	complete := r.Header.Get(MetaHeader)
+	// A level that is unknown here must not lead to a refusal nor to another order.
+	if m, err := ReadMeta(http.Header{MetaHeader: {strings.Replace(complete, "s=3", "s=9", 1)}}); err != nil || m.Level() != 0 {
+		t.Errorf("level %d, %v", m.Level(), err)
+	}
 	for _, text := range []string{
 		"", "x", strings.Replace(complete, "ms=1500", "ms=0", 1), strings.Replace(complete, "n=2", "n=-1", 1),
 		strings.Replace(complete, "d=3", "d=33", 1), strings.Replace(complete, "d=3", "", 1),
--- a/internal/traffic/target/admit.go
+++ b/internal/traffic/target/admit.go
@@ -123,7 +123,7 @@
 	if meta.SoftDeadline() > 0 {
 		softDeadline = admission.SoftDeadline(s.clk.Now().Add(meta.SoftDeadline()))
 	}
-	r := admission.NewRequest(meta.Organisation(), meta.Class(), meta.Route(), deadline, softDeadline, admission.Rank(meta.Priority()))
+	r := admission.NewRequest(meta.Organisation(), meta.Class(), meta.Route(), deadline, softDeadline, admission.Rank(meta.Priority()), admission.Level(meta.Level()))
 	// Hold s.mu until the ticket is in the map: as soon as the gate has queued it,
 	// the end of another call may lead to a decision on it.
 	s.mu.Lock()
--- a/internal/traffic/target/handler.go
+++ b/internal/traffic/target/handler.go
@@ -123,6 +123,7 @@
 	}
 	queuedAt := c.h.clk.Now()
 	ticket, err := c.admit()
+	c.h.callMetrics.countDecision(c.meta, err)
 	if err != nil {
 		return false, err
 	}
--- a/internal/traffic/target/metrics.go
+++ b/internal/traffic/target/metrics.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,6 +15,7 @@
 // times and counters of refusals.
 type handlerMetrics struct {
 	set    *metrics.Set
+	levels [maxLevel + 1]levelCounters
 	stages map[snapshot.Class]map[bool]stageHistograms // by class and idempotence
 }
 
@@ -21,6 +23,12 @@
 // the target takes to respond.
 type stageHistograms struct{ queue, work *metrics.Histogram }
 
+// maxLevel is the highest level that a call can carry.
+const maxLevel = 3
+
+// levelCounters count the calls of one level that were admitted, and those that were refused.
+type levelCounters struct{ served, refused *metrics.Counter }
+
 func newHandlerMetrics(set *metrics.Set, s *Slots, rate *rateMonitor) *handlerMetrics {
 	gauge := func(name, labels string, f func() int) {
 		set.GetOrCreateGauge("banyanlug_target_"+name+labels, func() float64 { return float64(f()) })
@@ -44,9 +52,28 @@
 			m.stages[class][idempotent] = stageHistograms{queue: histogram("queue"), work: histogram("work")}
 		}
 	}
+	for level := range m.levels {
+		counter := func(outcome string) *metrics.Counter {
+			return set.GetOrCreateCounter(fmt.Sprintf(`banyanlug_target_level_calls_total{level="%d",outcome=%q}`, level, outcome))
+		}
+		m.levels[level] = levelCounters{served: counter("served"), refused: counter("refused")}
+	}
 	return m
 }
 
+// countDecision counts a call by its level and whether the gate admitted it. Calls whose
+// callers disconnected while they waited are not counted.
+func (m *handlerMetrics) countDecision(meta hop.Meta, err error) {
+	if err == nil {
+		m.levels[meta.Level()].served.Inc()
+		return
+	}
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		m.levels[meta.Level()].refused.Inc()
+	}
+}
+
 // forCall returns the histograms for a call's class and idempotence.
 func (m *handlerMetrics) forCall(meta hop.Meta) stageHistograms {
 	return m.stages[meta.Class()][meta.Idempotent()]
