issuer: nodes learn the level of an organisation with its tokens

TakeResponse has the field usage: the level for a node, and for another issuer the demand at the answering one in thousandths of the limit. An issuer asks the others each second, outside of calls, about organisations that use about a quarter of its own part of the limit or more; if no issuer sees that much, all together have no quarter.

Event 1411 says that an organisation has entered the highest level, at most once in 10 s for each. Metrics by organisation show limit, demand, level and refused tokens, for 32 organisations at a node at most.

The start of a node in the tests' mesh takes the lock of the records, which the issuers' loops now read meanwhile.

--- a/internal/control/issuer/agent.go
+++ b/internal/control/issuer/agent.go
@@ -78,6 +78,7 @@
 	fetches   map[string]*fetch
 	loans     map[string]*fetch
 	avoid     map[string]avoided
+	levelLog  map[string]time.Time // when event 1411 was last logged, by organisation
 	nextLoans int
 }
 
@@ -121,7 +122,7 @@
 		clk: clk, log: event.Discard(), members: members, config: config, instance: instance, domain: domain,
 		domains: slices.Sorted(slices.Values(domains)), margin: func() token.Margin { return token.Margin{} },
 		issuer: token.NewIssuer(), cache: token.NewCache(),
-		fetches: map[string]*fetch{}, loans: map[string]*fetch{}, avoid: map[string]avoided{},
+		fetches: map[string]*fetch{}, loans: map[string]*fetch{}, avoid: map[string]avoided{}, levelLog: map[string]time.Time{},
 	}
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
 	a.http = &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: connIdleTimeout}}
@@ -192,6 +193,7 @@
 			return unlimited
 		}
 		a.cache.Fetched(sent, a.clk.Now(), l, int(resp.GetTokens()), time.Duration(resp.GetRetryAfterUs())*time.Microsecond)
+		a.cache.SetLevel(a.clk.Now(), l, int(resp.GetUsage()))
 		return answered
 	})
 }
@@ -297,14 +299,18 @@
 	}
 	p, n := token.NewPlan(l, a.margin(), len(a.domains)), int(req.GetTokens())
 	if req.GetLend() {
-		return a.respond(a.issuer.Lend(a.clk.Now(), l, p, n)), nil
+		resp := a.respond(a.issuer.Lend(a.clk.Now(), l, p, n))
+		resp.Usage = uint32(a.issuer.Part(a.clk.Now(), l, p) * usageUnits)
+		return resp, nil
 	}
 	got := a.issuer.Take(a.clk.Now(), l, p, n)
 	if got.Borrow > 0 && a.borrow(ctx, l, p, got.Borrow) {
 		more := a.issuer.Take(a.clk.Now(), l, p, n-got.Tokens)
 		got.Tokens, got.RetryAfter = got.Tokens+more.Tokens, more.RetryAfter
 	}
-	return a.respond(got), nil
+	resp := a.respond(got)
+	resp.Usage = uint32(a.observe(l, p, n, n-got.Tokens))
+	return resp, nil
 }
 
 func (a *Agent) respond(got token.Issue) *issuerpb.TakeResponse {
@@ -350,9 +356,18 @@
 // Service returns the HTTP handler for requests of other nodes.
 func (a *Agent) Service() issuerpb.TwirpServer { return issuerpb.NewIssuerServer(a) }
 
-// Run closes the connections to issuers when ctx ends, and sends ctx's error on done.
+// Run asks other issuers for the demand of organisations until ctx ends. It then closes the
+// connections to them and sends ctx's error on done.
 func (a *Agent) Run(ctx context.Context, done chan<- error) {
-	<-ctx.Done()
+	tick := a.clk.Subscribe(askInterval)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-tick.C():
+			a.askOthers(ctx)
+		}
+	}
 	a.http.CloseIdleConnections()
 	done <- ctx.Err()
 }
--- a/internal/control/issuer/agent_test.go
+++ b/internal/control/issuer/agent_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -70,7 +71,9 @@
 		m.t.Fatal(err)
 	}
 	peer := netip.MustParseAddrPort(ln.Addr().String())
+	m.mu.Lock()
 	m.records[domain] = append(m.records[domain], membership.NewRecord(name, membership.Domain(domain), membership.ControlAddress(peer)))
+	m.mu.Unlock()
 	margin := func() token.Margin { return token.Margin{Window: 5 * time.Second, Ratio: 0.1, Calls: 20} }
 	a := New(m.clk, m, m, name, domain, []string{"a", "b"}, WithMargin(margin))
 	m.agents[name] = a
@@ -241,3 +244,43 @@
 		t.Errorf("%d requests for 50 calls", got)
 	}
 }
+
+// Guards against nodes that learn no levels from their issuers, levels that outlive an
+// issuer, and organisations beyond the bound in its metrics.
+func TestNodesLearnLevelsAndLoseThemWithTheIssuer(t *testing.T) {
+	t.Parallel()
+	m := newMesh(t)
+	highest := func(node string) (level int) {
+		// One call in some is sent at level 0.
+		for range 2 {
+			level = max(level, m.agents[node].Level(m.clk.Now(), acme))
+		}
+		return level
+	}
+	if got := highest("n1"); got != 0 {
+		t.Errorf("level %d before the first call", got)
+	}
+	for range 40 {
+		m.allowed("n1", 12)
+		m.clk.Advance(250 * time.Millisecond)
+	}
+	if got := highest("n1"); got != token.HighestLevel {
+		t.Errorf("level %d with nearly all of the limit used in one domain", got)
+	}
+	first := byWeight("acme", m.records["a"], membership.Record.Instance)[0].Instance()
+	var out strings.Builder
+	m.agents[first].WriteMetrics(&out)
+	if want := `banyanlug_organisation_level{organisation="acme"} 3`; !strings.Contains(out.String(), want) {
+		t.Errorf("metrics without %s:\n%s", want, out.String())
+	}
+	// A new process of the issuer has no buckets.
+	m.stop[first]()
+	m.mu.Lock()
+	m.records["a"] = slices.DeleteFunc(slices.Clone(m.records["a"]), func(r membership.Record) bool { return r.Instance() == first })
+	m.mu.Unlock()
+	m.start("a", first)
+	m.allowed("n1", 1)
+	if got := highest("n1"); got != 0 {
+		t.Errorf("level %d after the issuer has restarted", got)
+	}
+}
--- a/internal/log/event/calls.go
+++ b/internal/log/event/calls.go
@@ -11,6 +11,7 @@
 	TargetRate             Code = 1407
 	TargetCrashed          Code = 1408
 	CrashRecorded          Code = 1409
+	HighestLevel           Code = 1411
 )
 
 var callsEvents = map[Code]Entry{
@@ -22,5 +23,6 @@
 	TargetRate:             {Info, "calls passed to a local target that names a limit for their rate; at most one line per second", "compare per_second with limit"},
 	TargetCrashed:          {Error, "the process of the local target ended without notice; the calls in flight there are suspects", "look at the target; suspects names the calls by id, method and fingerprints, exact and of the content; a question mark is a query"},
 	CrashRecorded:          {Info, "a crash of some target was counted against the calls that were in flight there", "compare with 1408 of that target's node"},
+	HighestLevel:           {Info, "an organisation uses three quarters of its limit or more at this issuer, so that its calls go behind those of others; at most one line in 10 s for an organisation", "see docs/operators/fairness.md"},
 	UnauthenticatedRefused: {Warn, "unauthenticated connection refused; at most one line per second", "look at the address: a node with another fleet key, or a client that is not a node"},
 }
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -340,6 +340,7 @@
 	gauge(`banyanlug_crash_suspects{state="held"}`, func() float64 { _, held := n.crashes.sizes(); return float64(held) })
 	gauge("banyanlug_limit_requests_total", func() float64 { return float64(n.tokens.Requests()) })
 	gauge("banyanlug_limit_tokens_issued_total", func() float64 { return float64(n.tokens.Issued()) })
+	n.metrics.RegisterMetricsWriter(n.tokens.WriteMetrics)
 	gauge("banyanlug_store_silent_seconds", func() float64 { return n.fleet.StoreAge().Seconds() })
 	gauge("banyanlug_log_dropped_lines", func() float64 { return float64(n.out.Dropped()) })
 	gauge("banyanlug_ready", func() float64 {
