token: levels count from the part of their limits that organisations typically use

Change: level 1, 2 and 3 also need two, three and four times the typical part of a limit in use, the median over an issuer's organisations. Issuers ask others only about those that may reach level 1, which also saves requests where all use much of their limits.

Ruled out: no levels for limits that are used above a quarter, as one organisation at its limit would then be as free as before.

--- a/internal/control/issuer/usage.go
+++ b/internal/control/issuer/usage.go
@@ -45,9 +45,10 @@
 }
 
 // askOthers asks the issuers of the other failure domains for the demand of the organisations
-// that may use more than a quarter of their limits.
+// that may reach level 1.
 func (a *Agent) askOthers(ctx context.Context) {
 	snap := a.config.Current()
+	a.issuer.UpdateTypical(a.clk.Now())
 	for _, u := range a.issuer.Usages(a.clk.Now(), maxAsked) {
 		l, ok := snap.Limit(u.Organisation())
 		if !ok || l.Rate() <= 0 || !u.AskOthers() {
--- a/internal/policy/admission/fairness_test.go
+++ b/internal/policy/admission/fairness_test.go
@@ -57,7 +57,15 @@
 	asked    int // exchanges between issuers about an organisation
 }
 
-func newFairSim(rule levelRule, seed uint64, load float64) *fairSim {
+// usedParts is the range of the parts of their limits that organisations usually use.
+type usedParts struct{ from, to float64 }
+
+var (
+	fewUsed   = usedParts{0.05, 0.09}
+	mixedUsed = usedParts{0.1, 0.7}
+)
+
+func newFairSim(rule levelRule, seed uint64, load float64, used usedParts) *fairSim {
 	f := &fairSim{Simulation: sim.New(), rule: rule, rng: sim.Rand(seed), levels: map[string]int{}}
 	capacity := 0.0
 	for i := range fairTargets {
@@ -84,7 +92,7 @@
 			part, nodes = (1-large*largePart)*weights[i]/sum, nodes[:1+f.rng.IntN(4)]
 		}
 		o := &fairOrg{rate: load * capacity * part, nodes: nodes}
-		name, total := fmt.Sprintf("org%d", i), o.rate/(0.05+0.04*f.rng.Float64())
+		name, total := fmt.Sprintf("org%d", i), o.rate/(used.from+(used.to-used.from)*f.rng.Float64())
 		o.limit = snapshot.NewLimit(name, total, 0).WithBurst(total)
 		equal := load * capacity / all / 0.07
 		o.equal = snapshot.NewLimit(name+"=", equal, 0).WithBurst(equal)
@@ -132,6 +140,7 @@
 // exchange lets issuers ask one another for the demand of organisations.
 func (f *fairSim) exchange() {
 	for i, own := range f.issuers {
+		own.UpdateTypical(f.Now())
 		for _, u := range own.Usages(f.Now(), 2*len(f.orgs)) {
 			l, ok := f.limitOf(u.Organisation())
 			if !ok || !u.AskOthers() {
@@ -301,7 +310,7 @@
 			t.Parallel()
 			results := map[int]fairResult{}
 			for busy, factor := range factors {
-				f := newFairSim(rule, 1, 2)
+				f := newFairSim(rule, 1, 2, fewUsed)
 				if busy != usual {
 					f.orgs[busy].rate *= factor
 				}
@@ -326,6 +335,19 @@
 	}
 }
 
+// Guards against levels that take slots from organisations for using more of their limits
+// than others, where all use much of them and none takes more than usual.
+func TestUsualUseOfLimitsChangesNoShares(t *testing.T) {
+	t.Parallel()
+	f := newFairSim(byUsage, 1, 2, mixedUsed)
+	f.run(25 * time.Second)
+	r := f.result(-1)
+	t.Logf("%.3f, issuers asked %d times", r, f.asked)
+	if r.worstTenth < r.all-0.05 {
+		t.Errorf("worst tenth %.3f, all %.3f", r.worstTenth, r.all)
+	}
+}
+
 // Guards against a Retry-After at which a call is served less often than a new one, so that
 // callers who heed it lose by that.
 func TestCallsReturnAtTheRetryAfter(t *testing.T) {
@@ -335,7 +357,7 @@
 		rules = append(rules, noLevels)
 	}
 	for _, rule := range rules {
-		f := newFairSim(rule, 1, 1.2)
+		f := newFairSim(rule, 1, 1.2, fewUsed)
 		f.comeBack = true
 		f.orgs[40].rate *= 10
 		f.run(15 * time.Second)
--- a/internal/policy/token/issuer.go
+++ b/internal/policy/token/issuer.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -23,7 +24,8 @@
 // Issuer issues the tokens of the organisations whose buckets a node holds for its failure
 // domain. It is safe for concurrent use.
 type Issuer struct {
-	shards [shards]struct {
+	typical atomic.Uint64 // the typical part of a limit in use, as bits of a float64
+	shards  [shards]struct {
 		mu      sync.Mutex
 		buckets map[string]*issued
 	}
--- a/internal/policy/token/usage.go
+++ b/internal/policy/token/usage.go
@@ -10,7 +10,8 @@
 )
 
 // HighestLevel is the level of an organisation that uses at least three quarters of its
-// limit. Each level below stands for a further quarter.
+// limit, and four times the typical part. Level 2 stands for half of the limit and three
+// times the typical part, level 1 for a quarter and twice that.
 const HighestLevel = 3
 
 const (
@@ -25,6 +26,9 @@
 	reliefCalls = 3
 	// levelTime is how long a node keeps a level without an answer of an issuer.
 	levelTime = 5 * time.Second
+	// minTypicalOf is of how many organisations an issuer has to know the use of their limits
+	// for its median to count as typical.
+	minTypicalOf = 8
 )
 
 // usage counts the use of a limit, weighted towards the last usageTime.
@@ -40,28 +44,39 @@
 	othersAt time.Time
 }
 
-// add counts n calls against a limit per second and adjusts the level. A level rises only if
+// add counts n calls against a limit per second and adjusts the level, given the typical part
+// of a limit in use. A level rises only if
 // the count less its square root is above the threshold: few calls say little about a rate,
 // and organisations with a call or two per second would otherwise change their level by
 // chance.
-func (u *usage) add(now time.Time, n int, limit float64) {
+func (u *usage) add(now time.Time, n int, limit, typical float64) {
 	u.decay(now)
 	u.limit = limit
 	u.calls += float64(n)
-	total := u.calls
-	if now.Sub(u.othersAt) < levelTime {
-		total += u.others * usageTime.Seconds()
-	}
-	for u.level < HighestLevel && total-math.Sqrt(total) >= u.step()*float64(u.level+1) {
+	total := u.total(now)
+	for u.level < HighestLevel && total-math.Sqrt(total) >= u.threshold(u.level+1, typical) {
 		u.level++
 	}
-	for u.level > 0 && total < u.step()*float64(u.level)*fallRatio {
+	for u.level > 0 && total < u.threshold(u.level, typical)*fallRatio {
 		u.level--
 	}
 }
 
-// step returns by how much the counts of two levels differ.
-func (u *usage) step() float64 { return u.limit * usageTime.Seconds() / (HighestLevel + 1) }
+// total returns the count at all issuers as far as it is known. The count must be up to date.
+func (u *usage) total(now time.Time) float64 {
+	if now.Sub(u.othersAt) < levelTime {
+		return u.calls + u.others*usageTime.Seconds()
+	}
+	return u.calls
+}
+
+// threshold returns the count from which a level applies. It grows with the typical part of a
+// limit in use: where all organisations use much of their limits, small differences between
+// them say nothing about who takes more than its share.
+func (u *usage) threshold(level int, typical float64) float64 {
+	part := max(float64(level)/(HighestLevel+1), typical*float64(level+1))
+	return u.limit * usageTime.Seconds() * part
+}
 
 func (u *usage) decay(now time.Time) {
 	if d := now.Sub(u.at); d > 0 && !u.at.IsZero() {
@@ -77,7 +92,7 @@
 	s.withBucket(now, l, p, func(b *issued) Issue {
 		before = b.usage.level
 		b.usage.issuers = p.issuers
-		b.usage.add(now, n, l.Rate())
+		b.usage.add(now, n, l.Rate(), s.typicalPart())
 		b.usage.refused += uint64(refused)
 		after = b.usage.level
 		return Issue{}
@@ -128,14 +143,15 @@
 // Refused returns how many of the tokens requested were not issued.
 func (u Usage) Refused() uint64 { return u.refused }
 
-// AskOthers reports whether the demand at the other issuers matters: if no issuer has a
-// quarter of its own part of the limit, all together have no quarter of the limit.
+// AskOthers reports whether the demand at the other issuers matters: if no issuer has reached
+// its own part of the threshold of level 1, all together have not reached it.
 func (u Usage) AskOthers() bool { return u.askOthers }
 
 // Usages returns the use of the limits of at most n organisations: those of the highest
 // levels, and among them those with the most demand.
 func (s *Issuer) Usages(now time.Time, n int) []Usage {
 	var out []Usage
+	typical := s.typicalPart()
 	for i := range s.shards {
 		shard := &s.shards[i]
 		shard.mu.Lock()
@@ -145,7 +161,7 @@
 			}
 			u := b.usage
 			u.decay(now)
-			ask := u.issuers > 1 && u.calls*float64(u.issuers) >= u.step()*fallRatio
+			ask := u.issuers > 1 && u.calls*float64(u.issuers) >= u.threshold(1, typical)*fallRatio
 			out = append(out, Usage{name, u.calls / usageTime.Seconds(), u.level, u.refused, ask})
 		}
 		shard.mu.Unlock()
@@ -156,6 +172,40 @@
 	return out[:min(n, len(out))]
 }
 
+// UpdateTypical computes the typical part of a limit in use: the median of the organisations
+// that have taken tokens here lately, 0 if they are few.
+func (s *Issuer) UpdateTypical(now time.Time) {
+	var parts []float64
+	for i := range s.shards {
+		shard := &s.shards[i]
+		shard.mu.Lock()
+		for _, b := range shard.buckets {
+			if b.usage.limit == 0 {
+				continue
+			}
+			u := b.usage
+			u.decay(now)
+			total := u.total(now)
+			if total == u.calls {
+				// The others have not been asked: they have less than their parts of level 1.
+				total *= float64(u.issuers)
+			}
+			if u.calls >= 1 {
+				parts = append(parts, total/(u.limit*usageTime.Seconds()))
+			}
+		}
+		shard.mu.Unlock()
+	}
+	typical := 0.0
+	if len(parts) >= minTypicalOf {
+		slices.Sort(parts)
+		typical = parts[len(parts)/2]
+	}
+	s.typical.Store(math.Float64bits(typical))
+}
+
+func (s *Issuer) typicalPart() float64 { return math.Float64frombits(s.typical.Load()) }
+
 // nodeLevel is what a node knows of an organisation's level.
 type nodeLevel struct {
 	level  int
@@ -178,7 +228,7 @@
 	c.with(now, l, func(o *cached) {
 		n := &o.level
 		if level = n.level; !now.Before(n.until) {
-			n.own.add(now, 1, p.fallbackRate/float64(max(1, nodes)))
+			n.own.add(now, 1, p.fallbackRate/float64(max(1, nodes)), 0)
 			level = n.own.level
 		}
 		if level == 0 {
