--- a/internal/log/event/calls.go
+++ b/internal/log/event/calls.go
@@ -12,6 +12,7 @@
 	TargetCrashed          Code = 1408
 	CrashRecorded          Code = 1409
 	Overload               Code = 1410
+	HighestLevel           Code = 1411
 )
 
 var callsEvents = map[Code]Entry{
@@ -24,5 +25,6 @@
 	TargetCrashed:          {Error, "the process of the local target ended without notice; the calls in flight there are suspects", "look at the target; suspects names the calls by id, method and fingerprints, exact and of the content; a question mark is a query"},
 	CrashRecorded:          {Info, "a crash of some target was counted against the calls that were in flight there", "compare with 1408 of that target's node"},
 	Overload:               {Warn, "this node is short of processor time and refuses calls for its target (started), or no longer is (ended)", "see docs/operators/admission.md if it repeats"},
+	HighestLevel:           {Info, "an organisation uses three quarters of its limit or more at this issuer, so that its calls go behind those of others; at most one line in 10 s for an organisation", "see docs/operators/fairness.md"},
 	UnauthenticatedRefused: {Warn, "unauthenticated connection refused; at most one line per second", "look at the address: a node with another fleet key, or a client that is not a node"},
 }
--- a/internal/traffic/hop/header.go
+++ b/internal/traffic/hop/header.go
@@ -77,6 +77,7 @@
 	targetRate   targetRate
 	// fromOverloaded is set if the sending node is overloaded itself.
 	fromOverloaded bool
+	level          int
 }
 
 // targetRate is the limit that the target has named to the sender, if any.
@@ -128,6 +129,9 @@
 // FromOverloaded sets that the sending node is overloaded itself.
 func FromOverloaded() MetaOption { return func(m *Meta) { m.fromOverloaded = true } }
 
+// Level sets the part of its limit that the organisation uses, as a level from 0 to 3.
+func Level(n int) MetaOption { return func(m *Meta) { m.level = n } }
+
 // FromOrigin sets the calling service.
 func FromOrigin(origin string) MetaOption { return func(m *Meta) { m.origin = origin } }
 
@@ -191,6 +195,9 @@
 // FromOverloaded reports whether the sending node is overloaded itself.
 func (m Meta) FromOverloaded() bool { return m.fromOverloaded }
 
+// Level returns the part of its limit that the organisation uses, as a level from 0 to 3.
+func (m Meta) Level() int { return m.level }
+
 // Idempotent reports whether the call may run more than once.
 func (m Meta) Idempotent() bool { return m.idempotent }
 
@@ -213,6 +220,7 @@
 	fieldTargetRate    = "l"
 	fieldOverloaded    = "b"
 	valueOverloaded    = "1"
+	fieldLevel         = "s"
 	valueIdempotent    = "any"
 	valueNonIdempotent = "once"
 )
@@ -224,6 +232,8 @@
 	maxAttempts = 100
 	// maxPriority is above any priority that can be declared.
 	maxPriority = 255
+	// maxLevel is the highest level of an organisation.
+	maxLevel = 3
 )
 
 func (m *Meta) write(w *bufio.Writer) {
@@ -258,6 +268,10 @@
 		_, _ = w.WriteString(" " + fieldPriority + "=")
 		_, _ = w.Write(strconv.AppendInt(w.AvailableBuffer(), int64(m.priority), 10))
 	}
+	if m.level > 0 {
+		_, _ = w.WriteString(" " + fieldLevel + "=")
+		_, _ = w.Write(strconv.AppendInt(w.AvailableBuffer(), int64(m.level), 10))
+	}
 	if m.softDeadline > 0 {
 		_, _ = w.WriteString(" " + fieldSoftDeadline + "=")
 		_, _ = w.Write(strconv.AppendInt(w.AvailableBuffer(), max(1, m.softDeadline.Milliseconds()), 10))
@@ -309,6 +323,8 @@
 			m.softDeadline = time.Duration(parseBounded(value, maxRemaining.Milliseconds())) * time.Millisecond
 		case fieldOverloaded:
 			m.fromOverloaded = value == valueOverloaded
+		case fieldLevel:
+			m.level = int(parseBounded(value, maxLevel))
 		case fieldTargetRate:
 			m.targetRate.perSecond, m.targetRate.named = parseRate(value)
 		}
