policy/tree, control/fleet: fetch large versions from where they come soonest

Cause: a node fetched a version from the parent that announced it. Behind a link of 10 Mbit/s a parent sends 150 KB to each child in 120 ms, one level after the other, while the wide links of the failure domain were idle.

Change: tree.SourceOf plans the transfers of the failure domain from the node's own view, by the links of source and receiver and the transfers planned before, and names the source for this node; the announcing parent is the next choice, after the hedge delay and the estimated time. It is used from 100 ms of transfer time, and where all links are known. A node is no longer asked twice for one version.

--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -38,6 +38,7 @@
 
 	view            *view
 	cachedPosition  cachedPosition
+	cachedSource    cachedSource
 	rankedNodes     rankedNodes
 	freshness       sharedFreshness
 	config          atomic.Pointer[activeConfig]
--- a/internal/control/fleet/pull.go
+++ b/internal/control/fleet/pull.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -35,10 +34,6 @@
 	// orphanedAfter is the time without an answer from any parent after which the node is
 	// orphaned. It allows for parents that have just started.
 	orphanedAfter = 800 * time.Millisecond
-	// fetchHedgeDelay is the delay before a version is also requested from the next node,
-	// in addition to the time that its transfer takes, at most maxTransferTime.
-	fetchHedgeDelay = 150 * time.Millisecond
-	maxTransferTime = time.Second
 	// fetchPause is the pause after no node could serve an announced version.
 	fetchPause = 100 * time.Millisecond
 	// maxRootStarting is how long a node waits for a root that is starting before it looks
@@ -128,8 +123,7 @@
 	f.mergeRollouts(resp.GetRollouts(), !resp.GetRolloutsUnknown())
 	f.setSynced(f.Size(), 0)
 	announced := resp.GetVersion()
-	sources := append([]netip.AddrPort{from.ControlAddress()}, peerAddresses(position.Parents())...)
-	if announced > f.Current().Version() && !f.fetchVersion(ctx, sources, announced, f.transferTime(resp.GetVersionBytes(), from)) {
+	if announced > f.Current().Version() && !f.fetchVersion(ctx, f.versionSources(position, from, resp.GetVersionBytes()), announced) {
 		// Without the pause, pulls from a parent that announces a version but can't serve
 		// it would be a busy loop.
 		_ = f.clk.Sleep(ctx, fetchPause)
@@ -150,22 +144,6 @@
 	p.selector.Busy(now, from.Instance(), startingPause)
 }
 
-// transferTime returns how long a version of some bytes takes from a parent that sends it to
-// all its children, on the narrower of the two links.
-func (f *Fleet) transferTime(bytes uint32, from membership.Record) time.Duration {
-	self, _ := f.ownRecord()
-	link := from.LinkMbps()
-	if own := self.LinkMbps(); own > 0 && (link == 0 || own < link) {
-		link = own
-	}
-	if link == 0 {
-		return 0
-	}
-	const bitsPerByte, bitsPerMbit = 8, 1e6
-	seconds := float64(bytes) * bitsPerByte * tree.Fanout / (float64(link) * bitsPerMbit)
-	return min(maxTransferTime, time.Duration(seconds*float64(time.Second)))
-}
-
 // pullResult is the result of one pull.
 type pullResult struct {
 	from membership.Record
@@ -318,43 +296,6 @@
 	return nil
 }
 
-// peerAddresses returns the addresses at which nodes serve the fleet service.
-func peerAddresses(records []membership.Record) []netip.AddrPort {
-	out := make([]netip.AddrPort, len(records))
-	for i, r := range records {
-		out[i] = r.ControlAddress()
-	}
-	return out
-}
-
-// fetchVersion requests a version from nodes in turn and reports whether it is active. The
-// next node is queried once one has responded without the version or is late, given the
-// time that the transfer takes.
-func (f *Fleet) fetchVersion(ctx context.Context, from []netip.AddrPort, wanted uint64, transfer time.Duration) bool {
-	var fetches sync.WaitGroup
-	defer fetches.Wait()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	for _, peer := range from {
-		answered := make(chan struct{})
-		fetches.Go(func() {
-			f.queryPeer(ctx, peer, false)
-			close(answered)
-		})
-		hedge := f.clk.After(fetchHedgeDelay + transfer)
-		select {
-		case <-answered:
-		case <-hedge.C():
-		}
-		hedge.Stop()
-		if f.Current().Version() >= wanted || ctx.Err() != nil {
-			return true
-		}
-	}
-	fetches.Wait()
-	return f.Current().Version() >= wanted
-}
-
 // sharedFreshness is the freshness of this node's data, for concurrent use.
 type sharedFreshness struct {
 	mu        sync.Mutex
--- a/internal/control/fleet/query.go
+++ b/internal/control/fleet/query.go
@@ -68,10 +68,10 @@
 	if f.clk.Sleep(ctx, hintDelay) != nil || f.Current().Version() >= hinted.version {
 		return
 	}
-	from := peerAddresses(f.position().Parents())
+	from := sourcesOf(f.position().Parents(), 0)
 	// Only one parent comes before the hinted node, as each stalled one costs a delay.
 	index := min(len(from), 1)
-	f.fetchVersion(ctx, slices.Insert(from, index, hinted.peer), hinted.version, 0)
+	f.fetchVersion(ctx, slices.Insert(from, index, versionSource{peer: hinted.peer}), hinted.version)
 }
 
 // queryRandomPeer queries one other node, chosen at random.
