control/fleet: pass a version on before decoding it

Change: the compressed bytes that came from another node are offered at once: pulls announce them and View serves them while the node decodes and checks the version itself. The compressed bytes are kept for the active version. A fetch whose bytes are there is no longer hedged: decoding outlasts the hedge delay on a small share of a core.

Ruled out: an announcement before the bytes are there, as children would ask in vain or be held.

Tests: the harness takes another decoder; no existing check has changed.

--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -42,6 +42,7 @@
 	rankedNodes     rankedNodes
 	freshness       sharedFreshness
 	config          atomic.Pointer[activeConfig]
+	offered         offeredVersion
 	synced          atomic.Bool
 	storeOK         atomic.Bool
 	storeLate       atomic.Bool  // a renewal has been without a response for renewalLate
@@ -60,7 +61,7 @@
 	mu            sync.Mutex
 	own           ownEntry
 	entryChanged  chan struct{}
-	applied       chan struct{} // closed when the next version becomes active
+	announced     chan struct{} // closed when the next version is offered or becomes active
 	storeChanged  chan struct{} // closed when storeOK or storeLate changes
 	syncedChanged chan struct{} // closed when the node knows the members
 
@@ -116,7 +117,7 @@
 		store: store, clk: clk, log: event.Discard(), configKey: configKey, decode: decode,
 		rng: rand.New(rand.NewPCG(1, 1)), view: newView(), own: ownEntry{base: self, self: self},
 		onCrash: func(string) {}, hints: make(chan hint, 1), entryChanged: make(chan struct{}, 1),
-		bootstrapped: make(chan struct{}), readerChanged: make(chan struct{}, 1), applied: make(chan struct{}), storeChanged: make(chan struct{}),
+		bootstrapped: make(chan struct{}), readerChanged: make(chan struct{}, 1), announced: make(chan struct{}), storeChanged: make(chan struct{}),
 		syncedChanged: make(chan struct{}), startedAt: clk.Now(),
 		rollouts: newRolloutSet(),
 	}
@@ -198,6 +199,11 @@
 // applyConfig activates a configuration if its version is greater than the active one.
 // A lagging store or node thus can't replace a newer version.
 func (f *Fleet) applyConfig(b []byte, from string) {
+	f.activate(b, sync.OnceValue(func() []byte { return compress(b) }), from)
+}
+
+// activate is applyConfig for a configuration whose compressed form is known.
+func (f *Fleet) activate(b []byte, compressed func() []byte, from string) {
 	snap, err := f.decode(b)
 	if err != nil {
 		f.log.Emit(event.VersionRefused, event.F("error", err), event.F("from", from))
@@ -208,13 +214,10 @@
 		if snap.Version() <= active.snap.Version() {
 			return
 		}
-		if f.config.CompareAndSwap(active, &activeConfig{snap: snap, since: f.clk.Now(), compressed: sync.OnceValue(func() []byte { return compress(b) })}) {
+		if f.config.CompareAndSwap(active, &activeConfig{snap: snap, since: f.clk.Now(), compressed: compressed}) {
 			f.log.Emit(event.VersionApplied, event.F("version", snap.Version()),
 				event.F("before", active.snap.Version()), event.F("from", from), event.F("bytes", len(b)))
-			f.mu.Lock()
-			close(f.applied)
-			f.applied = make(chan struct{})
-			f.mu.Unlock()
+			f.signalAnnounced()
 			return
 		}
 	}
@@ -233,8 +236,8 @@
 			out.Members = append(out.Members, encodeEntry(m))
 		}
 	}
-	if c := f.config.Load(); c.snap.Version() > r.GetVersion() {
-		out.Version, out.Configuration = c.snap.Version(), c.compressed()
+	if version, compressed := f.newest(); version > r.GetVersion() {
+		out.Version, out.Configuration = version, compressed()
 	}
 	return out, nil
 }
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -43,6 +43,8 @@
 	clk   *timer.Service
 	store *fakeStore
 	nodes map[string]*testNode
+	// decode replaces decodeNumber on nodes that start afterwards.
+	decode Decoder
 }
 
 type testNode struct {
@@ -117,7 +119,7 @@
 	t.Helper()
 	clk, stop := timer.Start()
 	t.Cleanup(stop)
-	h := &harness{t: t, clk: clk, store: newFakeStore(clk), nodes: map[string]*testNode{}}
+	h := &harness{t: t, clk: clk, store: newFakeStore(clk), nodes: map[string]*testNode{}, decode: decodeNumber}
 	for i, name := range names {
 		h.start(name, uint64(i+1))
 	}
@@ -148,7 +150,7 @@
 	peer := netip.MustParseAddrPort(ln.Addr().String())
 	self := membership.NewRecord(name, membership.Domain(domain), membership.Pool("quotes"),
 		membership.Address(peer), membership.ControlAddress(peer), membership.Boot(boot), membership.LinkMbps(link))
-	f := New(store, h.clk, self, configKey, decodeNumber, WithRandomSeed(boot),
+	f := New(store, h.clk, self, configKey, h.decode, WithRandomSeed(boot),
 		WithRollouts(testRolloutCodec{}, func() float64 { return 0.1 }))
 	n := &testNode{Fleet: f}
 	handler := f.Handler()
--- a/internal/control/fleet/pullserver.go
+++ b/internal/control/fleet/pullserver.go
@@ -31,7 +31,7 @@
 	f.rollouts.addReports(r.GetReports())
 	for {
 		changed, rolloutsChanged := f.view.changes(), f.rollouts.changes()
-		applied, storeChanged := f.nextApplied(), f.nextStoreChange()
+		announced, storeChanged := f.nextAnnounced(), f.nextStoreChange()
 		resp, updated := f.buildPullResponse(r)
 		if updated {
 			return resp, nil
@@ -43,7 +43,7 @@
 			resp, _ = f.buildPullResponse(r)
 			return resp, nil
 		case <-changed:
-		case <-applied:
+		case <-announced:
 		case <-rolloutsChanged:
 		case <-storeChanged:
 		}
@@ -124,13 +124,13 @@
 
 // buildPullResponse returns the response to a pull and whether it contains any change.
 func (f *Fleet) buildPullResponse(r *fleetpb.PullRequest) (*fleetpb.PullResponse, bool) {
-	config := f.config.Load()
+	version, compressed := f.newest()
 	resp := &fleetpb.PullResponse{
-		Version: config.snap.Version(), AgeMs: uint32(f.storeDataAge().Milliseconds()),
+		Version: version, AgeMs: uint32(f.storeDataAge().Milliseconds()),
 		Rollouts: f.rollouts.newerThan(r.GetRollouts()), RolloutsUnknown: !f.rollouts.synced.Load(),
 	}
 	if resp.Version > r.GetVersion() {
-		resp.VersionBytes = uint32(len(config.compressed()))
+		resp.VersionBytes = uint32(len(compressed()))
 	}
 	if !r.GetMembers() {
 		return resp, resp.Version > r.GetVersion() || len(resp.Rollouts) > 0
@@ -155,13 +155,6 @@
 	return resp, updated || resp.StoreSilent != r.GetStoreSilent()
 }
 
-// nextApplied returns a channel that is closed when the next version becomes active.
-func (f *Fleet) nextApplied() <-chan struct{} {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.applied
-}
-
 // nextStoreChange returns a channel that is closed when the store next answers this node
 // again, or no longer does.
 func (f *Fleet) nextStoreChange() <-chan struct{} {
--- a/internal/control/fleet/query.go
+++ b/internal/control/fleet/query.go
@@ -106,12 +106,7 @@
 		return
 	}
 	if compressed := resp.GetConfiguration(); len(compressed) > 0 {
-		b, err := decompress(compressed)
-		if err != nil {
-			f.log.Emit(event.VersionRefused, event.F("error", err), event.F("from", peer))
-			return
-		}
-		f.applyConfig(b, peer.String())
+		f.applyCompressed(resp.GetVersion(), compressed, peer.String())
 	}
 	f.mergeRollouts(resp.GetRollouts(), !resp.GetRolloutsUnknown())
 	var received []memberEntry
--- a/internal/control/fleet/versionsource.go
+++ b/internal/control/fleet/versionsource.go
@@ -112,6 +112,10 @@
 		select {
 		case <-answered:
 		case <-hedge.C():
+			// Once the bytes are there, the same ones from another node would not help.
+			if version, _ := f.newest(); version >= wanted {
+				<-answered
+			}
 		}
 		hedge.Stop()
 		if f.Current().Version() >= wanted || ctx.Err() != nil {
