--- a/internal/control/fleet/query.go
+++ b/internal/control/fleet/query.go
@@ -68,10 +68,10 @@
 	if f.clk.Sleep(ctx, hintDelay) != nil || f.Current().Version() >= hinted.version {
 		return
 	}
-	from := peerAddresses(f.position().Parents())
+	from := sourcesOf(f.position().Parents(), 0)
 	// Only one parent comes before the hinted node, as each stalled one costs a delay.
 	index := min(len(from), 1)
-	f.fetchVersion(ctx, slices.Insert(from, index, hinted.peer), hinted.version, 0)
+	f.fetchVersion(ctx, slices.Insert(from, index, versionSource{peer: hinted.peer}), hinted.version)
 }
 
 // queryRandomPeer queries one other node, chosen at random.
@@ -106,12 +106,7 @@
 		return
 	}
 	if compressed := resp.GetConfiguration(); len(compressed) > 0 {
-		b, err := decompress(compressed)
-		if err != nil {
-			f.log.Emit(event.VersionRefused, event.F("error", err), event.F("from", peer))
-			return
-		}
-		f.applyConfig(b, peer.String())
+		f.applyCompressed(resp.GetVersion(), compressed, peer.String())
 	}
 	f.mergeRollouts(resp.GetRollouts(), !resp.GetRolloutsUnknown())
 	var received []memberEntry
