policy/version, control/fleet: pauses between the versions of a series

Cause: nodes with 0.16 of a core decode each version of a series as soon as it arrives, in several goroutines at once and in any order; with 23 ms a version that took 0.72 to 0.73 of a node's time.

Change: version.Series decides: one version at a time, the newest first, those between are skipped, and the next waits twice the time that the last one took, 300 ms at most. Metric banyanlug_config_apply_seconds.

Ruled out: a pause before fetching, which delays passing a version on; applying in order of arrival.

With -race policy/version, control/fleet and platform pass; process/node (load 20 to 29) was red in TestAPartitionedDomainServesAndNeverRevertsItsVersion alone: once a confirm without a response of the store, once "i3 lists i4 as ready" not in time. That test failed 2 of 6 on the unchanged in the same hour.

--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -66,6 +66,7 @@
 	rollouts *rolloutSet
 
 	watchSchedule watchSchedule // used only by syncStore
+	series        versionSeries
 
 	queries int // to random peers; used only by queryPeers
 
@@ -118,6 +119,7 @@
 		bootstrapped: make(chan struct{}), readerChanged: make(chan struct{}, 1), applied: make(chan struct{}), storeChanged: make(chan struct{}),
 		syncedChanged: make(chan struct{}), startedAt: clk.Now(),
 		rollouts: newRolloutSet(),
+		series:   versionSeries{done: make(chan struct{})},
 	}
 	f.view.group = f.rollouts.groups
 	f.rankedNodes.byDomain = map[string]rankedDomain{}
@@ -195,8 +197,14 @@
 const fromStore = "store"
 
 // applyConfig activates a configuration if its version is greater than the active one.
-// A lagging store or node thus can't replace a newer version.
-func (f *Fleet) applyConfig(b []byte, from string) {
+// A lagging store or node thus can't replace a newer version. It waits while versions come
+// in a series. announced is the version as its source says, or version.Unknown.
+func (f *Fleet) applyConfig(announced uint64, b []byte, from string) {
+	if !f.awaitTurn(announced) {
+		return
+	}
+	began := f.clk.Now()
+	defer func() { f.endTurn(announced, began) }()
 	snap, err := f.decode(b)
 	if err != nil {
 		f.log.Emit(event.VersionRefused, event.F("error", err), event.F("from", from))
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -21,6 +21,7 @@
 	"banyanlug.example/banyanlug/internal/control/fleet/fleetpb"
 	"banyanlug.example/banyanlug/internal/control/platform"
 	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/policy/version"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -247,7 +248,7 @@
 	h.store.put(configKey, []byte("8"))
 	h.waitForVersion("n1", 8)
 	f := h.nodes["n1"].Fleet
-	f.applyConfig([]byte("5"), "another node")
+	f.applyConfig(5, []byte("5"), "another node")
 	if v := f.Current().Version(); v != 8 {
 		t.Errorf("version went back from 8 to %d", v)
 	}
@@ -444,7 +445,7 @@
 	h.waitForVersion("n2", 1)
 	h.waitForTargets("n1", "n1", "n2")
 	h.store.set(func() { h.store.unavailable = true })
-	h.nodes["n2"].applyConfig([]byte("2"), "the store, available to this node")
+	h.nodes["n2"].applyConfig(version.Unknown, []byte("2"), "the store, available to this node")
 	h.waitForVersion("n1", 2)
 }
 
--- a/internal/control/fleet/pull.go
+++ b/internal/control/fleet/pull.go
@@ -329,7 +329,7 @@
 
 // fetchVersion requests a version from nodes in turn and reports whether it is active. The
 // next node is queried once one has responded without the version or is late, given the
-// time that the transfer takes.
+// time that the transfer and the pause in a series of versions take.
 func (f *Fleet) fetchVersion(ctx context.Context, from []netip.AddrPort, wanted uint64, transfer time.Duration) bool {
 	var fetches sync.WaitGroup
 	defer fetches.Wait()
@@ -341,7 +341,7 @@
 			f.queryPeer(ctx, peer, false)
 			close(answered)
 		})
-		hedge := f.clk.After(fetchHedgeDelay + transfer)
+		hedge := f.clk.After(fetchHedgeDelay + transfer + f.seriesPause())
 		select {
 		case <-answered:
 		case <-hedge.C():
--- a/internal/control/fleet/query.go
+++ b/internal/control/fleet/query.go
@@ -111,7 +111,7 @@
 			f.log.Emit(event.VersionRefused, event.F("error", err), event.F("from", peer))
 			return
 		}
-		f.applyConfig(b, peer.String())
+		f.applyConfig(resp.GetVersion(), b, peer.String())
 	}
 	f.mergeRollouts(resp.GetRollouts(), !resp.GetRolloutsUnknown())
 	var received []memberEntry
--- a/internal/control/fleet/syncstore.go
+++ b/internal/control/fleet/syncstore.go
@@ -11,6 +11,7 @@
 	"banyanlug.example/banyanlug/internal/control/platform"
 	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/policy/version"
 )
 
 const (
@@ -230,7 +231,7 @@
 		}
 		switch {
 		case v.Key() == f.configKey:
-			f.applyConfig(v.Data(), fromStore)
+			f.applyConfig(version.Unknown, v.Data(), fromStore)
 		case strings.HasPrefix(v.Key(), domainsPrefix):
 			f.applyDomainKey(v)
 		default:
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -329,6 +329,7 @@
 	gauge := func(name string, f func() float64) { n.metrics.NewGauge(name, f) }
 	gauge("banyanlug_config_version", func() float64 { return float64(n.Version()) })
 	gauge("banyanlug_config_age_seconds", func() float64 { return n.fleet.ConfigAge().Seconds() })
+	gauge("banyanlug_config_apply_seconds", func() float64 { return n.fleet.ApplyTime().Seconds() })
 	for _, state := range []membership.State{membership.Starting, membership.Ready, membership.Draining, membership.Gone} {
 		gauge(fmt.Sprintf("banyanlug_members{state=%q}", state), func() float64 { return float64(n.fleet.Members()[state]) })
 	}
