--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -68,6 +68,7 @@
 	rollouts *rolloutSet
 
 	watchSchedule watchSchedule // used only by syncStore
+	series        versionSeries
 
 	queries int // to random peers; used only by queryPeers
 
@@ -120,6 +121,7 @@
 		bootstrapped: make(chan struct{}), readerChanged: make(chan struct{}, 1), announced: make(chan struct{}), storeChanged: make(chan struct{}),
 		syncedChanged: make(chan struct{}), startedAt: clk.Now(),
 		rollouts: newRolloutSet(),
+		series:   versionSeries{done: make(chan struct{})},
 	}
 	f.view.group = f.rollouts.groups
 	f.rankedNodes.byDomain = map[string]rankedDomain{}
@@ -197,28 +199,35 @@
 const fromStore = "store"
 
 // applyConfig activates a configuration if its version is greater than the active one.
-// A lagging store or node thus can't replace a newer version.
-func (f *Fleet) applyConfig(b []byte, from string) {
-	f.activate(b, sync.OnceValue(func() []byte { return compress(b) }), from)
+// A lagging store or node thus can't replace a newer version. announced is the version as its
+// source says, or version.Unknown.
+func (f *Fleet) applyConfig(announced uint64, b []byte, from string) {
+	f.activate(announced, b, sync.OnceValue(func() []byte { return compress(b) }), from)
 }
 
-// activate is applyConfig for a configuration whose compressed form is known.
-func (f *Fleet) activate(b []byte, compressed func() []byte, from string) {
+// activate is applyConfig for a configuration whose compressed form is known. It waits while
+// versions come in a series, and returns false if the configuration was skipped meanwhile.
+func (f *Fleet) activate(announced uint64, b []byte, compressed func() []byte, from string) (decided bool) {
+	if !f.awaitTurn(announced) {
+		return false
+	}
+	began := f.clk.Now()
+	defer func() { f.endTurn(announced, began) }()
 	snap, err := f.decode(b)
 	if err != nil {
 		f.log.Emit(event.VersionRefused, event.F("error", err), event.F("from", from))
-		return
+		return true
 	}
 	for {
 		active := f.config.Load()
 		if snap.Version() <= active.snap.Version() {
-			return
+			return true
 		}
 		if f.config.CompareAndSwap(active, &activeConfig{snap: snap, since: f.clk.Now(), compressed: compressed}) {
 			f.log.Emit(event.VersionApplied, event.F("version", snap.Version()),
 				event.F("before", active.snap.Version()), event.F("from", from), event.F("bytes", len(b)))
 			f.signalAnnounced()
-			return
+			return true
 		}
 	}
 }
--- a/internal/control/fleet/offer.go
+++ b/internal/control/fleet/offer.go
@@ -6,6 +6,7 @@
 	"github.com/zeebo/xxh3"
 
 	"banyanlug.example/banyanlug/internal/log/event"
+	"banyanlug.example/banyanlug/internal/policy/version"
 )
 
 // offeredVersion is the version that the node offers to others before it is active.
@@ -38,16 +39,21 @@
 
 // applyCompressed passes on a version from another node, then activates it. The number is
 // what that node says; the decoded version counts for this node.
-func (f *Fleet) applyCompressed(version uint64, compressed []byte, from string) {
+func (f *Fleet) applyCompressed(announced uint64, compressed []byte, from string) {
 	hash := xxh3.Hash(compressed)
-	o := f.offer(version, compressed, hash, from)
+	o := f.offer(announced, compressed, hash, from)
 	b, err := decompress(compressed)
+	decided := true
 	if err != nil {
 		f.log.Emit(event.VersionRefused, event.F("error", err), event.F("from", from))
 	} else {
-		f.activate(b, func() []byte { return compressed }, from)
+		number := announced
+		if number < f.Current().Version() {
+			number = version.Unknown // a wrong number must not hide a newer version
+		}
+		decided = f.activate(number, b, func() []byte { return compressed }, from)
 	}
-	if f.Current().Version() < version {
+	if decided && f.Current().Version() < announced {
 		f.offered.refused.Store(hash)
 	}
 	if o != nil {
--- a/internal/control/fleet/offer_test.go
+++ b/internal/control/fleet/offer_test.go
@@ -6,6 +6,7 @@
 
 	"banyanlug.example/banyanlug/internal/config/snapshot"
 	"banyanlug.example/banyanlug/internal/control/fleet/fleetpb"
+	"banyanlug.example/banyanlug/internal/policy/version"
 )
 
 // slowDecoder decodes versions from 2 on only once released.
@@ -124,7 +125,7 @@
 func TestOffersOnlyGoForward(t *testing.T) {
 	t.Parallel()
 	f := newSizedFleet("self", "d0")
-	f.applyConfig([]byte("5"), "store")
+	f.applyConfig(version.Unknown, []byte("5"), "store")
 	for _, tc := range []struct {
 		claimed uint64
 		text    string
--- a/internal/control/fleet/versionsource.go
+++ b/internal/control/fleet/versionsource.go
@@ -96,7 +96,7 @@
 
 // fetchVersion requests a version from nodes in turn and reports whether it is active. The
 // next node is queried once one has responded without the version or is late, given the
-// time that the transfer takes.
+// time that the transfer and the pause in a series of versions take.
 func (f *Fleet) fetchVersion(ctx context.Context, from []versionSource, wanted uint64) bool {
 	var fetches sync.WaitGroup
 	defer fetches.Wait()
@@ -108,7 +108,7 @@
 			f.queryPeer(ctx, source.peer, false)
 			close(answered)
 		})
-		hedge := f.clk.After(fetchHedgeDelay + source.transfer)
+		hedge := f.clk.After(fetchHedgeDelay + source.transfer + f.seriesPause())
 		select {
 		case <-answered:
 		case <-hedge.C():
