token: organisations' limits hold for any number of restarts

Cause: the plan allowed for two replacements of an issuer in a window and one second of two issuers side by side, and left nodes without an issuer out of its sum. Each further issuer, also a node that knows only itself for a moment, began with a quarter of a bucket, or a full one if it had been asked before.

Change: buckets begin empty and are filled from 0.75 s after the process started, its domain's list changed or a replacement was first asked; one that is not in use is given up. Issuers that have stopped are avoided for 0.25 s instead of 1 s. Nodes without an issuer use a fifth of the margin beyond the rate, after 0.2 s, and are in the sum. Tokens left at a node keep their expiry.

--- a/internal/control/issuer/agent.go
+++ b/internal/control/issuer/agent.go
@@ -31,8 +31,10 @@
 	// takeTimeout bounds one request to an issuer, and dialTimeout opening its connection.
 	takeTimeout = 250 * time.Millisecond
 	dialTimeout = 150 * time.Millisecond
-	// avoidTime is how long an issuer that did not answer is avoided.
-	avoidTime = time.Second
+	// avoidTime is how long an issuer that did not answer is avoided, and avoidStoppedTime one
+	// whose process has stopped: token.Plan allows two issuers side by side for 500 ms.
+	avoidTime        = time.Second
+	avoidStoppedTime = 250 * time.Millisecond
 	// maxFetches bounds the requests that one call waits for.
 	maxFetches = 3
 	// maxLenders is how many other domains are asked for tokens at once, and triedDomains how
@@ -79,6 +81,8 @@
 	loans     map[string]*fetch
 	avoid     map[string]avoided
 	nextLoans int
+	ranked    []string // instances that may issue in the own domain
+	since     time.Time
 }
 
 // fetch is a request for an organisation's tokens that its calls wait for.
@@ -120,7 +124,7 @@
 	a := &Agent{
 		clk: clk, log: event.Discard(), members: members, config: config, instance: instance, domain: domain,
 		domains: slices.Sorted(slices.Values(domains)), margin: func() token.Margin { return token.Margin{} },
-		issuer: token.NewIssuer(), cache: token.NewCache(),
+		issuer: token.NewIssuer(clk.Now()), cache: token.NewCache(),
 		fetches: map[string]*fetch{}, loans: map[string]*fetch{}, avoid: map[string]avoided{},
 	}
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
@@ -138,6 +142,7 @@
 		return limit.Allowed{}
 	}
 	p := token.NewPlan(l, a.margin(), len(a.domains))
+	a.watchRanked()
 	d := a.cache.Take(now, l, p)
 	for range maxFetches {
 		f, ok := d.(token.Fetch)
@@ -262,6 +267,9 @@
 			}
 			a.log.Emit(event.PeerLost, event.F("peer", r.Instance()), event.F("error", err))
 			known = avoided{until: a.clk.Now().Add(avoidTime), stopped: errors.Is(err, syscall.ECONNREFUSED)}
+			if known.stopped {
+				known.until = a.clk.Now().Add(avoidStoppedTime)
+			}
 			a.mu.Lock()
 			a.avoid[r.Instance()] = known
 			a.mu.Unlock()
@@ -285,6 +293,29 @@
 	return known, ok
 }
 
+// ownPlan returns the plan of a limit for this node as an issuer.
+func (a *Agent) ownPlan(l snapshot.Limit) token.Plan {
+	ranked, since := a.watchRanked()
+	first := len(ranked) > 0 && byWeight(l.Organisation(), ranked, membership.Record.Instance)[0].Instance() == a.instance
+	return token.NewPlan(l, a.margin(), len(a.domains)).At(since, !first)
+}
+
+// watchRanked returns the nodes that may issue in the own domain, and since when this node
+// knows them.
+func (a *Agent) watchRanked() ([]membership.Record, time.Time) {
+	ranked := a.members.HighestRanked(a.domain, issuersPerDomain)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	same := func(r membership.Record, name string) bool { return r.Instance() == name }
+	if a.ranked == nil || !slices.EqualFunc(ranked, a.ranked, same) {
+		a.ranked, a.since = make([]string, len(ranked)), a.clk.Now()
+		for i, r := range ranked {
+			a.ranked[i] = r.Instance()
+		}
+	}
+	return ranked, a.since
+}
+
 // Take implements issuerpb.Issuer.
 func (a *Agent) Take(ctx context.Context, req *issuerpb.TakeRequest) (*issuerpb.TakeResponse, error) {
 	snap := a.config.Current()
@@ -295,7 +326,7 @@
 	if !ok || l.Rate() <= 0 {
 		return &issuerpb.TakeResponse{Unlimited: true}, nil
 	}
-	p, n := token.NewPlan(l, a.margin(), len(a.domains)), int(req.GetTokens())
+	p, n := a.ownPlan(l), int(req.GetTokens())
 	if req.GetLend() {
 		return a.respond(a.issuer.Lend(a.clk.Now(), l, p, n)), nil
 	}
--- a/internal/policy/token/cache.go
+++ b/internal/policy/token/cache.go
@@ -15,6 +15,9 @@
 	// maxRefusalHold is how long a node refuses calls by itself after its issuer had no
 	// tokens, so that an organisation far beyond its limit costs few messages.
 	maxRefusalHold = 200 * time.Millisecond
+	// withoutIssuerRetry is when a caller may retry at a node that has no issuer and may not
+	// use tokens of its own.
+	withoutIssuerRetry = time.Second
 )
 
 // Decision is the result of Cache.Take: Granted, Fetch or Refused.
@@ -99,12 +102,17 @@
 // Fetched records the issuer's answer to a request sent at sentAt.
 func (c *Cache) Fetched(sentAt, now time.Time, l snapshot.Limit, tokens int, retryAfter time.Duration) {
 	c.with(now, l, func(o *cached) {
+		o.fallback = bucket{}
 		if !now.Before(o.expires) {
 			o.tokens = 0
 		}
 		if tokens > 0 {
 			// The issuer may have counted them from any time after the request was sent.
-			o.tokens, o.expires = o.tokens+tokens, sentAt.Add(cacheTime)
+			// Tokens left of an earlier request must not last longer for it.
+			if o.tokens == 0 {
+				o.expires = sentAt.Add(cacheTime)
+			}
+			o.tokens += tokens
 		}
 		if retryAfter > 0 {
 			o.retryAt = now.Add(retryAfter)
@@ -118,11 +126,17 @@
 func (c *Cache) TakeWithoutIssuer(now time.Time, l snapshot.Limit, p Plan, nodes int) (d Decision) {
 	c.with(now, l, func(o *cached) {
 		o.waiting--
-		rate := p.fallbackRate / float64(max(1, nodes))
+		rate := p.fallbackRate(nodes)
+		if rate == 0 {
+			d = Refused{RetryAfter: o.retries.next(now, withoutIssuerRetry, time.Millisecond)}
+			return
+		}
 		if o.fallback.refilledAt.IsZero() {
-			o.fallback.refilledAt = now
+			o.fallback.refilledAt = now.Add(cacheTime) // tokens of issuers have expired then
+		}
+		if now.After(o.fallback.refilledAt) {
+			o.fallback.refill(now, rate, 1)
 		}
-		o.fallback.refill(now, rate, 1)
 		if o.fallback.take(1, 0) == 1 {
 			d = Granted{}
 			return
--- a/internal/policy/token/issuer.go
+++ b/internal/policy/token/issuer.go
@@ -23,7 +23,8 @@
 // Issuer issues the tokens of the organisations whose buckets a node holds for its failure
 // domain. It is safe for concurrent use.
 type Issuer struct {
-	shards [shards]struct {
+	startedAt time.Time
+	shards    [shards]struct {
 		mu      sync.Mutex
 		buckets map[string]*issued
 	}
@@ -34,11 +35,13 @@
 	bucket
 	demand      demand // for tokens
 	noLendersAt time.Time
+	askedAt     time.Time
+	readyAt     time.Time // when the bucket begins to be filled
 }
 
-// NewIssuer returns an issuer without buckets.
-func NewIssuer() *Issuer {
-	s := &Issuer{}
+// NewIssuer returns an issuer without buckets, of a process that starts now.
+func NewIssuer(now time.Time) *Issuer {
+	s := &Issuer{startedAt: now}
 	for i := range s.shards {
 		s.shards[i].buckets = map[string]*issued{}
 	}
@@ -62,7 +65,7 @@
 		out := Issue{Tokens: b.take(n, 0)}
 		if out.Tokens < n {
 			// Each token has several takers if the demand exceeds the rate.
-			next := (1 - b.tokens) / p.rate * max(1, b.demand.rate/p.rate)
+			next := max(0, b.readyAt.Sub(now).Seconds()) + (1-b.tokens)/p.rate*max(1, b.demand.rate/p.rate)
 			out.RetryAfter = min(maxRetryAfter, time.Duration(next*float64(time.Second)))
 			if p.issuers > 1 && now.Sub(b.noLendersAt) >= borrowPause {
 				missing := float64(n-out.Tokens) + max(0, b.demand.rate-p.rate)*reserveTime.Seconds()
@@ -100,9 +103,36 @@
 	defer shard.mu.Unlock()
 	b := shard.buckets[l.Organisation()]
 	if b == nil {
-		b = &issued{bucket: bucket{tokens: p.initial, refilledAt: now}, demand: demand{at: now}}
+		b = &issued{demand: demand{at: now}}
 		shard.buckets[l.Organisation()] = b
 	}
-	b.refill(now, p.rate, p.capacity)
+	s.begin(b, now, p.turn)
+	b.askedAt = now
+	if now.Before(b.readyAt) {
+		b.refilledAt = b.readyAt
+	} else {
+		b.refill(now, p.rate, p.capacity)
+	}
 	return f(b)
 }
+
+// begin gives up the tokens of a bucket that may have been out of use, as another issuer may
+// have been asked meanwhile. The first issuer of a domain keeps the bucket of an organisation
+// that calls rarely: nobody else issues while the members stay the same.
+func (s *Issuer) begin(b *issued, now time.Time, t turn) {
+	since := s.startedAt
+	if t.since.After(since) {
+		since = t.since
+	}
+	switch {
+	case t.replacement && now.Sub(b.askedAt) > idleTime:
+		since = now
+	case b.askedAt.IsZero() || since.Sub(b.askedAt) > idleTime:
+	case b.readyAt.Sub(now) > silentTime: // the clock moved back
+		since = now
+	default:
+		return
+	}
+	b.tokens, b.readyAt = 0, since.Add(silentTime)
+	b.refilledAt = b.readyAt
+}
