token: a call that was not run gives back no token of an earlier request

Cause: Cache.Return looked only at the expiry of the tokens that the node has now. A token of a call that was refused after seconds got the expiry of later ones and was used in a window in which it had not been issued.

Change: Done and Return take the time at which the call was allowed; a token is taken back only if it came with those that the node has. The test of returned tokens has the step and fails without the rule.

Ruled out: a limit on the age of a returned token alone; a chain of calls that are not run could carry it on.

Tests: -race on the packages changed and platform pass.

--- a/internal/control/issuer/agent.go
+++ b/internal/control/issuer/agent.go
@@ -172,9 +172,9 @@
 
 // Done records the end of an allowed call; the token of one that was not run can be used
 // again.
-func (a *Agent) Done(now time.Time, l snapshot.Limit, notRun bool) {
+func (a *Agent) Done(allowedAt, now time.Time, l snapshot.Limit, notRun bool) {
 	if notRun {
-		a.cache.Return(now, l)
+		a.cache.Return(allowedAt, now, l)
 	}
 }
 
--- a/internal/control/issuer/agent_test.go
+++ b/internal/control/issuer/agent_test.go
@@ -225,11 +225,11 @@
 	if got := m.allowed("n1", 1000); got != m.total() {
 		t.Fatalf("%d calls are allowed, want %d", got, m.total())
 	}
-	m.agents["n1"].Done(m.clk.Now(), acme, false)
+	m.agents["n1"].Done(m.clk.Now(), m.clk.Now(), acme, false)
 	if got := m.allowed("n1", 1); got != 0 {
 		t.Error("the token of a call that may have run is used again")
 	}
-	m.agents["n1"].Done(m.clk.Now(), acme, true)
+	m.agents["n1"].Done(m.clk.Now(), m.clk.Now(), acme, true)
 	if got := m.allowed("n1", 2); got != 1 {
 		t.Errorf("%d calls are allowed with one returned token", got)
 	}
--- a/internal/policy/limit/limiter.go
+++ b/internal/policy/limit/limiter.go
@@ -221,7 +221,7 @@
 }
 
 // Done records the end of an allowed call, whether it was run or not.
-func (l *Limiter) Done(now time.Time, limit snapshot.Limit, _ bool) {
+func (l *Limiter) Done(_, now time.Time, limit snapshot.Limit, _ bool) {
 	l.Release(now, limit.Organisation())
 }
 
--- a/internal/policy/token/cache.go
+++ b/internal/policy/token/cache.go
@@ -47,6 +47,7 @@
 // cached is one organisation's state at a node.
 type cached struct {
 	tokens  int
+	fetched time.Time // when the oldest of the tokens came
 	expires time.Time
 	waiting int // calls that wait for tokens to be fetched
 
@@ -110,7 +111,7 @@
 			// The issuer may have counted them from any time after the request was sent.
 			// Tokens left of an earlier request must not last longer for it.
 			if o.tokens == 0 {
-				o.expires = sentAt.Add(cacheTime)
+				o.fetched, o.expires = now, sentAt.Add(cacheTime)
 			}
 			o.tokens += tokens
 		}
@@ -152,10 +153,11 @@
 	c.with(now, l, func(o *cached) { o.waiting-- })
 }
 
-// Return gives back the token of a call that certainly was not run.
-func (c *Cache) Return(now time.Time, l snapshot.Limit) {
+// Return gives back the token that a call took at a time, as it certainly was not run. A token
+// of an earlier request must not last as long as later ones.
+func (c *Cache) Return(takenAt, now time.Time, l snapshot.Limit) {
 	c.with(now, l, func(o *cached) {
-		if now.Before(o.expires) {
+		if now.Before(o.expires) && !takenAt.Before(o.fetched) {
 			o.tokens++
 		}
 	})
--- a/internal/policy/token/doc.go
+++ b/internal/policy/token/doc.go
@@ -6,7 +6,8 @@
 // domain when calls need them, and a busy node takes those of the next moments at once. An
 // issuer whose bucket is empty takes spare ones from the issuers of other domains, so that
 // tokens follow demand within one exchange. A limit too small to be split is issued in
-// fewer domains.
+// fewer domains. A new issuer has no tokens for a moment, in which nodes may still use its
+// predecessor.
 //
 // This answers a load of many organisations whose calls come at few nodes each, and of
 // single organisations far beyond their limit. No token is issued twice, so the sum of all
--- a/internal/policy/token/token_test.go
+++ b/internal/policy/token/token_test.go
@@ -334,12 +334,21 @@
 	if _, ok := c.Retake(now, l, p).(Granted); !ok {
 		t.Fatal("no token after one was fetched")
 	}
-	c.Return(now.Add(ms), l)
+	c.Return(now, now.Add(ms), l)
 	if _, ok := take(now.Add(2 * ms)).(Granted); !ok {
 		t.Error("the returned token is not used")
 	}
-	c.Return(now.Add(time.Second), l)
+	c.Return(now.Add(2*ms), now.Add(time.Second), l)
 	if _, ok := take(now.Add(time.Second)).(Granted); ok {
 		t.Error("an expired token is used")
 	}
+	later := now.Add(2 * time.Second)
+	c.Fetched(later, later, l, 1, 0)
+	if _, ok := take(later).(Granted); !ok {
+		t.Fatal("no token after one was fetched")
+	}
+	c.Return(now.Add(2*ms), later, l)
+	if _, ok := take(later).(Granted); ok {
+		t.Error("a token of an earlier request is used with later ones")
+	}
 }
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -94,7 +94,7 @@
 	// Allow decides about a new call; it may wait shortly for a share of the limit.
 	Allow(now time.Time, l snapshot.Limit) limit.Decision
 	// Done records the end of an allowed call; notRun is set if it certainly was not run.
-	Done(now time.Time, l snapshot.Limit, notRun bool)
+	Done(allowedAt, now time.Time, l snapshot.Limit, notRun bool)
 }
 
 // WithLimits enforces organisations' limits with l. Without it none are enforced.
