--- a/internal/control/issuer/usage.go
+++ b/internal/control/issuer/usage.go
@@ -31,7 +31,7 @@
 	if l.Rate() <= 0 {
 		return 0
 	}
-	return a.cache.Level(now, l, token.NewPlan(l, a.margin(), len(a.domains)), a.members.Size())
+	return a.cache.Level(now, l, a.members.Size())
 }
 
 // observe records a request for n tokens at this issuer and returns the organisation's level.
--- a/internal/policy/admission/fairness_test.go
+++ b/internal/policy/admission/fairness_test.go
@@ -104,7 +104,7 @@
 func (f *fairSim) restartIssuers() {
 	f.issuers = nil
 	for range fairDomains {
-		f.issuers = append(f.issuers, token.NewIssuer())
+		f.issuers = append(f.issuers, token.NewIssuer(f.Now()))
 	}
 }
 
@@ -222,7 +222,7 @@
 	case strictUsage:
 		return f.levels[fmt.Sprint(o.limit.Organisation(), node%fairDomains)]
 	default:
-		return f.caches[node].Level(f.Now(), o.limit, p, fairNodes)
+		return f.caches[node].Level(f.Now(), o.limit, fairNodes)
 	}
 }
 
--- a/internal/policy/token/usage.go
+++ b/internal/policy/token/usage.go
@@ -224,11 +224,11 @@
 // Level returns the level of an organisation's next call. Without a recent answer of an
 // issuer the node compares its own calls with its part of the limit, as one of some nodes in
 // the same position.
-func (c *Cache) Level(now time.Time, l snapshot.Limit, p Plan, nodes int) (level int) {
+func (c *Cache) Level(now time.Time, l snapshot.Limit, nodes int) (level int) {
 	c.with(now, l, func(o *cached) {
 		n := &o.level
 		if level = n.level; !now.Before(n.until) {
-			n.own.add(now, 1, p.fallbackRate/float64(max(1, nodes)), 0)
+			n.own.add(now, 1, l.Rate()/float64(max(1, nodes)), 0)
 			level = n.own.level
 		}
 		if level == 0 {
--- a/internal/policy/token/usage_test.go
+++ b/internal/policy/token/usage_test.go
@@ -25,13 +25,13 @@
 func TestLevelsAreStable(t *testing.T) {
 	t.Parallel()
 	for rate, want := range map[float64]int{5: 0, 40: 1, 60: 2, 95: 3} {
-		s := NewIssuer()
+		s := NewIssuer(sim.Start)
 		if changes, level := use(s, sim.Start, rate, time.Minute); level != want || changes != want {
 			t.Errorf("%v per second of 100: level %d after %d changes, want %d", rate, level, changes, want)
 		}
 	}
 	// An organisation of a call in two seconds is not raised by three at once.
-	s, l := NewIssuer(), testLimit(4, 4)
+	s, l := NewIssuer(sim.Start), testLimit(4, 4)
 	if _, level := s.Level(sim.Start, l, NewPlan(l, testMargin, 1), 3, 0); level != 0 {
 		t.Errorf("level %d after three calls", level)
 	}
@@ -42,24 +42,24 @@
 func TestLevelsComeBackAfterAnIssuerRestarts(t *testing.T) {
 	t.Parallel()
 	l := testLimit(100, 100)
-	c, p := NewCache(), NewPlan(l, testMargin, 1)
-	_, level := use(NewIssuer(), sim.Start, 95, time.Minute)
+	c := NewCache()
+	_, level := use(NewIssuer(sim.Start), sim.Start, 95, time.Minute)
 	c.SetLevel(sim.Start, l, level)
-	if got := c.Level(sim.Start, l, p, 80); got != HighestLevel {
+	if got := c.Level(sim.Start, l, 80); got != HighestLevel {
 		t.Errorf("level %d at the node", got)
 	}
-	restarted := NewIssuer()
+	restarted := NewIssuer(sim.Start)
 	for _, tc := range []struct {
 		after time.Duration
 		want  int
 	}{{100 * ms, 0}, {2 * time.Second, 1}, {12 * time.Second, HighestLevel}} {
-		if _, level := use(NewIssuer(), sim.Start, 95, tc.after); level != tc.want {
+		if _, level := use(NewIssuer(sim.Start), sim.Start, 95, tc.after); level != tc.want {
 			t.Errorf("level %d %v after the restart, want %d", level, tc.after, tc.want)
 		}
 	}
 	_, level = use(restarted, sim.Start, 95, 100*ms)
 	c.SetLevel(sim.Start, l, level)
-	if got := c.Level(sim.Start, l, p, 80); got != 0 {
+	if got := c.Level(sim.Start, l, 80); got != 0 {
 		t.Errorf("level %d at the node after the restart", got)
 	}
 }
@@ -70,7 +70,7 @@
 	t.Parallel()
 	l := testLimit(100, 100)
 	p := NewPlan(l, testMargin, 3)
-	s := NewIssuer()
+	s := NewIssuer(sim.Start)
 	if _, level := use(s, sim.Start, 20, 30*time.Second); level != 0 {
 		t.Errorf("level %d with a fifth of the limit in one domain", level)
 	}
@@ -92,11 +92,11 @@
 func TestANodeSendsSomeCallsAtLevelZero(t *testing.T) {
 	t.Parallel()
 	l := testLimit(100, 100)
-	c, p := NewCache(), NewPlan(l, testMargin, 1)
+	c := NewCache()
 	c.SetLevel(sim.Start, l, HighestLevel)
 	zero := 0
 	for range 30 {
-		if c.Level(sim.Start, l, p, 80) == 0 {
+		if c.Level(sim.Start, l, 80) == 0 {
 			zero++
 		}
 	}
@@ -104,7 +104,7 @@
 		t.Errorf("%d of 30 calls at level 0", zero)
 	}
 	// One call in a minute is little of the node's own part of the limit.
-	if got := c.Level(sim.Start.Add(time.Minute), l, p, 80); got != 0 {
+	if got := c.Level(sim.Start.Add(time.Minute), l, 80); got != 0 {
 		t.Errorf("level %d a minute after the last answer", got)
 	}
 }
