process/resident: the scheduling delay comes from the runtime's latencies

A goroutine whose timer has fired is the next to run, so that a timer is on time while hundreds of others wait.

Change: the monitor reads the runtime's histogram of scheduling latencies and takes the mean since the reading before, or the lateness of its timer if that is more.

Ruled out: a goroutine started by the monitor, which the scheduler runs next as well.

--- a/internal/process/resident/overload.go
+++ b/internal/process/resident/overload.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"runtime/metrics"
 	"time"
 
 	"banyanlug.example/banyanlug/internal/log/event"
@@ -10,21 +12,27 @@
 // measureDelay observes the scheduling delay of the process until ctx ends, and sends the
 // error of ctx on done.
 func (n *Node) measureDelay(ctx context.Context, done chan<- error) {
+	var latencies schedulingLatencies
+	latencies.mean()
 	for {
 		start, period := n.clk.Now(), n.overload.Period()
 		if err := n.clk.Sleep(ctx, period); err != nil {
 			done <- err
 			return
 		}
-		n.observeDelay(start, period)
+		n.observeDelay(start, period, latencies.mean())
 	}
 }
 
-// observeDelay observes how late the timer has fired that was set to period at start.
-// Both times have monotonic readings, so a step of the system clock doesn't count.
-func (n *Node) observeDelay(start time.Time, period time.Duration) {
+// observeDelay observes a period that began at start and was to last for period, in which
+// goroutines waited for latency on average before they ran. Both times have monotonic
+// readings, so a step of the system clock doesn't count.
+func (n *Node) observeDelay(start time.Time, period, latency time.Duration) {
 	now := n.clk.Now()
-	if !n.overload.Observe(now, period, now.Sub(start)-period) {
+	// A goroutine whose timer has fired runs before those that wait, so that the timer is late
+	// only where the process as a whole does not run.
+	late := max(latency, now.Sub(start)-period)
+	if !n.overload.Observe(now, period, late) {
 		return
 	}
 	state := "ended"
@@ -33,3 +41,48 @@
 	}
 	n.log.Emit(event.Overload, event.F("state", state), event.F("delay_ms", n.overload.Delay().Milliseconds()))
 }
+
+// schedulingLatencies reads how long goroutines that were ready waited until they ran, from
+// the runtime's histogram of a sample of them.
+type schedulingLatencies struct {
+	sample  [1]metrics.Sample
+	earlier []uint64 // the counts of the call before
+}
+
+// mean returns the mean latency since the call before; 0 if there was no sample.
+func (s *schedulingLatencies) mean() time.Duration {
+	s.sample[0].Name = "/sched/latencies:seconds"
+	metrics.Read(s.sample[:])
+	if s.sample[0].Value.Kind() != metrics.KindFloat64Histogram {
+		return 0
+	}
+	h := s.sample[0].Value.Float64Histogram()
+	if s.earlier == nil {
+		s.earlier = make([]uint64, len(h.Counts))
+	}
+	d := meanLatency(h.Buckets, h.Counts, s.earlier)
+	copy(s.earlier, h.Counts)
+	return d
+}
+
+// meanLatency returns the mean of what has been counted since earlier, in buckets whose
+// bounds are in seconds.
+func meanLatency(buckets []float64, counts, earlier []uint64) time.Duration {
+	n, sum := uint64(0), 0.0
+	for i, c := range counts {
+		added := c - earlier[i]
+		if added == 0 {
+			continue
+		}
+		from, to := max(0, buckets[i]), buckets[i+1]
+		if math.IsInf(to, 1) {
+			to = from
+		}
+		n += added
+		sum += float64(added) * (from + max(from, to)) / 2
+	}
+	if n == 0 {
+		return 0
+	}
+	return time.Duration(math.Round(sum / float64(n) * float64(time.Second)))
+}
--- a/internal/process/resident/overload_test.go
+++ b/internal/process/resident/overload_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -29,7 +30,7 @@
 	for _, late := range []time.Duration{0, 0, 0, 200 * time.Millisecond, 200 * time.Millisecond, 200 * time.Millisecond} {
 		start, period := clk.Now(), n.overload.Period()
 		clk.Advance(period + late)
-		n.observeDelay(start, period)
+		n.observeDelay(start, period, 0)
 	}
 	if delay := n.overload.Delay(); delay < 100*time.Millisecond || delay > 200*time.Millisecond {
 		t.Errorf("delay %v", delay)
@@ -38,3 +39,35 @@
 		t.Errorf("log: %s", got)
 	}
 }
+
+// Guards against a mean over all time, which would hide a delay that has just begun, and
+// against unbounded buckets that make it infinite.
+func TestMeanLatencyIsThatOfTheLastPeriod(t *testing.T) {
+	t.Parallel()
+	buckets := []float64{math.Inf(-1), 0, 0.01, 0.03, math.Inf(1)}
+	for _, tc := range []struct {
+		name            string
+		counts, earlier []uint64
+		want            time.Duration
+	}{
+		{"nothing ran", []uint64{1, 2, 3, 4}, []uint64{1, 2, 3, 4}, 0},
+		{"short before, long now", []uint64{0, 900, 10, 0}, []uint64{0, 900, 0, 0}, 20 * time.Millisecond},
+		{"both", []uint64{0, 1, 1, 0}, []uint64{0, 0, 0, 0}, 12500 * time.Microsecond},
+		{"beyond the last bound", []uint64{1, 0, 0, 1}, []uint64{0, 0, 0, 0}, 15 * time.Millisecond},
+	} {
+		if got := meanLatency(buckets, tc.counts, tc.earlier); got != tc.want {
+			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+// Guards against a runtime that no longer has the histogram: a node would never notice an
+// overload.
+func TestRuntimeHasSchedulingLatencies(t *testing.T) {
+	t.Parallel()
+	var s schedulingLatencies
+	s.mean()
+	if len(s.earlier) == 0 {
+		t.Errorf("the runtime has no histogram %s", s.sample[0].Name)
+	}
+}
