traffic: connections hold buffers only while a call uses them

Change: servers wait for the first byte of a call without a buffer and return both once no byte is left; clients return theirs with the connection. Buffers come from pools. With TLS a server's connection keeps its read buffer.

--- a/internal/traffic/hop/pool.go
+++ b/internal/traffic/hop/pool.go
@@ -41,8 +41,7 @@
 type peerConn struct {
 	to            netip.AddrPort
 	conn          net.Conn
-	br            *bufio.Reader
-	bw            *bufio.Writer
+	*buffers      // nil while the connection is idle
 	counted       *countingConn
 	authenticated bool
 	idleSince     time.Time
@@ -88,7 +87,30 @@
 
 func (c *Client) newPeerConn(to netip.AddrPort, conn net.Conn) *peerConn {
 	counted := &countingConn{conn: conn, readLimit: math.MaxInt64}
-	return &peerConn{to: to, conn: conn, br: bufio.NewReader(counted), bw: bufio.NewWriter(counted), counted: counted, idleTimeout: c.idleTimeout}
+	return &peerConn{to: to, conn: conn, counted: counted, idleTimeout: c.idleTimeout}
+}
+
+// buffers are the buffers of one call. They are pooled, so that a connection has them
+// only while it carries a call: they would take most of the memory of the idle
+// connections.
+type buffers struct {
+	br *bufio.Reader
+	bw *bufio.Writer
+}
+
+var bufferPool = sync.Pool{New: func() any { return &buffers{br: bufio.NewReader(nil), bw: bufio.NewWriter(nil)} }}
+
+func (pc *peerConn) takeBuffers() {
+	pc.buffers = bufferPool.Get().(*buffers)
+	pc.br.Reset(pc.counted)
+	pc.bw.Reset(pc.counted)
+}
+
+// releaseBuffers returns the buffers to the pool. The call must have ended, and no
+// unread bytes may be left.
+func (pc *peerConn) releaseBuffers() {
+	bufferPool.Put(pc.buffers)
+	pc.buffers = nil
 }
 
 type poolShard struct {
@@ -101,14 +123,20 @@
 	return &c.shards[(uint(a[15])^uint(a[14])<<1^uint(to.Port()))%shardCount]
 }
 
-// acquire returns a pooled connection that is still usable, or opens one.
+// acquire returns a pooled connection that is still usable, or opens one, with the
+// buffers for a call.
 func (c *Client) acquire(ctx context.Context, to netip.AddrPort, deadline time.Time) (*peerConn, error) {
 	for {
 		pc := c.pop(to)
 		if pc == nil {
-			return c.dial(ctx, to, deadline)
+			pc, err := c.dial(ctx, to, deadline)
+			if err == nil {
+				pc.takeBuffers()
+			}
+			return pc, err
 		}
 		if !pc.expired(c.clk.Now()) && http1.Reusable(pc.conn) {
+			pc.takeBuffers()
 			return pc, nil
 		}
 		pc.discard()
--- a/internal/traffic/hop/response.go
+++ b/internal/traffic/hop/response.go
@@ -132,6 +132,7 @@
 		clean = false
 	}
 	if clean {
+		pc.releaseBuffers()
 		res.pooled = res.client.release(pc)
 		return
 	}
--- a/internal/traffic/http1/conn.go
+++ b/internal/traffic/http1/conn.go
@@ -1,8 +1,6 @@
 package http1
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -19,8 +17,12 @@
 	s         *Server
 	shard     *shard
 	rwc       net.Conn
-	br        *bufio.Reader
-	bw        *bufio.Writer
+	in        connReader
+	out       deadlineWriter
+	*buffers                        // nil while the connection is idle
+	tryFill   func(fd uintptr) bool // c.fillOnce; a field, since a method value would be allocated for each call
+	fillErr   error                 // result of fillOnce
+	longHeads bool                  // a head did not fit into a small read buffer
 	remote    string
 	done      chan struct{}
 	callStart time.Time // guarded by shard.mu
@@ -32,7 +34,9 @@
 }
 
 func newConn(s *Server, sh *shard, rwc net.Conn) *conn {
-	return &conn{s: s, shard: sh, rwc: rwc, remote: rwc.RemoteAddr().String(), done: make(chan struct{}), noCallYet: true}
+	c := &conn{s: s, shard: sh, rwc: rwc, remote: rwc.RemoteAddr().String(), done: make(chan struct{}), noCallYet: true}
+	c.out.c, c.tryFill = c, c.fillOnce
+	return c
 }
 
 func (c *conn) serve(ctx context.Context) {
@@ -42,8 +46,7 @@
 	if !c.handshake(ctx) {
 		return
 	}
-	c.br = bufio.NewReaderSize(c.rwc, initialBufferBytes)
-	c.bw = bufio.NewWriter(&deadlineWriter{c})
+	c.in.conn = c.rwc
 	for first := true; c.awaitCall() && c.serveCall(ctx); first = false {
 		if first {
 			ctx = context.WithValue(ctx, reusedConnKey{}, true)
@@ -86,7 +89,7 @@
 	_ = c.rwc.SetReadDeadline(until)
 	c.mu.Unlock()
 
-	_, err := c.br.Peek(1)
+	err := c.awaitBytes()
 
 	c.mu.Lock()
 	c.idle, c.noCallYet = false, false
@@ -130,6 +133,7 @@
 // closed connection and couldn't tell whether its call has run. The response
 // states NotRun, since nothing that arrives after it is read as a call.
 func (c *conn) closeIdle() {
+	c.takeBuffers()
 	c.refuse(&Refusal{
 		Status: http.StatusRequestTimeout, Type: KindConnectionClosed,
 		Message: "this connection is closed, nothing sent on it from here on was run", Outcome: NotRun,
@@ -211,14 +215,6 @@
 	return true
 }
 
-// growBuffer replaces the read buffer by one that holds the longest head, with the
-// same content.
-func (c *conn) growBuffer() {
-	buffered, _ := c.br.Peek(c.br.Buffered())
-	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.rwc), maxHeadBytes)
-	_, _ = c.br.Peek(len(buffered))
-}
-
 func (c *conn) beginCall(cancel context.CancelCauseFunc) {
 	c.mu.Lock()
 	c.cancel = cancel
--- a/internal/traffic/http1/rawsyscall_linux.go
+++ b/internal/traffic/http1/rawsyscall_linux.go
@@ -51,9 +51,15 @@
 	rc.readBuf = p
 	err := rc.raw.Read(rc.tryRead)
 	rc.readBuf = nil
-	switch {
-	case err != nil:
+	if err != nil {
 		return 0, err
+	}
+	return rc.readResult()
+}
+
+// readResult returns the result of a readOnce that returned true.
+func (rc *rawSyscallConn) readResult() (int, error) {
+	switch {
 	case rc.readErr != 0:
 		return 0, os.NewSyscallError("read", rc.readErr)
 	case rc.nRead == 0:
