control/issuer: issuers know who may issue before the first call comes

Cause: an issuer fills its buckets from 0.75 s after it knows the nodes that may issue, and it looked at them only when a node asked for tokens.

Change: each issuer looks at them once a second.

Ruled out: buckets that begin with tokens, as those are not bounded for any number of restarts.

Test: the first call of an organisation is allowed by issuers that have been up for a minute. The mesh of the tests did by hand what was missing.

--- a/internal/control/issuer/agent.go
+++ b/internal/control/issuer/agent.go
@@ -302,6 +302,13 @@
 	return token.NewPlan(l, a.margin(), len(a.domains)).At(since, !first)
 }
 
+// observeOthers observes the nodes that may issue, also while nobody asks for tokens: a bucket
+// is filled only from some time after the node knows them.
+func (a *Agent) observeOthers(ctx context.Context) {
+	a.watchRanked()
+	a.askOthers(ctx)
+}
+
 // watchRanked returns the nodes that may issue in the own domain, and since when this node
 // knows them.
 func (a *Agent) watchRanked() ([]membership.Record, time.Time) {
@@ -387,8 +394,9 @@
 // Service returns the HTTP handler for requests of other nodes.
 func (a *Agent) Service() issuerpb.TwirpServer { return issuerpb.NewIssuerServer(a) }
 
-// Run asks other issuers for the demand of organisations until ctx ends. It then closes the
-// connections to them and sends ctx's error on done.
+// Run observes who may issue in the own domain, and asks other issuers for the demand of
+// organisations, until ctx ends. It then closes the connections to them and sends ctx's
+// error on done.
 func (a *Agent) Run(ctx context.Context, done chan<- error) {
 	tick := a.clk.Subscribe(askInterval)
 	defer tick.Stop()
@@ -396,7 +404,7 @@
 		select {
 		case <-ctx.Done():
 		case <-tick.C():
-			a.askOthers(ctx)
+			a.observeOthers(ctx)
 		}
 	}
 	a.http.CloseIdleConnections()
--- a/internal/control/issuer/agent_test.go
+++ b/internal/control/issuer/agent_test.go
@@ -65,7 +65,7 @@
 	}
 	// The issuers have been up for long: their buckets are full.
 	for _, a := range m.agents {
-		a.watchRanked()
+		a.observeOthers(t.Context())
 	}
 	clk.Advance(time.Minute)
 	return m
@@ -291,6 +291,16 @@
 	}
 }
 
+// Guards against issuers that begin to fill a bucket only when the first call comes, so that
+// all organisations are refused in the first second of their traffic.
+func TestBucketsAreFullBeforeTheFirstCall(t *testing.T) {
+	t.Parallel()
+	m := newMesh(t)
+	if m.allowed("n1", 1) != 1 {
+		t.Error("the first call of an organisation is refused")
+	}
+}
+
 // Guards against tokens that a node issues as soon as it has started or its member list has
 // changed, while others still take theirs from its predecessor.
 func TestANewIssuerIssuesNothingAtFirst(t *testing.T) {
