process/resident: a stop of the process is no overload

Cause, found in review: goroutines that were ready when a process was stopped count with the whole stop, in the reading after it or the next; two such readings pass the median of three. After stops of 3 s a process with 20 busy goroutines had delays of 1.07 and 0.80 s, at which it refuses all calls of its own callers.

Change: the latencies of a reading whose timer was late by 0.5 s, and of the next, are left out.

Test: readings with a stop of 3 s start no overload.

--- a/internal/process/resident/overload.go
+++ b/internal/process/resident/overload.go
@@ -14,16 +14,36 @@
 func (n *Node) measureDelay(ctx context.Context, done chan<- error) {
 	var latencies schedulingLatencies
 	latencies.mean()
+	var stops stopFilter
 	for {
 		start, period := n.clk.Now(), n.overload.Period()
 		if err := n.clk.Sleep(ctx, period); err != nil {
 			done <- err
 			return
 		}
-		n.observeDelay(start, period, latencies.mean())
+		latency := stops.filter(n.clk.Since(start)-period, latencies.mean())
+		n.observeDelay(start, period, latency)
 	}
 }
 
+// stopTime is how late a timer is at least if the process as a whole was stopped. One that
+// is merely short of processor time runs a ready timer sooner.
+const stopTime = 500 * time.Millisecond
+
+// stopFilter leaves out the latencies that include a stop of the process. Goroutines that
+// were ready when it stopped count with the whole stop, in that reading or the next.
+type stopFilter struct{ stopped bool }
+
+// filter returns the latency of a reading whose timer was late by some time.
+func (f *stopFilter) filter(late, latency time.Duration) time.Duration {
+	before := f.stopped
+	f.stopped = late >= stopTime
+	if f.stopped || before {
+		return 0
+	}
+	return latency
+}
+
 // observeDelay observes a period that began at start and was to last for period, in which
 // goroutines waited for latency on average before they ran. Both times have monotonic
 // readings, so a step of the system clock doesn't count.
--- a/internal/process/resident/overload_test.go
+++ b/internal/process/resident/overload_test.go
@@ -71,3 +71,20 @@
 		t.Errorf("the runtime has no histogram %s", s.sample[0].Name)
 	}
 }
+
+// Guards against a process that counts as overloaded for seconds once it was stopped: the
+// goroutines that were ready meanwhile show in two readings, more than the median ignores.
+func TestAStopOfTheProcessIsNoOverload(t *testing.T) {
+	t.Parallel()
+	var stops stopFilter
+	c, now := overload.NewController(), time.Unix(1_800_000_000, 0)
+	for _, reading := range []struct{ late, latency time.Duration }{
+		{0, 0}, {0, 0}, {0, 0}, {3 * time.Second, 2 * time.Second}, {0, time.Second}, {0, 0}, {0, 0},
+	} {
+		now = now.Add(100*time.Millisecond + reading.late)
+		c.Observe(now, 100*time.Millisecond, max(reading.late, stops.filter(reading.late, reading.latency)))
+		if c.Overloaded() {
+			t.Fatalf("overloaded with a delay of %v after a stop", c.Delay())
+		}
+	}
+}
