control/issuer, token: late answers, demand of others and buckets out of use

Causes, found in review. A call whose third attempt got a token or a refusal was also taken back from the waiting ones, so that an organisation whose tokens came late twice was refused at that node for good (0 of 20 calls a minute later). Issuers' exchange of demand counted as use of a bucket, so that one that should have been given up issued 6 of 6 tokens at once after another issuer's 3 s. A Retry-After beyond 292 years turned negative.

Change: the last decision counts; a request asks for one token at least and 2^20 at most; the demand is read and written beside the bucket; the Retry-After is bounded before it is converted.

Tests: two answers that come too late refuse no later calls; the demand of others keeps no bucket in use.

--- a/internal/control/issuer/agent.go
+++ b/internal/control/issuer/agent.go
@@ -35,6 +35,8 @@
 	// whose process has stopped: token.Plan allows two issuers side by side for 500 ms.
 	avoidTime        = time.Second
 	avoidStoppedTime = 250 * time.Millisecond
+	// maxTokens bounds the tokens of one request: more than any node's calls of a second.
+	maxTokens = 1 << 20
 	// maxFetches bounds the requests that one call waits for.
 	maxFetches = 3
 	// maxLenders is how many other domains are asked for tokens at once, and triedDomains how
@@ -160,6 +162,9 @@
 			d = a.cache.Retake(a.clk.Now(), l, p)
 		}
 	}
+	if _, ok := d.(token.Fetch); !ok {
+		return decision(d)
+	}
 	a.cache.Forget(a.clk.Now(), l)
 	return limit.NewRefused(limit.Rate, time.Millisecond)
 }
@@ -335,10 +340,10 @@
 	if !ok || l.Rate() <= 0 {
 		return &issuerpb.TakeResponse{Unlimited: true}, nil
 	}
-	p, n := a.ownPlan(l), int(req.GetTokens())
+	p, n := a.ownPlan(l), int(min(req.GetTokens(), maxTokens))
 	if req.GetLend() {
 		resp := a.respond(a.issuer.Lend(a.clk.Now(), l, p, n))
-		resp.Usage = uint32(a.issuer.Part(a.clk.Now(), l, p) * usageUnits)
+		resp.Usage = uint32(a.issuer.Part(a.clk.Now(), l) * usageUnits)
 		return resp, nil
 	}
 	got := a.issuer.Take(a.clk.Now(), l, p, n)
--- a/internal/control/issuer/agent_test.go
+++ b/internal/control/issuer/agent_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +30,7 @@
 	clk    *timer.Service
 	agents map[string]*Agent
 	stop   map[string]func()
+	late   atomic.Int32 // answers that come too late for their tokens
 
 	mu      sync.Mutex
 	records map[string][]membership.Record // by domain
@@ -83,7 +85,13 @@
 	margin := func() token.Margin { return token.Margin{Window: 5 * time.Second, Ratio: 0.1, Calls: 20} }
 	a := New(m.clk, m, m, name, domain, []string{"a", "b"}, WithMargin(margin))
 	m.agents[name] = a
-	srv := &http.Server{ReadHeaderTimeout: time.Second, Handler: a.Service()}
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a.Service().ServeHTTP(w, r)
+		if m.late.Add(-1) >= 0 {
+			m.clk.Advance(210 * time.Millisecond) // longer than tokens are valid
+		}
+	})
+	srv := &http.Server{ReadHeaderTimeout: time.Second, Handler: handler}
 	served, ran := make(chan error, 1), make(chan error, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { served <- srv.Serve(ln) }()
@@ -326,3 +334,23 @@
 		t.Errorf("%d tokens are issued two seconds later, want 1", got)
 	}
 }
+
+// Guards against an organisation that a node refuses for good, since calls whose tokens came
+// late count as waiting less than none.
+func TestLateAnswersRefuseNoLaterCalls(t *testing.T) {
+	t.Parallel()
+	m := newMesh(t)
+	first := byWeight("acme", m.records["a"], membership.Record.Instance)[0].Instance()
+	node := "n1"
+	if node == first {
+		node = "n2"
+	}
+	m.late.Store(2)
+	m.allowed(node, 1)
+	for i := range 20 {
+		m.clk.Advance(time.Second)
+		if m.allowed(node, 1) != 1 {
+			t.Fatalf("call %d after the late answers is refused", i)
+		}
+	}
+}
--- a/internal/control/issuer/usage.go
+++ b/internal/control/issuer/usage.go
@@ -66,7 +66,7 @@
 			}
 			part += float64(resp.GetUsage()) / usageUnits
 		}
-		a.issuer.SetOthers(a.clk.Now(), l, p, part, silent)
+		a.issuer.SetOthers(a.clk.Now(), l, part, silent)
 	}
 }
 
--- a/internal/policy/admission/fairness_test.go
+++ b/internal/policy/admission/fairness_test.go
@@ -146,13 +146,13 @@
 			if !ok || !u.AskOthers() {
 				continue
 			}
-			p, others := token.NewPlan(l, testMargin, fairDomains), 0.0
+			others := 0.0
 			for k, other := range f.issuers {
 				if k != i {
-					others += other.Part(f.Now(), l, p)
+					others += other.Part(f.Now(), l)
 				}
 			}
-			own.SetOthers(f.Now(), l, p, others, 0)
+			own.SetOthers(f.Now(), l, others, 0)
 			f.asked++
 		}
 	}
--- a/internal/policy/token/cache.go
+++ b/internal/policy/token/cache.go
@@ -98,7 +98,7 @@
 		o.waiting--
 		return Refused{RetryAfter: o.retries.next(now, o.retryAt.Sub(now), time.Duration(float64(time.Second)/p.rate))}
 	default:
-		return Fetch{Tokens: o.waiting + int(o.demand.rate*prefetchTime.Seconds())}
+		return Fetch{Tokens: max(1, o.waiting+int(o.demand.rate*prefetchTime.Seconds()))}
 	}
 }
 
--- a/internal/policy/token/issuer.go
+++ b/internal/policy/token/issuer.go
@@ -26,10 +26,22 @@
 type Issuer struct {
 	startedAt time.Time
 	typical   atomic.Uint64 // the typical part of a limit in use, as bits of a float64
-	shards    [shards]struct {
-		mu      sync.Mutex
-		buckets map[string]*issued
+	shards    [shards]issuerShard
+}
+
+type issuerShard struct {
+	mu      sync.Mutex
+	buckets map[string]*issued
+}
+
+// bucketOf returns the bucket of an organisation. The caller must hold the lock.
+func (s *issuerShard) bucketOf(now time.Time, organisation string) *issued {
+	b := s.buckets[organisation]
+	if b == nil {
+		b = &issued{demand: demand{at: now}}
+		s.buckets[organisation] = b
 	}
+	return b
 }
 
 // issued is the bucket of one organisation and the demand for its tokens.
@@ -69,7 +81,7 @@
 		if out.Tokens < n {
 			// Each token has several takers if the demand exceeds the rate.
 			next := max(0, b.readyAt.Sub(now).Seconds()) + (1-b.tokens)/p.rate*max(1, b.demand.rate/p.rate)
-			out.RetryAfter = min(maxRetryAfter, time.Duration(next*float64(time.Second)))
+			out.RetryAfter = time.Duration(min(maxRetryAfter.Seconds(), next) * float64(time.Second))
 			if p.issuers > 1 && now.Sub(b.noLendersAt) >= borrowPause {
 				missing := float64(n-out.Tokens) + max(0, b.demand.rate-p.rate)*reserveTime.Seconds()
 				out.Borrow = int(math.Ceil(min(missing, p.capacity-b.tokens)))
@@ -104,11 +116,7 @@
 	shard := &s.shards[xxh3.HashString(l.Organisation())%shards]
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
-	b := shard.buckets[l.Organisation()]
-	if b == nil {
-		b = &issued{demand: demand{at: now}}
-		shard.buckets[l.Organisation()] = b
-	}
+	b := shard.bucketOf(now, l.Organisation())
 	s.begin(b, now, p.turn)
 	b.askedAt = now
 	if now.Before(b.readyAt) {
@@ -119,6 +127,15 @@
 	return f(b)
 }
 
+// withUsage calls f with the usage of an organisation. It doesn't count as a request for
+// tokens: a bucket that nobody asks must be given up.
+func (s *Issuer) withUsage(now time.Time, organisation string, f func(*usage)) {
+	shard := &s.shards[xxh3.HashString(organisation)%shards]
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	f(&shard.bucketOf(now, organisation).usage)
+}
+
 // begin gives up the tokens of a bucket that may have been out of use, as another issuer may
 // have been asked meanwhile. The first issuer of a domain keeps the bucket of an organisation
 // that calls rarely: nobody else issues while the members stay the same.
--- a/internal/policy/token/usage.go
+++ b/internal/policy/token/usage.go
@@ -89,13 +89,12 @@
 // the organisation before and after it: the part of its limit that the organisation uses at
 // this issuer and, as far as SetOthers has said, at the others.
 func (s *Issuer) Level(now time.Time, l snapshot.Limit, p Plan, n, refused int) (before, after int) {
-	s.withBucket(now, l, p, func(b *issued) Issue {
-		before = b.usage.level
-		b.usage.issuers = p.issuers
-		b.usage.add(now, n, l.Rate(), s.typicalPart())
-		b.usage.refused += uint64(refused)
-		after = b.usage.level
-		return Issue{}
+	s.withUsage(now, l.Organisation(), func(u *usage) {
+		before = u.level
+		u.issuers = p.issuers
+		u.add(now, n, l.Rate(), s.typicalPart())
+		u.refused += uint64(refused)
+		after = u.level
 	})
 	return before, after
 }
@@ -103,21 +102,20 @@
 // SetOthers records what part of the limit is demanded at the other issuers, as the sum of
 // their answers. Of an issuer that has not answered the demand is taken as equal to that of
 // this one, so that an issuer alone compares its demand with its own part of the limit.
-func (s *Issuer) SetOthers(now time.Time, l snapshot.Limit, p Plan, part float64, silent int) {
-	s.withBucket(now, l, p, func(b *issued) Issue {
-		b.usage.decay(now)
-		own := b.usage.calls / usageTime.Seconds()
-		b.usage.others, b.usage.othersAt = part*l.Rate()+float64(silent)*own, now
-		return Issue{}
+func (s *Issuer) SetOthers(now time.Time, l snapshot.Limit, part float64, silent int) {
+	s.withUsage(now, l.Organisation(), func(u *usage) {
+		u.decay(now)
+		own := u.calls / usageTime.Seconds()
+		u.others, u.othersAt = part*l.Rate()+float64(silent)*own, now
 	})
 }
 
 // Part returns which part of the limit is demanded at this issuer.
-func (s *Issuer) Part(now time.Time, l snapshot.Limit, p Plan) (part float64) {
-	s.withBucket(now, l, p, func(b *issued) Issue {
-		b.usage.decay(now)
-		part = b.usage.calls / usageTime.Seconds() / l.Rate()
-		return Issue{}
+func (s *Issuer) Part(now time.Time, l snapshot.Limit) (part float64) {
+	s.withUsage(now, l.Organisation(), func(u *usage) {
+		current := *u
+		current.decay(now)
+		part = current.calls / usageTime.Seconds() / l.Rate()
 	})
 	return part
 }
--- a/internal/policy/token/usage_test.go
+++ b/internal/policy/token/usage_test.go
@@ -80,7 +80,7 @@
 		silent int
 		want   int
 	}{{0, 0, 0}, {0.4, 0, 2}, {0, 2, 2}} {
-		s.SetOthers(now, l, p, tc.part, tc.silent)
+		s.SetOthers(now, l, tc.part, tc.silent)
 		if _, level := s.Level(now, l, p, 0, 0); level != tc.want {
 			t.Errorf("%v of the limit and %d silent issuers elsewhere: level %d, want %d", tc.part, tc.silent, level, tc.want)
 		}
@@ -108,3 +108,23 @@
 		t.Errorf("level %d a minute after the last answer", got)
 	}
 }
+
+// Guards against a bucket that is kept although nobody asks for its tokens, since issuers tell
+// each other the demand: another issuer may have issued the same tokens meanwhile.
+func TestDemandOfOthersKeepsNoBucketInUse(t *testing.T) {
+	t.Parallel()
+	l := testLimit(100, 100)
+	s, p := NewIssuer(sim.Start), NewPlan(l, testMargin, 1)
+	now := sim.Start.Add(time.Minute)
+	if got := s.Take(now, l, p, 1).Tokens; got != 1 {
+		t.Fatalf("%d tokens after a minute", got)
+	}
+	for range 12 {
+		now = now.Add(250 * ms)
+		s.SetOthers(now, l, 0.5, 0)
+	}
+	// The list of issuers has changed and is now as before.
+	if got := s.Take(now, l, p.At(now, false), 1).Tokens; got != 0 {
+		t.Errorf("%d tokens issued at once after 3 s in which another node may have issued them", got)
+	}
+}
