control/fleet, policy/tree: no second fetch of a version that is held or refused

Causes, found in review. Hints were compared with the active version, so that a relay that decodes for long fetched the version again after 0.4 s (5 of 8 relays). A version that a node refuses was decoded again with each pull (60 times in 3 s). The plan of transfers took a parent of the same level that was not planned yet for one that has the version (two nodes in fleets without wide links).

Change: hints are compared with the newest version held; a refused one returns at once; nodes without a plan count as never having the version.

Left: the fetches of a refused version go on at the pull's pace; a reader may decode a version from the store that it has pulled already.

Race tests of control/fleet and policy/tree pass.

--- a/internal/control/fleet/offer.go
+++ b/internal/control/fleet/offer.go
@@ -41,6 +41,9 @@
 // what that node says; the decoded version counts for this node.
 func (f *Fleet) applyCompressed(announced uint64, compressed []byte, from string) {
 	hash := xxh3.Hash(compressed)
+	if hash == f.offered.refused.Load() {
+		return // its source may run a newer program and offer it again and again
+	}
 	o := f.offer(announced, compressed, hash, from)
 	b, err := decompress(compressed)
 	decided := true
@@ -49,7 +52,8 @@
 	} else {
 		number := announced
 		if number < f.Current().Version() {
-			number = version.Unknown // a wrong number must not hide a newer version
+			// A number that is too low must not hide a newer version.
+			number = version.Unknown
 		}
 		decided = f.activate(number, b, func() []byte { return compressed }, from)
 	}
--- a/internal/control/fleet/pullserver.go
+++ b/internal/control/fleet/pullserver.go
@@ -109,7 +109,7 @@
 // rank itself first before it is in any other node's member list. It then has no children,
 // so other nodes learn of its version only from its pulls.
 func (f *Fleet) noteNewerPeer(r *fleetpb.PullRequest) {
-	if r.GetVersion() <= f.Current().Version() {
+	if held, _ := f.newest(); r.GetVersion() <= held {
 		return
 	}
 	if peer, err := netip.ParseAddrPort(r.GetPeer()); err == nil {
--- a/internal/control/fleet/query.go
+++ b/internal/control/fleet/query.go
@@ -65,7 +65,10 @@
 // fetchHinted fetches a hinted version, preferably from the first parent, as that causes
 // no traffic between failure domains.
 func (f *Fleet) fetchHinted(ctx context.Context, hinted hint) {
-	if f.clk.Sleep(ctx, hintDelay) != nil || f.Current().Version() >= hinted.version {
+	if f.clk.Sleep(ctx, hintDelay) != nil {
+		return
+	}
+	if held, _ := f.newest(); held >= hinted.version {
 		return
 	}
 	from := sourcesOf(f.position().Parents(), 0)
--- a/internal/policy/tree/source.go
+++ b/internal/policy/tree/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -52,6 +53,9 @@
 	}
 	// In seconds per Mbit: when a node has the version, and when its link is free again.
 	has, free := make([]float64, len(nodes)), make([]float64, len(nodes))
+	for i := 1; i < len(has); i++ {
+		has[i] = math.Inf(1) // not planned yet; another parent of the same level is no source
+	}
 	end := 1 // of the level
 	for at := 1; at < len(nodes); at = end {
 		_, from, to := level(at)
