traffic/caller: callers of a starting node are told when to come back

Cause: a node without a configuration refused calls without a Retry-After.

Change: Retry-After is the time since the start, 150 ms at least and 1 s at most, spread over half as much again.

--- a/internal/traffic/caller/errors.go
+++ b/internal/traffic/caller/errors.go
@@ -22,7 +22,7 @@
 }
 
 // NoConfigurationError reports that the node has no active configuration yet.
-type NoConfigurationError struct{}
+type NoConfigurationError struct{ RetryAfter time.Duration }
 
 func (e *NoConfigurationError) Error() string { return "this node has no configuration yet" }
 
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -76,6 +76,7 @@
 	headerNames    hop.HeaderNames
 	origin         string
 	refusalRetries int
+	startedAt      time.Time
 	anonymous      *snapshot.Organisation
 	onNewerVersion func(peer netip.AddrPort, version uint64)
 	// overload is nil where the scheduling delay is not measured.
@@ -167,7 +168,7 @@
 func New(config Config, directory Directory, client *hop.Client, sealer *hop.Sealer, clk *timer.Service, opts ...Option) *Handler {
 	h := &Handler{
 		config: config, directory: directory, client: client, sealer: sealer, clk: clk,
-		claims:         noClaims{},
+		claims: noClaims{}, startedAt: clk.Now(),
 		waitTracker:    callerwait.NewTracker(),
 		onNewerVersion: func(netip.AddrPort, uint64) {},
 		headerNames:    hop.NewHeaderNames(),
--- a/internal/traffic/caller/identify.go
+++ b/internal/traffic/caller/identify.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"banyanlug.example/banyanlug/internal/config/snapshot"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
@@ -20,7 +21,7 @@
 	if c.snap.Version() == 0 {
 		// Without a configuration every key is unknown. A 401 would be final for
 		// the caller, although another node would serve the call.
-		return &NoConfigurationError{}
+		return &NoConfigurationError{RetryAfter: c.h.startRetryAfter(c.start)}
 	}
 	if sealed := c.r.Header.Get(hop.CallHeader); sealed != "" && c.h.sealer != nil {
 		return c.inherit(sealed)
@@ -70,3 +71,21 @@
 	c.org = snapshot.NewOrganisation(parent.Organisation(), parent.Class())
 	return nil
 }
+
+// minStartRetryAfter and maxStartRetryAfter bound the Retry-After while the node has no
+// configuration. Most starts end sooner than the lower bound; the upper one is for a node
+// that can't reach the store or others.
+const (
+	minStartRetryAfter = 150 * time.Millisecond
+	maxStartRetryAfter = time.Second
+)
+
+// startRetryAfter expects the start of the node to take as long again as it has taken so far,
+// and spreads the callers over half of that. Callers have few retries: without a time, all
+// those of a start of all nodes would come back at once and be refused for good.
+func (h *Handler) startRetryAfter(now time.Time) time.Duration {
+	d := min(max(minStartRetryAfter, now.Sub(h.startedAt)), maxStartRetryAfter)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return d + time.Duration(h.rng.Float64()*float64(d)/2)
+}
--- a/internal/traffic/caller/result.go
+++ b/internal/traffic/caller/result.go
@@ -81,11 +81,12 @@
 // attemptRefusal maps the error of one attempt, or of a call without an attempt.
 func attemptRefusal(err error) *http1.Refusal {
 	var (
-		refused *RefusedError
-		refusal *http1.Refusal
-		limit   *LimitError
-		delayed *OverloadedError
-		failure hop.Failure
+		refused  *RefusedError
+		refusal  *http1.Refusal
+		limit    *LimitError
+		delayed  *OverloadedError
+		starting *NoConfigurationError
+		failure  hop.Failure
 	)
 	switch {
 	case errors.As(err, &refused):
@@ -102,6 +103,11 @@
 			Status: http.StatusServiceUnavailable, Type: hop.KindOverloaded, Message: err.Error(),
 			Outcome: http1.NotRun, RetryAfter: overloadedRetryAfter,
 		}
+	case errors.As(err, &starting):
+		return &http1.Refusal{
+			Status: http.StatusServiceUnavailable, Type: "no-configuration", Message: err.Error(),
+			Outcome: http1.NotRun, RetryAfter: starting.RetryAfter,
+		}
 	case errors.As(err, &failure):
 		return hop.RefusalOf(failure)
 	default:
@@ -115,7 +121,6 @@
 func statusAndType(err error) (int, string) {
 	var (
 		unauthenticated *UnauthenticatedError
-		noConfig        *NoConfigurationError
 		seal            *hop.SealError
 		path            *PathError
 		noRoute         *NoRouteError
@@ -138,8 +143,6 @@
 		return http.StatusBadRequest, "bad-header"
 	case errors.As(err, &noTarget):
 		return http.StatusServiceUnavailable, "no-target"
-	case errors.As(err, &noConfig):
-		return http.StatusServiceUnavailable, "no-configuration"
 	default:
 		return http.StatusInternalServerError, "internal"
 	}
