policy/lifecycle: a goodbye to a node that has just started holds against late heartbeats

Cause: a goodbye of a process that the node does not know was remembered with the start time 0, and a heartbeat that names the start of its process, which all do since the platform sends it, counts as later than 0.

Change: it is remembered with the time at which it came; only a process that has started since, on the same machine, may use the id again.

Ruled out: refusing the id for good, as a process may start again under it.

Test: two rows of the table, the first red before.

--- a/internal/policy/lifecycle/tracker.go
+++ b/internal/policy/lifecycle/tracker.go
@@ -164,13 +164,14 @@
 	}
 }
 
-// HandleGoodbye processes the goodbye of a process and reports whether the target
-// changed.
-func (t *Tracker) HandleGoodbye(id string) bool {
+// HandleGoodbye processes the goodbye of a process, received at nowMs in Unix milliseconds,
+// and reports whether the target changed.
+func (t *Tracker) HandleGoodbye(id string, nowMs uint64) bool {
 	if t.target.phase == Unknown {
 		// The target may have served the node's previous process. Its delayed
-		// heartbeats must not be accepted after the goodbye.
-		t.rememberDeparted(id, t.target.startMs)
+		// heartbeats must not be accepted after the goodbye; only a process that has
+		// started since, on the same machine, may use its id again.
+		t.rememberDeparted(id, nowMs)
 		return false
 	}
 	if id != t.target.id || t.target.phase == Leaving {
--- a/internal/policy/lifecycle/tracker_test.go
+++ b/internal/policy/lifecycle/tracker_test.go
@@ -9,7 +9,7 @@
 
 // targetAfter returns the target after a space-separated list of events:
 // id:start:sequence is a heartbeat, a suffix D marks it as draining, bye:id is a
-// goodbye and no:id a refused connection.
+// goodbye, with :time if its time counts, and no:id a refused connection.
 func targetAfter(t *testing.T, events string) Target {
 	t.Helper()
 	tr := NewTracker()
@@ -17,7 +17,11 @@
 		fields := strings.Split(event, ":")
 		switch fields[0] {
 		case "bye":
-			tr.HandleGoodbye(fields[1])
+			nowMs := uint64(0)
+			if len(fields) > 2 {
+				nowMs = digit(fields[2])
+			}
+			tr.HandleGoodbye(fields[1], nowMs)
 		case "no":
 			tr.HandleConnectionRefused(fields[1])
 		default:
@@ -46,6 +50,8 @@
 		{"a heartbeat after the goodbye is ignored", "a:1:1 bye:a a:1:2", "a leaving"},
 		{"a first heartbeat that is draining is accepted", "a:1:5D", "a leaving"},
 		{"a heartbeat after a goodbye meant for the node's previous process is ignored", "bye:a a:0:9", " unknown"},
+		{"also if it names the start of its process", "bye:a:5 a:1:9", " unknown"},
+		{"a process that has started after such a goodbye serves", "bye:a:5 a:7:1", "a serving"},
 		{"a successor starts serving", "a:1:9D b:2:1", "b serving"},
 		{"a delayed heartbeat of the predecessor is ignored", "a:1:1 b:2:1 a:1:2", "b serving"},
 		{"a delayed draining heartbeat of the predecessor is ignored", "a:1:1 b:2:1 a:1:2D", "b serving"},
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -262,7 +262,7 @@
 // HandleGoodbye handles a target's report that its process is stopping, by a call of its own
 // or in a response.
 func (n *Node) HandleGoodbye(id string) {
-	n.updateTarget(func() bool { return n.tracker.HandleGoodbye(id) })
+	n.updateTarget(func() bool { return n.tracker.HandleGoodbye(id, uint64(n.clk.Now().UnixMilli())) })
 }
 
 func (n *Node) handleConnRefused(id string) {
--- a/internal/traffic/target/admit_test.go
+++ b/internal/traffic/target/admit_test.go
@@ -242,7 +242,7 @@
 	if err := s.checkProcess("i-0"); !errors.As(err, &replaced) {
 		t.Errorf("for an earlier process: %v", err)
 	}
-	tracker.HandleGoodbye("i-1")
+	tracker.HandleGoodbye("i-1", 0)
 	s.SetProcess(tracker.Target())
 	meta := hop.NewMeta(hop.ForOrganisation("o", snapshot.Paying))
 	if _, err := s.acquire(t.Context(), meta, clk.Now().Add(time.Second)); !errors.As(err, &refused) || refused.Reason != hop.KindDraining {
