review: one value above the product's bounds drops a whole version (CONFIG)

The nodes check the platform's configuration against the bounds of the product's own declarations. A version with one route of priority 20, on which the platform's pages set no limit, is refused as a whole: a route that it moves stays with the old service for good.

The stand-ins' ports begin at different places in runs at the same time, and an upstream that exits no longer ends its answers cleanly.

--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -31,9 +31,16 @@
 // ports are the same on all machines.
 const portSpan = 16
 
-// freePorts returns n successive ports that are free on all given addresses.
+const (
+	firstPort = 20000
+	portSpans = 700 // all below the ports that the kernel gives to clients
+)
+
+// freePorts returns n successive ports that are free on all given addresses. Runs at the same
+// time begin to look at different ones.
 func freePorts(n int, ips []string) (int, error) {
-	for base := 21000; base < 31000; base += n {
+	for i := range portSpans {
+		base := firstPort + (os.Getpid()+i)%portSpans*n
 		if portsFree(base, n, ips) {
 			return base, nil
 		}
@@ -83,6 +90,9 @@
 quotaWindowS = 5
 quotaOverage = 0.1
 quotaSlack = 20
+canaryShare = 0.1
+canarySlack = 50
+rollbackS = 5
 `
 
 func (m *machine) writeSettings(dir, storeAddress string, zones []string) error {
--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -63,10 +64,11 @@
 	control  string // of the node beside it
 	outbound string
 	slots    int
+	version  string // of its software; "v1" if empty
 	born     time.Time
-	// work returns how long a request takes; nested, if not nil, is called in the middle.
-	work   func(r *http.Request) time.Duration
-	nested func(u *upstream, r *http.Request, deadline time.Time) bool
+	// work returns how long a request takes; fails, if not nil, whether its answer is a failure.
+	work  func(r *http.Request) time.Duration
+	fails func() bool
 
 	mu       sync.Mutex
 	sequence int
@@ -105,7 +107,7 @@
 	u.sequence++
 	b, _ := json.Marshal(map[string]any{
 		"address": u.address, "born": u.born.UnixMilli(),
-		"info":   map[string]any{"service": u.service, "version": "v1", "zone": u.zone, "slots": u.slots},
+		"info":   map[string]any{"service": u.service, "version": cmp.Or(u.version, "v1"), "zone": u.zone, "slots": u.slots},
 		"status": map[string]any{"state": state, "sequence": u.sequence, "warmupLeftS": 0},
 	})
 	return b
@@ -181,7 +183,7 @@
 	u.runs.end(this, outcome)
 	u.rec.add("upstream %s ends its run of %s: %s", u.id, id, outcome)
 	if outcome == "left" {
-		return
+		panic(http.ErrAbortHandler) // the connection ends without an answer
 	}
 	body := fmt.Sprintf("%s by %s\n", id, u.id)
 	h.Set("X-Response-Signature", "s."+u.id)
@@ -191,11 +193,11 @@
 }
 
 func (u *upstream) execute(r *http.Request, deadline time.Time) (status int, outcome string) {
-	if u.nested != nil && !u.nested(u, r, deadline) {
-		return http.StatusInternalServerError, "a call failed"
-	}
 	select {
 	case <-time.After(u.work(r)):
+		if u.fails != nil && u.fails() {
+			return http.StatusInternalServerError, "failed"
+		}
 		return http.StatusOK, "done"
 	case <-time.After(time.Until(deadline)):
 		return http.StatusGatewayTimeout, "deadline"
