process/resident, process/node: a stopping node passes on no call that can outlast it

A node that gets SIGTERM resets 5 or 6 of its own callers' calls 5.6 s later, while targets work on them. They were sent 5.0 s and later after the SIGTERM, each with 1.4 to 1.6 s left, and must not run twice.

Cause: the callers' server is drained after the one for other nodes, as the calls that run at the node's target may depend on it. As long as one of them runs, callers' calls were taken whatever time was left.

Evidence: 1003 at 2.5 s, 1011 (target drained) at 5.3 s, 1401 with server=callers and 8 connections at 5.6 s; 1802 with left_ms 1416 to 1617. Ruled out: the server for other nodes cut off (no such line), slow closing (targets at work).

Change: policy/drain decides before each attempt. Once the node refuses new calls, one is passed on if its deadline is before the node's end, or if the node's own target may have made it and its route's usual service time is left. Everything else is refused as not run. Attempts end with the process at the latest, so targets answer by themselves. The same in the product's own deployment. Half of a short grace is for callers to leave; before, a grace of 3 s cut off all that ran.

Ruled out: draining both servers at once (nested calls fail with the calls that made them); no calls later than a fixed time after the SIGTERM (the same).

--- a/internal/policy/balance/balancer.go
+++ b/internal/policy/balance/balancer.go
@@ -123,6 +123,18 @@
 	return p.t.load, time.Duration(b.nanos(now) - p.t.loadAt)
 }
 
+// ServiceTime returns how long calls of a route usually run at a pool's targets, 0 if no
+// target has reported it.
+func (b *Balancer) ServiceTime(poolName, route string) time.Duration {
+	p := b.lookup(poolName)
+	if p == nil {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Duration(p.serviceTimes[route])
+}
+
 // ConnClosed reports that an idle connection to the target was closed.
 func (b *Balancer) ConnClosed(p Picked) {
 	p.t.pool.mu.Lock()
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -13,6 +13,7 @@
 	"banyanlug.example/banyanlug/internal/control/publish"
 	"banyanlug.example/banyanlug/internal/control/quota"
 	"banyanlug.example/banyanlug/internal/log/event"
+	"banyanlug.example/banyanlug/internal/policy/drain"
 	"banyanlug.example/banyanlug/internal/policy/limit"
 	"banyanlug.example/banyanlug/internal/policy/membership"
 	"banyanlug.example/banyanlug/internal/report/burn"
@@ -46,6 +47,7 @@
 	slots      *target.Slots
 	targets    *target.Server
 	targetAddr netip.AddrPort
+	drainGate  *drain.Gate
 }
 
 // New opens the node's listeners and builds its components; Run starts them.
@@ -56,6 +58,7 @@
 	}
 	n := &Node{
 		cfg: cfg, clock: clock, log: event.New(out, cfg.instance), metrics: metrics.NewSet(),
+		drainGate: drain.NewGate(),
 	}
 	if err := n.listen(); err != nil {
 		return nil, err
--- a/internal/process/node/wire.go
+++ b/internal/process/node/wire.go
@@ -118,6 +118,7 @@
 	opts := []caller.Option{
 		caller.WithMetrics(n.metrics), caller.WithObserver(n.observe), caller.WithClaims(claims{n.ledger}),
 		caller.WithBalancer(balancer), caller.WithBudgets(retry.NewBudgets(rand.New(rand.NewPCG(n.seed, 4)))),
+		caller.WithDrain(n.drainGate),
 	}
 	if n.cfg.limits {
 		opts = append(opts, caller.WithLimits(n.limits))
@@ -131,6 +132,6 @@
 	n.targetAddr, _ = netip.ParseAddrPort(n.cfg.target)
 	n.slots = target.NewSlots(n.peer.Holder(), n.cfg.pool, n.clock)
 	h := target.New(n.slots, n.targetAddr, hop.NewClient(n.clock), credential, sealer, n.clock,
-		target.WithLog(n.log), target.WithMetrics(n.metrics))
+		target.WithLog(n.log), target.WithMetrics(n.metrics), target.WithDrain(n.drainGate))
 	n.targets = target.NewServer(h, n.clock, http1.WithTLS(serving))
 }
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -21,6 +21,7 @@
 	"banyanlug.example/banyanlug/internal/control/platform"
 	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/policy/balance"
+	"banyanlug.example/banyanlug/internal/policy/drain"
 	"banyanlug.example/banyanlug/internal/policy/lifecycle"
 	"banyanlug.example/banyanlug/internal/policy/membership"
 	"banyanlug.example/banyanlug/internal/policy/overload"
@@ -58,6 +59,7 @@
 	targetHandler *target.Handler
 	crashes       *crashRegister
 	overload      *overload.Controller
+	drainGate     *drain.Gate
 
 	reloadable atomic.Pointer[Reloadable]
 	stopping   atomic.Bool
@@ -181,6 +183,7 @@
 		membership.Address(mesh), membership.ControlAddress(peers), membership.Boot(uint64(n.clk.Now().UnixMilli())), membership.LinkMbps(n.cfg.Link))
 	n.crashes = newCrashRegister(n.clk, n.log)
 	n.overload = overload.NewController()
+	n.drainGate = drain.NewGate()
 	n.fleet = fleet.New(store, n.clk, self, configKey, decode,
 		append([]fleet.Option{
 			fleet.WithLog(n.log), fleet.WithRandomSeed(seed), fleet.OnCrash(n.crashes.Record), fleet.WithRunningCalls(n.runningCalls),
@@ -196,13 +199,14 @@
 		caller.WithBalancer(balance.New(n.clk.Now(), rand.New(rand.NewPCG(seed, 3)), balance.Domain(n.cfg.Domain))),
 		caller.WithRefusalRetries(refusedRetries), caller.WithCallLog(n.log), caller.WithCrashRegister(n.crashes),
 		caller.WithBudgets(n.budgets), caller.WithLimits(n.tokens), caller.WithOverload(n.overload),
+		caller.WithDrain(n.drainGate), caller.WithNestedDeadline(n.madeByTarget),
 	), n.clk, n.log)
 	n.slots = target.NewSlots(n.fleet, n.cfg.Pool, n.clk, target.WithOverload(n.overload))
 	n.slots.SetProcess(n.tracker.Target())
 	n.targetHandler = target.New(n.slots, targetAddress, n.targetClient, nil, nil, n.clk,
 		target.WithLog(n.log), target.WithMetrics(n.metrics), target.WithHeaderNames(n.headerNames),
 		target.OnConnRefused(n.handleConnRefused), target.OnLeaving(n.HandleGoodbye), target.WithVersion(n.Version), target.WithCallLog(n.log),
-		target.WithRollout(n.fleet.Admits, n.observe))
+		target.WithRollout(n.fleet.Admits, n.observe), target.WithDrain(n.drainGate))
 	n.targetServer = target.NewServer(n.targetHandler, n.clk)
 	n.registerMetrics()
 }
--- a/internal/process/resident/run.go
+++ b/internal/process/resident/run.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// notReadyPeriod is how long a stopping node still accepts its callers' calls
+	// notReadyPeriod is how long a stopping node still accepts all calls of its callers
 	// after it has become not ready: callers stop after two failed readiness probes
-	// one second apart, and a third may be under way.
+	// one second apart, and a third may be under way. It is at most half of the time
+	// that the node has, so that accepted calls have the other half to end.
 	notReadyPeriod = 2500 * time.Millisecond
 	// drainAnnounceLead is how long before the end of notReadyPeriod the node
 	// announces to its peers that its target is draining. It is short since the
@@ -20,8 +21,12 @@
 	// announcement too late are refused and retried on another target.
 	drainAnnounceLead = 100 * time.Millisecond
 	// shutdownReserve is the part of the shutdown grace kept for the time after the
-	// last call: removal of the membership record and process exit.
+	// last call: removal of the membership record and process exit. Of a short grace it
+	// is an eighth.
 	shutdownReserve = 400 * time.Millisecond
+	// nestedSkew is how much later than the deadline of a call a nested one may seem to
+	// end, since the time for both messages is added to what its sender has left.
+	nestedSkew = 500 * time.Millisecond
 	// headTimeout bounds the reading of a request's header on the control addresses.
 	headTimeout = 2 * time.Second
 )
@@ -74,20 +79,44 @@
 }
 
 // drain stops accepting calls and waits, at most for the shutdown grace less
-// shutdownReserve, until those in flight have ended.
+// shutdownReserve, until those in flight have ended. A call that is accepted meanwhile
+// ends within that time too.
 func (n *Node) drain(ctx context.Context) {
-	ctx, cancel := n.clk.WithTimeout(ctx, n.reloadable.Load().Grace-shutdownReserve)
+	closing, end := stopTimes(n.clk.Now(), n.reloadable.Load().Grace)
+	ctx, cancel := n.clk.WithTimeout(ctx, end.Sub(n.clk.Now()))
 	defer cancel()
 	n.stopping.Store(true)
+	n.drainGate.Begin(closing, end)
 	n.log.Emit(event.NodeStopping)
 	n.callerServer.DisableKeepAlive()
-	_ = n.clk.Sleep(ctx, notReadyPeriod-drainAnnounceLead)
+	_ = n.clk.Sleep(ctx, closing.Add(-drainAnnounceLead).Sub(n.clk.Now()))
 	n.announceDraining()
-	_ = n.clk.Sleep(ctx, drainAnnounceLead)
+	_ = n.clk.Sleep(ctx, closing.Sub(n.clk.Now()))
 	n.refuseCalls()
 	// The servers log the calls that they cut off; shutdown continues.
-	_ = n.targetServer.Drain(ctx)
-	_ = n.callerServer.Drain(ctx)
+	_ = n.callerServer.DrainAfter(ctx, end, n.drainTarget)
+}
+
+// stopTimes returns when a node that has a grace time to stop refuses further calls, and
+// when it cuts off the running ones.
+func stopTimes(now time.Time, grace time.Duration) (closing, end time.Time) {
+	left := grace - min(shutdownReserve, grace/8)
+	return now.Add(min(notReadyPeriod, left/2)), now.Add(left)
+}
+
+// drainTarget waits for the calls that run at the node's target.
+func (n *Node) drainTarget(ctx context.Context) error {
+	err := n.targetServer.Drain(ctx)
+	if err == nil {
+		n.log.Emit(event.TargetDrained)
+	}
+	return err
+}
+
+// madeByTarget reports whether a call that runs at the node's target may have made one
+// with the given deadline: a nested call's deadline is that of the call that made it.
+func (n *Node) madeByTarget(deadline time.Time) bool {
+	return !deadline.After(n.targetHandler.LatestDeadline().Add(nestedSkew))
 }
 
 // serveHTTP runs an HTTP server until ctx is cancelled and sends its error on done.
--- a/internal/traffic/caller/errors.go
+++ b/internal/traffic/caller/errors.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"banyanlug.example/banyanlug/internal/policy/balance"
+	"banyanlug.example/banyanlug/internal/policy/drain"
 	"banyanlug.example/banyanlug/internal/policy/limit"
 	"banyanlug.example/banyanlug/internal/policy/retry"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
@@ -55,6 +56,21 @@
 	return fmt.Sprintf("this node is overloaded: it would delay the call by %v, which has %v left", e.Delay, e.Remaining)
 }
 
+// StoppingError reports a call that could outlast the process of this node, which is
+// stopping.
+type StoppingError struct{}
+
+func (e *StoppingError) Error() string {
+	return "this node is stopping and has no time left for the call"
+}
+
+// DrainDecisionError reports a decision of the drain gate of an unknown type.
+type DrainDecisionError struct{ Decision drain.Decision }
+
+func (e *DrainDecisionError) Error() string {
+	return fmt.Sprintf("decision of unknown kind %T", e.Decision)
+}
+
 // LimitError reports an organisation that has reached one of its limits.
 type LimitError struct {
 	Organisation string
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -15,6 +15,7 @@
 	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/policy/balance"
 	"banyanlug.example/banyanlug/internal/policy/callerwait"
+	"banyanlug.example/banyanlug/internal/policy/drain"
 	"banyanlug.example/banyanlug/internal/policy/limit"
 	"banyanlug.example/banyanlug/internal/policy/membership"
 	"banyanlug.example/banyanlug/internal/policy/overload"
@@ -81,6 +82,10 @@
 	onNewerVersion func(peer netip.AddrPort, version uint64)
 	// overload is nil where the scheduling delay is not measured.
 	overload *overload.Controller
+	// drain is nil where the node's stop refuses no call by its deadline.
+	drain *drain.Gate
+	// madeByTarget reports whether the node's target may have made a call.
+	madeByTarget func(*call) bool
 
 	callLog       *event.Logger // per-call events; nil disables them
 	crashRegister CrashRegister
@@ -158,6 +163,16 @@
 // less time left than it adds to them are refused.
 func WithOverload(c *overload.Controller) Option { return func(h *Handler) { h.overload = c } }
 
+// WithDrain refuses the calls that could outlast the node's process, as g decides.
+func WithDrain(g *drain.Gate) Option { return func(h *Handler) { h.drain = g } }
+
+// WithNestedDeadline sets the function that reports whether a call that runs at the
+// node's target may have made a call with some deadline. It is for targets whose calls
+// carry no credential of the call that made them.
+func WithNestedDeadline(f func(deadline time.Time) bool) Option {
+	return func(h *Handler) { h.madeByTarget = func(c *call) bool { return f(c.deadline) } }
+}
+
 // WithMetrics registers the handler's metrics in set.
 func WithMetrics(set *metrics.Set) Option { return func(h *Handler) { h.callMetrics.set = set } }
 
@@ -171,6 +186,7 @@
 		claims: noClaims{}, startedAt: clk.Now(),
 		waitTracker:    callerwait.NewTracker(),
 		onNewerVersion: func(netip.AddrPort, uint64) {},
+		madeByTarget:   func(c *call) bool { return c.parent != nil },
 		headerNames:    hop.NewHeaderNames(),
 		rng:            rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		maxDepth:       DefaultMaxDepth, callMetrics: newHandlerMetrics(),
@@ -245,6 +261,9 @@
 	if err := c.refuseOverloaded(); err != nil {
 		return result{}, err
 	}
+	if _, err := c.attemptDeadline(); err != nil {
+		return result{}, err
+	}
 	release, err := c.admit()
 	if err != nil {
 		return result{}, err
--- a/internal/traffic/caller/result.go
+++ b/internal/traffic/caller/result.go
@@ -86,6 +86,7 @@
 		limit    *LimitError
 		delayed  *OverloadedError
 		starting *NoConfigurationError
+		stopping *StoppingError
 		failure  hop.Failure
 	)
 	switch {
@@ -108,6 +109,11 @@
 			Status: http.StatusServiceUnavailable, Type: "no-configuration", Message: err.Error(),
 			Outcome: http1.NotRun, RetryAfter: starting.RetryAfter,
 		}
+	case errors.As(err, &stopping):
+		return &http1.Refusal{
+			Status: http.StatusServiceUnavailable, Type: hop.KindDraining, Message: err.Error(),
+			Outcome: http1.NotRun, RetryAfter: stoppingRetryAfter,
+		}
 	case errors.As(err, &failure):
 		return hop.RefusalOf(failure)
 	default:
--- a/internal/traffic/caller/send.go
+++ b/internal/traffic/caller/send.go
@@ -88,12 +88,17 @@
 
 // attempt sends the call to one target and relays its response.
 func (c *call) attempt() (result, error) {
+	deadline, err := c.attemptDeadline()
+	if err != nil {
+		return result{}, err
+	}
 	p, err := c.pick()
 	if err != nil {
 		return result{}, err
 	}
 	start := c.h.clk.Now()
-	left := c.deadline.Sub(start)
+	left := deadline.Sub(start)
+	c.deadlineShortened = c.deadlineShortened || deadline.Before(c.deadline)
 	meta := c.meta.With(hop.Attempt(c.attempts.PathRetries()+1), hop.Remaining(left-responseReserve(left)), hop.ToInstance(p.Record().TargetID()), hop.SoftDeadline(c.softDeadlineIn(start)), hop.TargetRate(c.h.balancer.NamedRate(start, p)))
 	if c.h.overload != nil && c.h.overload.Overloaded() {
 		meta = meta.With(hop.FromOverloaded())
@@ -101,7 +106,7 @@
 	req := hop.NewRequest(c.r.Method, c.r.URL.RequestURI(), c.r.Host, c.r.Header, c.body,
 		hop.WithMeta(meta), hop.OnPooledClose(func() { c.h.balancer.ConnClosed(p) }))
 	c.tried = append(c.tried, p)
-	resp, err := c.h.client.Do(c.r.Context(), p.Record().Address(), req, c.deadline)
+	resp, err := c.h.client.Do(c.r.Context(), p.Record().Address(), req, deadline)
 	c.h.callMetrics.recordAttemptDuration(c, c.h.clk.Since(start))
 	if err != nil {
 		c.reportAttempt(p, start, nil, err)
@@ -200,8 +205,12 @@
 
 // afterFailure decides whether a failed attempt is retried; its results are those of
 // decideRetry. A call that has tried all targets ends at once: none is tried twice, so
-// a delay would not help.
+// a delay would not help. So does one that this node has no time left for.
 func (c *call) afterFailure(err error) (after time.Duration, gaveUp error) {
+	var stopping *StoppingError
+	if errors.As(err, &stopping) {
+		return 0, c.giveUp(err, stoppingRetryAfter)
+	}
 	var noTarget *NoTargetError
 	if errors.As(err, &noTarget) && noTarget.Reason == balance.AllTried {
 		return 0, c.giveUp(err, noTarget.RetryAfter)
@@ -279,12 +288,13 @@
 	var (
 		refused  *RefusedError
 		noTarget *NoTargetError
+		stopping *StoppingError
 		failure  hop.Failure
 	)
 	switch {
 	case errors.As(err, &refused):
 		return refused.Refusal.Outcome == http1.NotRun
-	case errors.As(err, &noTarget):
+	case errors.As(err, &noTarget), errors.As(err, &stopping):
 		return true
 	default:
 		return errors.As(err, &failure) && !failure.Sent()
--- a/internal/traffic/target/handler.go
+++ b/internal/traffic/target/handler.go
@@ -11,6 +11,7 @@
 
 	"banyanlug.example/banyanlug/internal/clock/timer"
 	"banyanlug.example/banyanlug/internal/log/event"
+	"banyanlug.example/banyanlug/internal/policy/drain"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
 )
 
@@ -38,6 +39,7 @@
 	probeMu                 sync.Mutex
 	probing                 chan struct{} // closed when the running probe ends; nil without one
 	rate                    rateMonitor
+	drain                   *drain.Gate
 }
 
 // Option sets one property of a handler.
@@ -64,6 +66,9 @@
 	return func(h *Handler) { h.versionAdmitted, h.observe = admits, observe }
 }
 
+// WithDrain gives calls no more time than g leaves to the node's process.
+func WithDrain(g *drain.Gate) Option { return func(h *Handler) { h.drain = g } }
+
 // WithCallLog logs per-call events to l.
 func WithCallLog(l *event.Logger) Option { return func(h *Handler) { h.callLog = l } }
 
@@ -86,6 +91,7 @@
 		slots: slots, local: local, client: client, credential: credential, sealer: sealer, clk: clk,
 		versionAdmitted: func() bool { return true }, observe: func(string, time.Duration, bool) {},
 		headerNames: hop.NewHeaderNames(), onConnRefused: func(string) {}, onLeaving: func(string) {}, guard: noGuard{}, log: event.Discard(),
+		drain: drain.NewGate(),
 	}
 	h.callMetrics = newHandlerMetrics(metrics.NewSet(), slots, &h.rate)
 	for _, opt := range opts {
--- a/internal/traffic/target/inflight.go
+++ b/internal/traffic/target/inflight.go
@@ -119,6 +119,23 @@
 	return out
 }
 
+// latestDeadline returns the latest deadline of the calls that run at the target's process;
+// the zero time if none does.
+func (f *inFlightCalls) latestDeadline() (latest time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.running {
+		if c.deadline.After(latest) {
+			latest = c.deadline
+		}
+	}
+	return latest
+}
+
+// LatestDeadline returns the latest deadline of the calls that run at the target's process;
+// the zero time if none does. A nested call that one of them makes has no later one.
+func (h *Handler) LatestDeadline() time.Time { return h.inFlight.latestDeadline() }
+
 // CrashSuspects returns the calls that may have caused a crash of the target's process now.
 func (h *Handler) CrashSuspects() []Suspect { return h.inFlight.suspects(h.clk.Now()) }
 
--- a/internal/traffic/target/read.go
+++ b/internal/traffic/target/read.go
@@ -17,7 +17,7 @@
 		return err
 	}
 	c.meta = meta
-	c.deadline = c.h.clk.Now().Add(meta.Remaining())
+	c.deadline = c.h.drain.Limit(c.h.clk.Now().Add(meta.Remaining()))
 	c.h.headerNames.Strip(c.r.Header)
 	c.body, err = hop.ReadBody(c.w, c.r, c.deadline)
 	return err
