policy/lifecycle, control/fleet, process/resident: an acknowledged departure outlasts the node's process

Cause: the node was killed, and its next process knew nothing of the departure. A heartbeat from before it, 3 s late, counted as the first of a live target.

Evidence: 1404 leaving, 1001, 1208 (the entry says draining), 1404 serving at the heartbeat. Ruled out: a heartbeat that counts as that of a later process (no leaving phase in the new process), other nodes that never learned of it.

Change: the node's entry lists the targets that have reported that they leave. A report is acknowledged once the store has the entry. A new process reads its entry from the store itself before it accepts a target; heartbeats that come before are held. An entry with departures is kept for ten minutes when its node is removed, and read before it is overwritten. What a full list drops is the oldest, not everything.

Ruled out: taking the entry's state and target as they were, as they say the same after a planned stop beside a live target; acknowledging while only peers know, as a kill of all would forget it.

--- a/internal/control/fleet/audit.go
+++ b/internal/control/fleet/audit.go
@@ -135,10 +135,10 @@
 // remove removes a silent member's entry from the store, unless it has been written again.
 func (a *auditor) remove(ctx context.Context, r membership.Record, cause error) {
 	f := a.f
-	revision := f.view.revisionOf(r.Instance())
+	known, revision := f.view.member(r.Instance())
 	var conflict *platform.ConflictError
 	if revision > 0 {
-		_, err := f.store.CompareAndSwap(ctx, entryKey(r.Domain(), r.Instance()), revision, nil)
+		err := f.retireEntry(ctx, known, revision)
 		if err != nil && !errors.As(err, &conflict) {
 			f.storeFailed(ctx, err)
 			return
@@ -153,3 +153,23 @@
 	f.log.Emit(event.InstanceLost, event.F("instance", r.Instance()), event.F("target", r.TargetID()), event.F("error", cause))
 	f.removeLeft([]string{r.Instance()})
 }
+
+// departuresKept is how long the departures of a removed member's targets are kept, for a
+// process that replaces it.
+const departuresKept = 10 * time.Minute
+
+// retireEntry removes an entry from the store at a revision. One with departures stays as that
+// of a member that is gone, under a lease.
+func (f *Fleet) retireEntry(ctx context.Context, r membership.Record, revision uint64) error {
+	key := entryKey(r.Domain(), r.Instance())
+	if r.Departed() == "" {
+		_, err := f.store.CompareAndSwap(ctx, key, revision, nil)
+		return err
+	}
+	lease, err := f.store.Grant(ctx, departuresKept)
+	if err != nil {
+		return err
+	}
+	_, err = f.store.CompareAndSwap(ctx, key, revision, encodeEntry(r.AsGone()), platform.WithLease(lease))
+	return err
+}
--- a/internal/control/fleet/entry.go
+++ b/internal/control/fleet/entry.go
@@ -51,6 +51,7 @@
 	Crash    string `json:"crash,omitempty"`
 	Link     int    `json:"link_mbps,omitempty"`
 	Version  string `json:"version,omitempty"`
+	Departed string `json:"departed,omitempty"`
 }
 
 func encodeEntry(r membership.Record) []byte {
@@ -58,7 +59,7 @@
 	b, _ := json.Marshal(entry{
 		Instance: r.Instance(), Domain: r.Domain(), Pool: r.Pool(),
 		Address: r.Address().String(), Peer: r.ControlAddress().String(),
-		Boot: r.Boot(), Seq: r.Seq(), State: r.State().String(), Target: r.TargetID(), Slots: r.Slots(), Crash: r.Crash(), Link: r.LinkMbps(), Version: r.Version(),
+		Boot: r.Boot(), Seq: r.Seq(), State: r.State().String(), Target: r.TargetID(), Slots: r.Slots(), Crash: r.Crash(), Link: r.LinkMbps(), Version: r.Version(), Departed: r.Departed(),
 	})
 	return b
 }
@@ -100,7 +101,7 @@
 	return membership.NewRecord(e.Instance,
 		membership.Domain(e.Domain), membership.Pool(e.Pool), membership.Address(address), membership.ControlAddress(peer),
 		membership.Boot(e.Boot), membership.Seq(e.Seq), membership.InState(state),
-		membership.TargetID(e.Target), membership.Slots(e.Slots), membership.Crash(e.Crash), membership.LinkMbps(max(0, e.Link)), membership.Version(e.Version)), nil
+		membership.TargetID(e.Target), membership.Slots(e.Slots), membership.Crash(e.Crash), membership.LinkMbps(max(0, e.Link)), membership.Version(e.Version), membership.Departed(e.Departed)), nil
 }
 
 var stateByName = map[string]membership.State{
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -34,6 +34,8 @@
 	oneShotHTTP *http.Client // for probes of single members
 	pooledHTTP  *http.Client // for pulls and for fetching versions
 	onCrash     func(text string)
+	onDeparted  func(text string)
+	onRestored  func()
 	epoch       uint64 // of the view's change numbers; random for each process
 
 	view            *view
@@ -54,13 +56,14 @@
 	bootstrapped    chan struct{} // closed once the node knows its position in the tree
 	readerChanged   chan struct{} // signals that orphaned or rootSilent has changed
 
-	ownEntryRead atomic.Bool // the store's entry of this node, if any, is known
+	ownEntryRead atomic.Bool // what an earlier process has left in this node's entry is known
 	rereadNeeded atomic.Bool // the store has to be read as a whole
 	domainKey    domainKey
 
 	mu            sync.Mutex
 	own           ownEntry
 	entryChanged  chan struct{}
+	entryStored   chan struct{} // closed when the store has taken an announcement
 	announced     chan struct{} // closed when the next version is offered or becomes active
 	storeChanged  chan struct{} // closed when storeOK or storeLate changes
 	syncedChanged chan struct{} // closed when the node knows the members
@@ -107,6 +110,15 @@
 // must not block.
 func OnCrash(f func(text string)) Option { return func(fl *Fleet) { fl.onCrash = f } }
 
+// OnDeparted sets a callback for the targets that have left according to this node's own
+// entry, as an earlier process has announced them. It may be called more than once, before
+// and after that of OnRestored, and must not block.
+func OnDeparted(f func(text string)) Option { return func(fl *Fleet) { fl.onDeparted = f } }
+
+// OnRestored sets a callback for when what an earlier process has left in this node's entry
+// is known. Announce must not be called before.
+func OnRestored(f func()) Option { return func(fl *Fleet) { fl.onRestored = f } }
+
 // dialTimeout bounds connecting to another node. It is well below the kernel's SYN
 // retransmission timeout of a second, so that other nodes are tried sooner.
 const dialTimeout = 250 * time.Millisecond
@@ -117,7 +129,7 @@
 	f := &Fleet{
 		store: store, clk: clk, log: event.Discard(), configKey: configKey, decode: decode,
 		rng: rand.New(rand.NewPCG(1, 1)), view: newView(), own: ownEntry{base: self, self: self},
-		onCrash: func(string) {}, hints: make(chan hint, 1), entryChanged: make(chan struct{}, 1),
+		onCrash: func(string) {}, onDeparted: func(string) {}, onRestored: func() {}, entryStored: make(chan struct{}), hints: make(chan hint, 1), entryChanged: make(chan struct{}, 1),
 		bootstrapped: make(chan struct{}), readerChanged: make(chan struct{}, 1), announced: make(chan struct{}), storeChanged: make(chan struct{}),
 		syncedChanged: make(chan struct{}), startedAt: clk.Now(),
 		rollouts: newRolloutSet(),
@@ -181,7 +193,7 @@
 func (f *Fleet) Run(ctx context.Context, done chan<- error) {
 	tasks := []func(context.Context, chan<- error){
 		f.bootstrap, f.afterBootstrap(f.syncStore), f.afterBootstrap(f.pull), f.afterBootstrap(f.pullFromDomains), f.afterBootstrap(f.controlRollouts),
-		f.afterBootstrap(f.maintainDomainKey), f.afterBootstrap(f.audit), f.maintainEntry, f.queryPeers, f.checkMissing,
+		f.afterBootstrap(f.maintainDomainKey), f.afterBootstrap(f.audit), f.restoreOwnEntry, f.maintainEntry, f.queryPeers, f.checkMissing,
 	}
 	ended := make(chan error, len(tasks))
 	for _, task := range tasks {
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -74,6 +74,13 @@
 	return nil
 }
 
+func (s *nodeStore) Get(ctx context.Context, key string) (platform.Value, error) {
+	if err := s.checkReachable(platform.KindGet); err != nil {
+		return platform.Value{}, err
+	}
+	return s.fakeStore.Get(ctx, key)
+}
+
 func (s *nodeStore) Range(ctx context.Context, prefix string, opts ...platform.ReadOption) ([]platform.Value, uint64, error) {
 	if err := s.checkReachable(platform.KindGet); err != nil {
 		return nil, 0, err
@@ -375,16 +382,16 @@
 	})
 }
 
-// readAndAnnounce has a node read the entries of its failure domain, and announce its target
-// before or after that.
+// readAndAnnounce has a node read its entry, and announce its target before or after that.
 func readAndAnnounce(t *testing.T, f *Fleet, early bool, announce func()) {
 	t.Helper()
 	if early {
 		announce()
 	}
-	if _, err := f.readDomain(t.Context()); err != nil {
+	if err := f.readOwnEntry(t.Context()); err != nil {
 		t.Fatal(err)
 	}
+	f.setOwnEntryRead()
 	if !early {
 		announce()
 	}
--- a/internal/control/fleet/ownentry.go
+++ b/internal/control/fleet/ownentry.go
@@ -35,6 +35,12 @@
 	return f.own.self, f.own.announced
 }
 
+// Departed returns what this node's record says of targets that have left.
+func (f *Fleet) Departed() string {
+	self, _ := f.ownRecord()
+	return self.Departed()
+}
+
 // Announce sets the state that this node publishes in its entry, which Run writes to the
 // store. crash describes the target's last crash, "" if there was none since the process
 // started: the entry keeps that of an earlier process.
@@ -71,9 +77,17 @@
 func (f *Fleet) applyOwnRecord(r membership.Record, revision uint64) {
 	f.mu.Lock()
 	o := &f.own
+	if revision > 0 && revision < o.revision {
+		// A read that may be stale was overtaken.
+		f.mu.Unlock()
+		return
+	}
 	if o.self.Crash() == "" && r.Crash() != "" {
 		o.self = o.self.WithCrash(r.Crash()).WithSeq(o.self.Seq() + 1)
 	}
+	if o.self.Departed() == "" && r.Departed() != "" {
+		o.self = o.self.WithDeparted(r.Departed()).WithSeq(o.self.Seq() + 1)
+	}
 	switch {
 	case !o.announced && r.State() != membership.Gone && sameNode(r, o.base):
 		o.self = r
@@ -91,6 +105,74 @@
 	f.mu.Unlock()
 	f.view.setOwn(self, revision)
 	f.signalEntryChanged()
+	if r.Departed() != "" {
+		f.onDeparted(r.Departed())
+	}
+}
+
+// restoreOwnEntry reads the entry that an earlier process of this node has left in the
+// store, until it gets an answer. Other reads may be stale, and lack what that process has
+// announced last.
+func (f *Fleet) restoreOwnEntry(ctx context.Context, done chan<- error) {
+	for backoff := minRetry; ctx.Err() == nil && !f.ownEntryRead.Load(); backoff = min(2*backoff, maxStartRetry) {
+		if f.readOwnEntry(ctx) == nil {
+			f.setOwnEntryRead()
+			break
+		}
+		_ = f.clk.Sleep(ctx, f.jitter(backoff))
+	}
+	<-ctx.Done()
+	done <- ctx.Err()
+}
+
+// readOwnEntry reads and applies this node's entry, if the store has one.
+func (f *Fleet) readOwnEntry(ctx context.Context) error {
+	self, _ := f.ownRecord()
+	v, err := f.store.Get(ctx, entryKey(self.Domain(), self.Instance()))
+	var missing *platform.NotFoundError
+	switch {
+	case err == nil:
+		f.applyValues([]platform.Value{v})
+	case !errors.As(err, &missing):
+		return err
+	}
+	return nil
+}
+
+// setOwnEntryRead records that this node's own entry has been read, or that other nodes have
+// reported it.
+func (f *Fleet) setOwnEntryRead() {
+	if !f.ownEntryRead.Swap(true) {
+		f.onRestored()
+		f.signalEntryChanged()
+	}
+}
+
+// acceptPeersCopy takes what other nodes know of this node's entry for the whole of it if the
+// store has not answered for some time: a node that can't reach the store serves by its peers'
+// data in everything else, too.
+func (f *Fleet) acceptPeersCopy() {
+	if f.clk.Since(f.startedAt) > storeOutageAfter {
+		f.setOwnEntryRead()
+	}
+}
+
+// AwaitStored waits until the store has what this node announces. It returns the error of ctx
+// if that ends before.
+func (f *Fleet) AwaitStored(ctx context.Context) error {
+	for {
+		f.mu.Lock()
+		stored, next := !f.own.announced || f.own.stored == f.own.self, f.entryStored
+		f.mu.Unlock()
+		if stored {
+			return nil
+		}
+		select {
+		case <-next:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 }
 
 // sameNode reports whether a record describes a process at the same addresses as base.
@@ -141,7 +223,7 @@
 	switch {
 	case !announced || !f.ownEntryRead.Load():
 		return nil
-	case revision > 0 && (w.written == self || stored == self):
+	case revision > 0 && stored == self:
 		w.written = self
 		return nil
 	}
@@ -159,26 +241,34 @@
 		w.written = self
 		f.mu.Lock()
 		f.own.stored, f.own.revision = self, revision
+		close(f.entryStored)
+		f.entryStored = make(chan struct{})
 		f.mu.Unlock()
 		f.view.put(self, revision)
 		f.storeAnswered()
 		f.log.Emit(event.EntryWritten, event.F("state", self.State()), event.F("target", self.TargetID()), event.F("revision", revision))
 		return nil
 	case errors.As(err, &conflict):
+		// An earlier process may have written last, and have announced departures with it.
 		f.view.setRevision(self, conflict.Current)
+		if conflict.Current > 0 {
+			if rerr := f.readOwnEntry(ctx); rerr != nil {
+				return rerr
+			}
+		}
 		return err
 	default:
 		return err
 	}
 }
 
-// removeEntry removes the node's entry on shutdown. That of a draining target is left, as it
-// gets no calls and a process that is restarted replaces it; the root of the failure domain
-// removes it otherwise, and also if the removal fails.
+// removeEntry removes the node's entry on shutdown. That of a draining target, or with
+// targets that have left, is kept for the process that replaces this one; the root of the
+// failure domain removes it otherwise, and also if the removal fails.
 func (w *entryWriter) removeEntry(ctx context.Context) {
 	f := w.f
 	self := w.written
-	if self.Instance() == "" || self.State() == membership.Draining {
+	if self.Instance() == "" || self.State() == membership.Draining || self.Departed() != "" {
 		return
 	}
 	ctx, cancel := f.clk.WithTimeout(ctx, removeTimeout)
--- a/internal/control/fleet/position.go
+++ b/internal/control/fleet/position.go
@@ -163,8 +163,6 @@
 	}
 	f.applyValues(values)
 	own := entryKey(self.Domain(), self.Instance())
-	f.ownEntryRead.Store(true)
-	f.signalEntryChanged()
 	return slices.ContainsFunc(values, func(v platform.Value) bool { return v.Key() == own }), nil
 }
 
--- a/internal/control/fleet/pull.go
+++ b/internal/control/fleet/pull.go
@@ -120,6 +120,7 @@
 	}
 	p.setCursor(cursor{from.Instance(), resp.GetEpoch(), resp.GetCursor(), resp.GetStoreSilent()})
 	f.setRootSilent(resp.GetStoreSilent())
+	f.acceptPeersCopy()
 	f.mergeRollouts(resp.GetRollouts(), !resp.GetRolloutsUnknown())
 	f.setSynced(f.Size(), 0)
 	announced := resp.GetVersion()
--- a/internal/control/fleet/query.go
+++ b/internal/control/fleet/query.go
@@ -122,11 +122,17 @@
 			f.log.Emit(event.RecordRefused, event.F("error", err), event.F("from", peer))
 			continue
 		}
-		if !f.isOwn(r) && r.State() != membership.Gone {
+		switch {
+		case f.isOwn(r) && r.Departed() != "":
+			f.onDeparted(r.Departed())
+		case !f.isOwn(r) && r.State() != membership.Gone:
 			received = append(received, memberEntry{record: r})
 		}
 	}
 	f.applyMembers(received)
+	if len(received) > 0 {
+		f.acceptPeersCopy()
+	}
 }
 
 // checkMissing regularly probes the members whose entries, or whose failure domain's key, the
--- a/internal/control/fleet/syncstore.go
+++ b/internal/control/fleet/syncstore.go
@@ -126,7 +126,7 @@
 		}
 	})
 	f.rollouts.synced.Store(true)
-	f.ownEntryRead.Store(true)
+	f.setOwnEntryRead()
 	f.signalEntryChanged()
 	f.setSynced(len(present), revision)
 	return revision, nil
--- a/internal/log/event/calls.go
+++ b/internal/log/event/calls.go
@@ -13,6 +13,7 @@
 	CrashRecorded          Code = 1409
 	Overload               Code = 1410
 	HighestLevel           Code = 1411
+	DepartureUnsaved       Code = 1412
 )
 
 var callsEvents = map[Code]Entry{
@@ -26,5 +27,6 @@
 	CrashRecorded:          {Info, "a crash of some target was counted against the calls that were in flight there", "compare with 1408 of that target's node"},
 	Overload:               {Warn, "this node is short of processor time and refuses calls for its target (started), or no longer is (ended)", "see docs/operators/admission.md if it repeats"},
 	HighestLevel:           {Info, "an organisation uses three quarters of its limit or more at this issuer, so that its calls go behind those of others; at most one line in 10 s for an organisation", "see docs/operators/fairness.md"},
+	DepartureUnsaved:       {Warn, "a target's report that it leaves was not acknowledged, as the store did not take it in time; the target gets no more calls", "look at the store, or at this node's connection to it, if it repeats"},
 	UnauthenticatedRefused: {Warn, "unauthenticated connection refused; at most one line per second", "look at the address: a node with another fleet key, or a client that is not a node"},
 }
--- a/internal/policy/lifecycle/doc.go
+++ b/internal/policy/lifecycle/doc.go
@@ -6,5 +6,5 @@
 // target that has left: calls would go to a process that is ending or, once its
 // address is reused, to another service. The target of a node that has just
 // started is unknown; it may already have sent its goodbye to the node's previous
-// process.
+// process, which has left its departures where the next one reads them.
 package lifecycle
--- a/internal/policy/lifecycle/tracker.go
+++ b/internal/policy/lifecycle/tracker.go
@@ -75,6 +75,9 @@
 // ID returns the id of the process.
 func (h Heartbeat) ID() string { return h.id }
 
+// Draining reports whether the process has reported that it is about to leave.
+func (h Heartbeat) Draining() bool { return h.draining }
+
 // Target is the last known state of a node's target.
 type Target struct {
 	id      string
@@ -104,21 +107,24 @@
 func (t Target) AcceptsCalls() bool { return t.phase == Serving }
 
 // Tracker tracks the target of one node. It is not safe for concurrent use.
+//
+// A new tracker accepts no process before Open: it can't tell a delayed heartbeat of one that
+// has left from that of a live one before it knows what the node's earlier process knew.
 type Tracker struct {
 	target   Target
 	sequence uint64
 	warming  bool
-	// departed maps the id of each process that has left or been replaced to its start
-	// time, so that a delayed heartbeat can't reactivate it.
-	departed map[string]uint64
+	departed departures
+	open     bool
+	held     []Heartbeat // that came before Open
 }
 
-// maxDeparted bounds Tracker.departed, which is cleared when full. Heartbeats are
-// delayed by seconds, in which far fewer processes leave an address.
-const maxDeparted = 64
+// maxHeld bounds the heartbeats that are held until Open; further ones are dropped. Live
+// processes send another one soon.
+const maxHeld = 8
 
 // NewTracker returns a tracker of a target that is still unknown.
-func NewTracker() *Tracker { return &Tracker{departed: map[string]uint64{}} }
+func NewTracker() *Tracker { return &Tracker{} }
 
 // Target returns the last known state of the target.
 func (t *Tracker) Target() Target { return t.target }
@@ -127,27 +133,62 @@
 // after its start.
 func (t *Tracker) Warming() bool { return t.warming }
 
-// HandleHeartbeat processes a heartbeat and reports whether the target changed.
-func (t *Tracker) HandleHeartbeat(h Heartbeat) bool {
-	if !t.supersedes(h) {
+// Departures returns the text form of the latest processes that have reported that they
+// leave, for Remember in the node's next process.
+func (t *Tracker) Departures() string { return t.departed.String() }
+
+// Remember adds the departures that an earlier process of the node knew, in their text form,
+// and reports whether the target or the departures changed.
+func (t *Tracker) Remember(text string) (changed bool) {
+	for _, p := range parseDepartures(text) {
+		changed = t.leave(p) || changed
+	}
+	return changed
+}
+
+// Open makes the tracker accept processes, as all departures are known, and reports whether
+// the target changed.
+func (t *Tracker) Open() (changed bool) {
+	t.open = true
+	held := t.held
+	t.held = nil
+	for _, h := range held {
+		changed = t.HandleHeartbeat(h) || changed
+	}
+	return changed
+}
+
+// HandleHeartbeat processes a heartbeat and reports whether the target or the departures
+// changed.
+func (t *Tracker) HandleHeartbeat(h Heartbeat) (changed bool) {
+	switch {
+	case h.draining && !t.supersedes(h):
+		// Draining is final for a process, so the report counts whenever it arrives.
+		return t.leave(departure{h.id, h.startMs, true})
+	case !t.supersedes(h):
+		return false
+	case !t.open && !h.draining:
+		if len(t.held) < maxHeld {
+			t.held = append(t.held, h)
+		}
 		return false
 	}
 	before := t.target
 	if before.id != "" && before.id != h.id {
-		t.rememberDeparted(before.id, before.startMs)
+		t.departed.add(departure{id: before.id, startMs: before.startMs})
 	}
 	t.sequence, t.warming = h.sequence, h.warming
 	t.target.id, t.target.startMs, t.target.slots, t.target.version = h.id, h.startMs, max(1, h.slots), h.version
 	t.target.phase = Serving
 	if h.draining {
-		t.markLeaving()
+		changed = t.leave(departure{h.id, h.startMs, true})
 	}
-	return t.target != before
+	return changed || t.target != before
 }
 
 // supersedes reports whether a heartbeat is newer than all accepted ones.
 func (t *Tracker) supersedes(h Heartbeat) bool {
-	if startMs, found := t.departed[h.id]; found && h.startMs <= startMs {
+	if t.departed.contains(h.id, h.startMs) {
 		return false
 	}
 	switch {
@@ -165,32 +206,25 @@
 }
 
 // HandleGoodbye processes the goodbye of a process, received at nowMs in Unix milliseconds,
-// and reports whether the target changed.
-func (t *Tracker) HandleGoodbye(id string, nowMs uint64) bool {
-	if t.target.phase == Unknown {
-		// The target may have served the node's previous process. Its delayed
-		// heartbeats must not be accepted after the goodbye; only a process that has
-		// started since, on the same machine, may use its id again.
-		t.rememberDeparted(id, nowMs)
-		return false
-	}
-	if id != t.target.id || t.target.phase == Leaving {
-		return false
+// and reports whether the target or the departures changed.
+func (t *Tracker) HandleGoodbye(id string, nowMs uint64) (changed bool) {
+	if id == t.target.id {
+		return t.leave(departure{id, t.target.startMs, true})
 	}
-	t.markLeaving()
-	return true
-}
-
-func (t *Tracker) markLeaving() {
-	t.target.phase = Leaving
-	t.rememberDeparted(t.target.id, t.target.startMs)
+	// The tracker does not know when the process started. Its delayed heartbeats must not
+	// be accepted; only a process that has started since, on the same machine, may use its
+	// id again.
+	return t.leave(departure{id, nowMs, true})
 }
 
-func (t *Tracker) rememberDeparted(id string, startMs uint64) {
-	if len(t.departed) >= maxDeparted {
-		clear(t.departed)
+// leave records a departure, which ends the phase of the target if that has left, and
+// reports whether anything changed.
+func (t *Tracker) leave(p departure) (changed bool) {
+	changed = t.departed.add(p)
+	if t.target.id == p.id && t.target.startMs <= p.startMs && t.target.phase != Leaving {
+		t.target.phase, changed = Leaving, true
 	}
-	t.departed[id] = startMs
+	return changed
 }
 
 // HandleConnectionRefused processes a refused connection to the address of a
--- a/internal/policy/lifecycle/tracker_test.go
+++ b/internal/policy/lifecycle/tracker_test.go
@@ -1,6 +1,7 @@
 package lifecycle
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -9,13 +10,26 @@
 
 // targetAfter returns the target after a space-separated list of events:
 // id:start:sequence is a heartbeat, a suffix D marks it as draining, bye:id is a
-// goodbye, with :time if its time counts, and no:id a refused connection.
+// goodbye, with :time if its time counts, and no:id a refused connection. restart starts
+// the node again, and kill starts it without what it has saved until open.
 func targetAfter(t *testing.T, events string) Target {
 	t.Helper()
-	tr := NewTracker()
+	tr, saved := NewTracker(), ""
+	tr.Open()
 	for event := range strings.FieldsSeq(events) {
 		fields := strings.Split(event, ":")
 		switch fields[0] {
+		case "restart":
+			saved = tr.Departures()
+			tr = NewTracker()
+			tr.Remember(saved)
+			tr.Open()
+		case "kill":
+			saved = tr.Departures()
+			tr = NewTracker()
+		case "open":
+			tr.Remember(saved)
+			tr.Open()
 		case "bye":
 			nowMs := uint64(0)
 			if len(fields) > 2 {
@@ -70,6 +84,25 @@
 		{"a delayed heartbeat of a predecessor of the predecessor is ignored", "a:0:5 b:0:1 c:0:1 a:0:6", "c serving"},
 		{"a delayed heartbeat of a predecessor that was seen down is ignored", "a:0:5 no:a b:0:1 a:0:6", "b serving"},
 		{"a delayed heartbeat of a departed predecessor without a start time is ignored", "a:0:5 bye:a b:0:1 a:0:6", "b serving"},
+		{"a draining heartbeat that was overtaken counts", "a:1:2 a:1:1D", "a leaving"},
+		{"a goodbye before the first heartbeat of a successor counts", "a:1:1 bye:b:5 b:2:1", "a serving"},
+		{"and for a process without a start time", "a:0:1 bye:b:5 b:0:1", "a serving"},
+		{"a late draining heartbeat of an unknown predecessor counts after a restart", "b:2:1 a:1:9D restart a:1:8", " unknown"},
+		{"a heartbeat from before the goodbye is ignored after a restart", "a:1:1 bye:a restart a:1:2", " unknown"},
+		{"a heartbeat from before the draining one is ignored after a restart", "a:1:3D restart a:1:2", " unknown"},
+		{"and after two restarts", "a:0:1 bye:a restart restart a:0:2", " unknown"},
+		{"a goodbye to a restarted node is kept over the next restart", "a:0:1 restart bye:a:5 restart a:0:2", " unknown"},
+		{"a departure is kept although a successor serves at the restart", "a:0:1 bye:a b:0:1 restart a:0:2", " unknown"},
+		{"a live target serves after a restart", "a:1:1 restart a:1:2", "a serving"},
+		{"also if it crashed before", "a:0:1 no:a restart a:0:2", "a serving"},
+		{"a successor serves after a restart", "a:0:1 bye:a restart b:0:1", "b serving"},
+		{"a later process with the same id serves after a restart", "a:1:1 bye:a restart a:2:1", "a serving"},
+		{"a live target that was replaced and is back is known after a restart", "a:0:1 b:0:1 restart a:0:2", "a serving"},
+		{"a heartbeat before the departures are known is held", "a:0:1 kill a:0:2", " unknown"},
+		{"and serves if it is of a live target", "a:0:1 kill a:0:2 open", "a serving"},
+		{"and is ignored if it is of one that has left", "a:0:1 bye:a kill a:0:2 open", " unknown"},
+		{"and if its target leaves meanwhile", "a:0:1 kill a:0:2 bye:a:5 open", " unknown"},
+		{"a draining heartbeat counts at once", "a:0:1 kill a:0:2D a:0:1 open", "a leaving"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
@@ -80,3 +113,34 @@
 		})
 	}
 }
+
+// Guards against departures that are lost because many others follow, or because an id has
+// characters of the text form.
+func TestTheLatestDeparturesAreSaved(t *testing.T) {
+	t.Parallel()
+	tr := NewTracker()
+	tr.Open()
+	for i := range 3 * maxDepartures {
+		tr.HandleGoodbye(fmt.Sprint("old-", i), 1)
+	}
+	odd := "i 7@f+%/é"
+	tr.HandleHeartbeat(NewHeartbeat(odd, StartMs(1_800_000_000_000), Draining()))
+	for i := range maxDepartures - 1 {
+		tr.HandleHeartbeat(NewHeartbeat(fmt.Sprint("crashed-", i), StartMs(uint64(1_800_000_000_001+i))))
+	}
+	if tr.supersedes(NewHeartbeat(odd, Sequence(9), StartMs(1_800_000_000_000))) {
+		t.Error("the latest departure was dropped for processes that were replaced")
+	}
+	next := NewTracker()
+	next.Remember(tr.Departures())
+	next.Open()
+	if next.HandleHeartbeat(NewHeartbeat(odd, Sequence(9), StartMs(1_800_000_000_000))) {
+		t.Errorf("accepted a process that has left; saved: %q", tr.Departures())
+	}
+	if saved := len(strings.Fields(tr.Departures())); saved != maxSavedDepartures {
+		t.Errorf("%d departures are saved", saved)
+	}
+	if malformed := parseDepartures("@ @1 a@? ~zz b@1"); len(malformed) != 1 || malformed[0].id != "b" {
+		t.Errorf("%v of malformed departures", malformed)
+	}
+}
--- a/internal/policy/membership/record.go
+++ b/internal/policy/membership/record.go
@@ -54,6 +54,7 @@
 	crash    string
 	linkMbps int
 	version  string
+	departed string
 }
 
 // RecordOption sets one property of a record.
@@ -100,6 +101,10 @@
 // Version sets the version of the target's software, if it reports one.
 func Version(v string) RecordOption { return func(r *Record) { r.version = v } }
 
+// Departed sets the instance's list of target processes that have left; this package does
+// not interpret it.
+func Departed(text string) RecordOption { return func(r *Record) { r.departed = text } }
+
 // NewRecord returns an announcement of an instance, in state Starting by default.
 func NewRecord(instance string, opts ...RecordOption) Record {
 	r := Record{instance: instance, state: Starting}
@@ -149,6 +154,15 @@
 // Version returns the version of the target's software, or "" if unknown.
 func (r Record) Version() string { return r.version }
 
+// Departed returns the instance's list of target processes that have left, or "".
+func (r Record) Departed() string { return r.departed }
+
+// WithDeparted returns a copy of the record with another list of processes that have left.
+func (r Record) WithDeparted(text string) Record {
+	r.departed = text
+	return r
+}
+
 // WithBoot returns a copy of the record with another boot number.
 func (r Record) WithBoot(boot uint64) Record {
 	r.boot = boot
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -1,6 +1,7 @@
 package resident
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -70,6 +71,10 @@
 	// drainAnnounced is set once the node has announced to its peers that its
 	// target is draining; refusing is set once it refuses their calls.
 	drainAnnounced, refusing bool
+	// mayAnnounce is set, and opened closed, once the node knows what an earlier process
+	// has announced: an announcement replaces that.
+	mayAnnounce bool
+	opened      chan struct{}
 
 	fleetOptions []fleet.Option
 	domains      []string // all failure domains of the fleet
@@ -102,7 +107,7 @@
 	}
 	n := &Node{
 		cfg: cfg, clk: clk, out: event.NewAsync(out, clk), metrics: metrics.NewSet(),
-		headerNames: hop.NewHeaderNames(), tracker: lifecycle.NewTracker(),
+		headerNames: hop.NewHeaderNames(), tracker: lifecycle.NewTracker(), opened: make(chan struct{}),
 	}
 	n.reloadable.Store(&cfg.Reloadable)
 	n.log = event.New(n.out, cfg.Instance).WithRateLimiter(event.NewRateLimiter(clk))
@@ -187,6 +192,7 @@
 	n.fleet = fleet.New(store, n.clk, self, configKey, decode,
 		append([]fleet.Option{
 			fleet.WithLog(n.log), fleet.WithRandomSeed(seed), fleet.OnCrash(n.crashes.Record), fleet.WithRunningCalls(n.runningCalls),
+			fleet.OnDeparted(n.rememberDepartures), fleet.OnRestored(n.openTracker),
 		}, n.fleetOptions...)...)
 	n.budgets = retry.NewBudgets(rand.New(rand.NewPCG(seed, 4)), retry.RefusedRatio(refusedRetryShare), retry.WithBounds(n.retryBounds))
 	n.meshClient = hop.NewClient(n.clk, hop.ExpectContinue(), hop.WithDialTimeout(peerDialTimeout))
@@ -205,7 +211,7 @@
 	n.slots.SetProcess(n.tracker.Target())
 	n.targetHandler = target.New(n.slots, targetAddress, n.targetClient, nil, nil, n.clk,
 		target.WithLog(n.log), target.WithMetrics(n.metrics), target.WithHeaderNames(n.headerNames),
-		target.OnConnRefused(n.handleConnRefused), target.OnLeaving(n.HandleGoodbye), target.WithVersion(n.Version), target.WithCallLog(n.log),
+		target.OnConnRefused(n.handleConnRefused), target.OnLeaving(n.noteGoodbye), target.WithVersion(n.Version), target.WithCallLog(n.log),
 		target.WithRollout(n.fleet.Admits, n.observe), target.WithDrain(n.drainGate))
 	n.targetServer = target.NewServer(n.targetHandler, n.clk)
 	n.registerMetrics()
@@ -254,21 +260,75 @@
 func (n *Node) Ready() bool { return n.fleet.Ready() && !n.stopping.Load() }
 
 // HandleHeartbeat handles a heartbeat of the target. Once it returns, no call is
-// forwarded to a target that has reported that it is draining.
-func (n *Node) HandleHeartbeat(h lifecycle.Heartbeat) {
+// forwarded to a target that has reported that it is draining. Its error is an
+// UnsavedDepartureError: the target must not take the report for acknowledged.
+func (n *Node) HandleHeartbeat(ctx context.Context, h lifecycle.Heartbeat) error {
 	n.updateTarget(func() bool {
 		changed := n.tracker.HandleHeartbeat(h)
 		n.warming.Store(n.tracker.Warming())
 		return changed
 	})
+	if !h.Draining() {
+		return nil
+	}
+	return n.saveDeparture(ctx, h.ID())
+}
+
+// HandleGoodbye handles a call by which a target reports that its process is stopping. Its
+// error is that of HandleHeartbeat.
+func (n *Node) HandleGoodbye(ctx context.Context, id string) error {
+	n.noteGoodbye(id)
+	return n.saveDeparture(ctx, id)
 }
 
-// HandleGoodbye handles a target's report that its process is stopping, by a call of its own
+// noteGoodbye handles a target's report that its process is stopping, by a call of its own
 // or in a response.
-func (n *Node) HandleGoodbye(id string) {
+func (n *Node) noteGoodbye(id string) {
 	n.updateTarget(func() bool { return n.tracker.HandleGoodbye(id, uint64(n.clk.Now().UnixMilli())) })
 }
 
+// saveTimeout bounds the wait for the store to take a departure. Targets wait for an
+// acknowledgement for a second.
+const saveTimeout = 800 * time.Millisecond
+
+// saveDeparture waits until a departure outlasts this process: a process that is started after
+// it has to refuse the target's delayed heartbeats.
+func (n *Node) saveDeparture(ctx context.Context, id string) error {
+	ctx, cancel := n.clk.WithTimeout(ctx, saveTimeout)
+	defer cancel()
+	select {
+	case <-n.opened:
+	case <-ctx.Done():
+		return n.logUnsaved(&UnsavedDepartureError{Target: id, Err: ctx.Err()})
+	}
+	if err := n.fleet.AwaitStored(ctx); err != nil {
+		return n.logUnsaved(&UnsavedDepartureError{Target: id, Err: err})
+	}
+	return nil
+}
+
+func (n *Node) logUnsaved(err *UnsavedDepartureError) error {
+	n.log.Emit(event.DepartureUnsaved, event.F("target", err.Target), event.F("error", err.Err))
+	return err
+}
+
+// rememberDepartures adds the departures in this node's entry that an earlier process has
+// announced.
+func (n *Node) rememberDepartures(text string) {
+	n.updateTarget(func() bool { return n.tracker.Remember(text) })
+}
+
+// openTracker makes the node accept its target, since it knows what an earlier process has
+// announced.
+func (n *Node) openTracker() {
+	n.mu.Lock()
+	n.mayAnnounce = true
+	reported := n.tracker.Target() != (lifecycle.Target{}) || n.tracker.Departures() != n.fleet.Departed()
+	n.mu.Unlock()
+	close(n.opened)
+	n.updateTarget(func() bool { return n.tracker.Open() || reported })
+}
+
 func (n *Node) handleConnRefused(id string) {
 	n.updateTarget(func() bool { return n.tracker.HandleConnectionRefused(id) })
 }
@@ -290,17 +350,21 @@
 	if t.Version() != before.Version() {
 		n.targetHandler.ForgetCompleted()
 	}
-	n.log.Emit(event.TargetChanged, event.F("target", t.ID()), event.F("phase", t.Phase()),
-		event.F("born_ms", t.StartMs()), event.F("slots", t.Slots()))
-	if !n.refusing {
-		n.slots.SetProcess(t)
-	}
-	if !n.drainAnnounced {
-		n.announce(t)
+	if t != before {
+		n.log.Emit(event.TargetChanged, event.F("target", t.ID()), event.F("phase", t.Phase()),
+			event.F("born_ms", t.StartMs()), event.F("slots", t.Slots()))
+		if !n.refusing {
+			n.slots.SetProcess(t)
+		}
 	}
+	n.announce(t)
 }
 
+// announce announces the state of the target, and which ones have left, to the other nodes.
 func (n *Node) announce(t lifecycle.Target) {
+	if !n.mayAnnounce {
+		return
+	}
 	state := membership.Starting
 	switch t.Phase() {
 	case lifecycle.Serving:
@@ -308,7 +372,10 @@
 	case lifecycle.Leaving:
 		state = membership.Draining
 	}
-	n.fleet.Announce(state, t.ID(), t.Slots(), n.lastCrash, membership.Version(t.Version()))
+	if n.drainAnnounced {
+		state = membership.Draining
+	}
+	n.fleet.Announce(state, t.ID(), t.Slots(), n.lastCrash, membership.Version(t.Version()), membership.Departed(n.tracker.Departures()))
 }
 
 // announceDraining announces to the other nodes that this one will soon refuse
@@ -317,8 +384,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.drainAnnounced = true
-	t := n.tracker.Target()
-	n.fleet.Announce(membership.Draining, t.ID(), t.Slots(), n.lastCrash, membership.Version(t.Version()))
+	n.announce(n.tracker.Target())
 }
 
 // refuseCalls refuses the calls that wait for the target and all later ones; the
