traffic: tests open the tracker of their target

policy/lifecycle accepts no target before Open since; three tests of traffic that make a tracker of their own were red from then on (0 targets crashed, calls refused as starting).

--- a/internal/traffic/caller/crash_test.go
+++ b/internal/traffic/caller/crash_test.go
@@ -61,6 +61,7 @@
 	for i, s := range h.targets {
 		id := "i-" + strconv.Itoa(i)
 		trackers[i] = lifecycle.NewTracker()
+		trackers[i].Open()
 		trackers[i].HandleHeartbeat(lifecycle.NewHeartbeat(id, lifecycle.Slots(12)))
 		s.slots.SetProcess(trackers[i].Target())
 		ready[i] = membership.NewRecord(s.record.Instance(), membership.Pool("quotes"), membership.Address(s.record.Address()),
--- a/internal/traffic/target/admit_test.go
+++ b/internal/traffic/target/admit_test.go
@@ -133,6 +133,7 @@
 	clk := timer.NewManual(time.Unix(1_800_000_000, 0))
 	s := NewSlots(&testConfig{withSlots(t, snapshot.Empty(), 8)}, "p", clk)
 	tracker := lifecycle.NewTracker()
+	tracker.Open()
 	meta := hop.NewMeta(hop.ForOrganisation("harbour", snapshot.Paying))
 	admitted := func() bool {
 		_, err := s.acquire(t.Context(), meta, clk.Now().Add(time.Second))
@@ -226,6 +227,7 @@
 	clk := timer.NewManual(time.Unix(1_800_000_000, 0))
 	s := NewSlots(&testConfig{withSlots(t, snapshot.Empty(), 1)}, "p", clk)
 	tracker := lifecycle.NewTracker()
+	tracker.Open()
 	s.SetProcess(tracker.Target())
 	var (
 		refused  *RefusedError
