--- a/internal/config/snapshot/check.go
+++ b/internal/config/snapshot/check.go
@@ -43,25 +43,35 @@
 // depends on the objects alone, so that operator commands and nodes get the same
 // result.
 func check(objects map[Key]entry) error {
-	c := checker{objects: objects, hashes: map[string]Key{}, matches: map[string]Key{}}
-	keys := make([]Key, 0, len(objects))
-	for k := range objects {
+	if faults := newChecker(objects, false).all(); len(faults) > 0 {
+		return &CheckError{Faults: faults}
+	}
+	return nil
+}
+
+func newChecker(objects map[Key]entry, adopted bool) *checker {
+	return &checker{objects: objects, adopted: adopted, hashes: map[string]Key{}, matches: map[string]Key{}}
+}
+
+// all checks all objects in the order of their keys and returns the faults.
+func (c *checker) all() []error {
+	keys := make([]Key, 0, len(c.objects))
+	for k := range c.objects {
 		keys = append(keys, k)
 	}
 	slices.SortFunc(keys, CompareKeys)
 	for _, k := range keys {
-		c.checkObject(k, objects[k].object)
+		c.checkObject(k, c.objects[k].object)
 	}
-	if len(c.faults) > 0 {
-		return &CheckError{Faults: c.faults}
-	}
-	return nil
+	return c.faults
 }
 
 // checker collects the faults of a set of objects. hashes and matches hold the
 // object that first claimed a key hash or a combination of host, path and method.
+// Values of adopted objects have no bounds; only contradictions are faults.
 type checker struct {
 	objects map[Key]entry
+	adopted bool
 	hashes  map[string]Key
 	matches map[string]Key
 	faults  []error
@@ -97,6 +107,10 @@
 		}
 		c.checkDuration(k, "latency", o.latency, minDeadline, maxDeadline, deadlineStep)
 		c.checkDuration(k, "window", o.window, minWindow, maxWindow, windowStep)
+	case ClientLimits:
+		if !c.adopted {
+			c.faults = append(c.faults, &DecodeError{What: "object"})
+		}
 	default:
 		c.faults = append(c.faults, &DecodeError{What: "object"})
 	}
@@ -227,5 +241,8 @@
 }
 
 func (c *checker) addValueError(k Key, field, format string, args ...any) {
+	if c.adopted {
+		return
+	}
 	c.faults = append(c.faults, &ValueError{Object: k, Field: field, Reason: fmt.Sprintf(format, args...)})
 }
--- a/internal/config/snapshot/object.go
+++ b/internal/config/snapshot/object.go
@@ -19,6 +19,9 @@
 	KindObjective    Kind = "objective"
 )
 
+// kindClientLimits is the kind of an object that only adopted versions have.
+const kindClientLimits Kind = "client-limits"
+
 // Key identifies an object of the configuration.
 type Key struct {
 	Kind Kind
@@ -124,8 +127,11 @@
 // that of their routes.
 func (o Organisation) Priority() int { return o.priority }
 
-// CallPriority returns the priority of the organisation's calls on a route.
-func (o Organisation) CallPriority(r Route) int { return o.priority*(maxPriority+1) + r.priority }
+// withoutKeys returns the organisation without the API keys of another one.
+func (o Organisation) withoutKeys(other Organisation) Organisation {
+	o.keyHashes = slices.DeleteFunc(slices.Clone(o.keyHashes), func(h string) bool { return slices.Contains(other.keyHashes, h) })
+	return o
+}
 
 // KeyHashes returns the hashes of its API keys.
 func (o Organisation) KeyHashes() []string { return slices.Clone(o.keyHashes) }
@@ -426,3 +432,32 @@
 // Key implements Object.
 func (o Objective) Key() Key  { return Key{KindObjective, o.service} }
 func (o Objective) isObject() {}
+
+// ClientLimits is what clients of an adopted version may send; 0 is no statement.
+type ClientLimits struct {
+	headBytes                int
+	bodyBytes                int64
+	headTimeout, idleTimeout time.Duration
+}
+
+// NewClientLimits returns the limits of a request's head and body in bytes, the time in which
+// a head must arrive, and the time for which a connection may be idle.
+func NewClientLimits(headBytes int, bodyBytes int64, headTimeout, idleTimeout time.Duration) ClientLimits {
+	return ClientLimits{headBytes, bodyBytes, headTimeout, idleTimeout}
+}
+
+// HeadBytes returns the limit of a request's line and headers in bytes.
+func (l ClientLimits) HeadBytes() int { return l.headBytes }
+
+// BodyBytes returns the limit of a request's body in bytes.
+func (l ClientLimits) BodyBytes() int64 { return l.bodyBytes }
+
+// HeadTimeout returns the time in which a request's head must arrive.
+func (l ClientLimits) HeadTimeout() time.Duration { return l.headTimeout }
+
+// IdleTimeout returns the time for which a connection may be idle.
+func (l ClientLimits) IdleTimeout() time.Duration { return l.idleTimeout }
+
+// Key implements Object.
+func (l ClientLimits) Key() Key  { return Key{kindClientLimits, "all"} }
+func (l ClientLimits) isObject() {}
--- a/internal/config/snapshot/revise.go
+++ b/internal/config/snapshot/revise.go
@@ -6,13 +6,13 @@
 	"strings"
 )
 
-// Revise returns the checked version that results from a change to s, an assembled
-// version. It equals the version that Assemble returns for the resulting objects, but
-// shares with s what the change does not affect, and checks only the changed objects
+// Revise returns the checked version that results from a change to s, an assembled or
+// adopted version. It equals the version that Assemble or Adopt returns for the resulting
+// objects, but shares with s what the change does not affect, and checks only the changed objects
 // where that is enough.
 func (s *Snapshot) Revise(version uint64, c Change) (*Snapshot, error) {
 	if c.Empty() {
-		return &Snapshot{version: version, objects: s.objects, lookup: s.lookup}, nil
+		return &Snapshot{version: version, adopted: s.adopted, faults: s.faults, objects: s.objects, lookup: s.lookup}, nil
 	}
 	objects := make(map[Key]entry, len(s.objects)+len(c.upserts))
 	maps.Copy(objects, s.objects)
@@ -31,9 +31,12 @@
 	// For a change of most objects it is cheaper to build everything anew.
 	if 2*(len(c.upserts)+len(c.removes)) <= len(s.objects) {
 		if l, ok := s.reviseLookup(c, objects); ok {
-			return &Snapshot{version: version, objects: objects, lookup: l}, nil
+			return &Snapshot{version: version, adopted: s.adopted, objects: objects, lookup: l}, nil
 		}
 	}
+	if s.adopted {
+		return adopt(version, objects, nil), nil
+	}
 	return build(version, Digest{}, "", objects)
 }
 
@@ -43,7 +46,7 @@
 	if s.breaksReferences(c) {
 		return lookup{}, false
 	}
-	check := checker{objects: objects, hashes: map[string]Key{}, matches: map[string]Key{}}
+	check := newChecker(objects, s.adopted)
 	kinds := map[Kind]bool{}
 	for _, k := range c.removes {
 		kinds[k.Kind] = true
@@ -63,6 +66,7 @@
 				return lookup{}, false
 			}
 		}
+		l.priorities = countPriorities(objects)
 		delete(kinds, KindRoute)
 	}
 	l.rebuild(objects, kinds)
--- a/internal/config/snapshot/revise_test.go
+++ b/internal/config/snapshot/revise_test.go
@@ -118,3 +118,53 @@
 		t.Errorf("%d valid and %d invalid versions; the test has to cover both", valid, invalid)
 	}
 }
+
+// The same must hold for adopted versions, of which none is an error: what contradicts is
+// settled in the same way, and reported.
+func TestReviseEqualsAdopt(t *testing.T) {
+	t.Parallel()
+	clean, faulty := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		objects := map[Key]Object{}
+		for _, name := range []string{"a", "b", "c"} {
+			for _, o := range []Object{NewService(name), NewPool(name, name), NewOrganisation(name, Trial)} {
+				objects[o.Key()] = o
+			}
+		}
+		list := func(m map[Key]Object) (out []Object) {
+			for _, o := range m {
+				out = append(out, o)
+			}
+			return out
+		}
+		s := Adopt(1, list(objects))
+		for i := range 10 {
+			next := map[Key]Object{}
+			for k, o := range objects {
+				next[k] = o
+			}
+			var removes []Key
+			if rapid.Bool().Draw(t, "removes") {
+				k := rapid.SampledFrom(s.Keys()).Draw(t, "remove")
+				removes = append(removes, k)
+				delete(next, k)
+			}
+			o := drawObject(t)
+			next[o.Key()] = o
+			want := Adopt(uint64(i+2), list(next))
+			got, err := s.Revise(uint64(i+2), NewChange([]Object{o}, removes))
+			if err != nil || calls(got) != calls(want) || !reflect.DeepEqual(got.objects, want.objects) || !reflect.DeepEqual(got.Faults(), want.Faults()) {
+				t.Fatalf("revised to %+v, %v\n%s\nadopted as %+v\n%s", got, err, calls(got), want, calls(want))
+			}
+			if len(got.Faults()) > 0 {
+				faulty++
+				continue
+			}
+			clean++
+			s, objects = got, next
+		}
+	})
+	if clean < 100 || faulty < 100 {
+		t.Errorf("%d versions without and %d with faults; the test has to cover both", clean, faulty)
+	}
+}
--- a/internal/config/snapshot/snapshot.go
+++ b/internal/config/snapshot/snapshot.go
@@ -14,6 +14,8 @@
 	version uint64
 	digest  Digest
 	planID  string
+	adopted bool
+	faults  []error
 	objects map[Key]entry
 	lookup  lookup
 }
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -238,12 +238,24 @@
 		if f.config.CompareAndSwap(active, &activeConfig{snap: snap, since: f.clk.Now(), compressed: compressed}) {
 			f.log.Emit(event.VersionApplied, event.F("version", snap.Version()),
 				event.F("before", active.snap.Version()), event.F("from", from), event.F("bytes", len(b)))
+			f.logFaults(snap)
 			f.signalAnnounced()
 			return true
 		}
 	}
 }
 
+// maxLoggedFaults bounds the faults of one version that are logged.
+const maxLoggedFaults = 8
+
+// logFaults logs the parts of a version that can't be used as they are.
+func (f *Fleet) logFaults(s *snapshot.Snapshot) {
+	faults := s.Faults()
+	for _, fault := range faults[:min(len(faults), maxLoggedFaults)] {
+		f.log.Emit(event.VersionFault, event.F("version", s.Version()), event.F("faults", len(faults)), event.F("error", fault))
+	}
+}
+
 // View implements fleetpb.Fleet.
 func (f *Fleet) View(_ context.Context, r *fleetpb.ViewRequest) (*fleetpb.ViewResponse, error) {
 	self, _ := f.ownRecord()
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -206,17 +206,34 @@
 		caller.WithRefusalRetries(refusedRetries), caller.WithCallLog(n.log), caller.WithCrashRegister(n.crashes),
 		caller.WithBudgets(n.budgets), caller.WithLimits(n.tokens), caller.WithOverload(n.overload),
 		caller.WithDrain(n.drainGate), caller.WithNestedDeadline(n.madeByTarget),
-	), n.clk, n.log)
+	), n.clk, n.log, http1.WithLimits(n.clientLimits))
 	n.slots = target.NewSlots(n.fleet, n.cfg.Pool, n.clk, target.WithOverload(n.overload))
 	n.slots.SetProcess(n.tracker.Target())
 	n.targetHandler = target.New(n.slots, targetAddress, n.targetClient, nil, nil, n.clk,
 		target.WithLog(n.log), target.WithMetrics(n.metrics), target.WithHeaderNames(n.headerNames),
 		target.OnConnRefused(n.handleConnRefused), target.OnLeaving(n.noteGoodbye), target.WithVersion(n.Version), target.WithCallLog(n.log),
 		target.WithRollout(n.fleet.Admits, n.observe), target.WithDrain(n.drainGate))
-	n.targetServer = target.NewServer(n.targetHandler, n.clk)
+	n.targetServer = target.NewServer(n.targetHandler, n.clk, http1.WithLimits(n.meshLimits))
 	n.registerMetrics()
 }
 
+// clientLimits returns what callers may send by the active configuration.
+func (n *Node) clientLimits() http1.Limits {
+	l := n.fleet.Current().ClientLimits()
+	return http1.Limits{HeadBytes: l.HeadBytes(), BodyBytes: l.BodyBytes(), HeadTimeout: l.HeadTimeout(), IdleTimeout: l.IdleTimeout()}
+}
+
+// metaBytes is the part of a head that nodes may add to that of a caller.
+const metaBytes = 8 << 10
+
+// meshLimits returns what other nodes may send: what their callers may, which their
+// configuration may state earlier, and what they add to it.
+func (n *Node) meshLimits() http1.Limits {
+	l := n.clientLimits()
+	l.HeadBytes = max(http1.MaxHeadBytes, l.HeadBytes) + metaBytes
+	return l
+}
+
 // Members returns how many nodes are known, this one included.
 func (n *Node) Members() int { return n.fleet.Size() }
 
--- a/internal/traffic/caller/route.go
+++ b/internal/traffic/caller/route.go
@@ -32,7 +32,7 @@
 	c.h.headerNames.Strip(c.r.Header)
 	c.callInfo = balance.NewCallInfo(c.org.Name(), c.org.Class()).WithRoute(c.rt.Name())
 	c.meta = hop.NewMeta(hop.Depth(depth), hop.ForOrganisation(c.org.Name(), c.org.Class()), hop.ForRoute(c.rt),
-		hop.Priority(c.org.CallPriority(c.rt)), hop.FromOrigin(c.h.origin))
+		hop.Priority(c.snap.CallPriority(c.org, c.rt)), hop.FromOrigin(c.h.origin))
 	return nil
 }
 
--- a/internal/traffic/hop/header.go
+++ b/internal/traffic/hop/header.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"net/textproto"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -226,12 +227,12 @@
 )
 
 const (
-	// maxRemaining is above the longest deadline that can be declared.
-	maxRemaining = time.Hour
-	// maxAttempts is above the attempts that any declarable retry policy allows.
+	// maxRemaining is the longest time that is passed on; no call lasts as long.
+	maxRemaining = 100 * 365 * 24 * time.Hour
+	// maxAttempts is above the attempts that any retry policy allows.
 	maxAttempts = 100
-	// maxPriority is above any priority that can be declared.
-	maxPriority = 255
+	// maxPriority is above the priority of any organisation's call on any route.
+	maxPriority = 1 << 53
 	// maxLevel is the highest level of an organisation.
 	maxLevel = 3
 )
@@ -262,7 +263,7 @@
 		_ = w.WriteByte(' ')
 		_, _ = w.WriteString(f[0])
 		_ = w.WriteByte('=')
-		_, _ = w.WriteString(f[1])
+		writeValue(w, f[1])
 	}
 	if m.priority > 0 {
 		_, _ = w.WriteString(" " + fieldPriority + "=")
@@ -286,6 +287,36 @@
 	_, _ = w.WriteString("\r\n")
 }
 
+// writeValue writes the value of a field, with the characters that a field can't contain as
+// "%" and two hexadecimal digits. Names that a platform assigns may have any.
+func writeValue(w *bufio.Writer, value string) {
+	const digits = "0123456789ABCDEF"
+	start := 0
+	for i := range len(value) {
+		b := value[i]
+		if b > ' ' && b < 0x7f && b != '%' && b != '=' {
+			continue
+		}
+		_, _ = w.WriteString(value[start:i])
+		_, _ = w.Write([]byte{'%', digits[b>>4], digits[b&15]})
+		start = i + 1
+	}
+	_, _ = w.WriteString(value[start:])
+}
+
+// readValue returns the value that writeValue has written, or the text itself if it has a
+// malformed escape.
+func readValue(text string) string {
+	if !strings.Contains(text, "%") {
+		return text
+	}
+	value, err := url.PathUnescape(text)
+	if err != nil {
+		return text
+	}
+	return value
+}
+
 // ReadMeta parses MetaHeader. It returns a HeaderError if a required field is missing
 // or invalid.
 func ReadMeta(h http.Header) (Meta, error) {
@@ -306,19 +337,19 @@
 		case fieldClass:
 			class = value
 		case fieldOrganisation:
-			m.organisation = value
+			m.organisation = readValue(value)
 		case fieldPool:
-			m.pool = value
+			m.pool = readValue(value)
 		case fieldRoute:
-			m.route = value
+			m.route = readValue(value)
 		case fieldIdempotency:
 			idempotency = value
 		case fieldPriority:
 			m.priority = int(parseBounded(value, maxPriority))
 		case fieldInstance:
-			m.instance = value
+			m.instance = readValue(value)
 		case fieldOrigin:
-			m.origin = value
+			m.origin = readValue(value)
 		case fieldSoftDeadline:
 			m.softDeadline = time.Duration(parseBounded(value, maxRemaining.Milliseconds())) * time.Millisecond
 		case fieldOverloaded:
--- a/internal/traffic/hop/header_names.go
+++ b/internal/traffic/hop/header_names.go
@@ -1,9 +1,12 @@
 package hop
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
+	"unicode"
 )
 
 // HeaderNames holds the header names that the callers and targets of a deployment use.
@@ -87,18 +90,18 @@
 	}
 }
 
-// Deadline returns the timeout that the caller set, and false if it set none. It
-// returns a HeaderError if the value is not valid.
+// Deadline returns the timeout that the caller set, maxRemaining at most, and false if it set
+// none. It returns a HeaderError if the value is not valid.
 func (n HeaderNames) Deadline(h http.Header) (time.Duration, bool, error) {
 	text := h.Get(n.deadline)
 	if text == "" {
 		return 0, false, nil
 	}
-	ms := parseBounded(text, maxRemaining.Milliseconds())
-	if ms == 0 {
+	ms, err := strconv.ParseInt(text, 10, 64) // on overflow the largest number with the sign
+	if err != nil && !errors.Is(err, strconv.ErrRange) || ms < 1 {
 		return 0, false, &HeaderError{Name: n.deadline, Value: text}
 	}
-	return time.Duration(ms) * time.Millisecond, true, nil
+	return time.Duration(min(ms, maxRemaining.Milliseconds())) * time.Millisecond, true, nil
 }
 
 // Strip removes the headers that the function Strip removes, and those named for the
@@ -148,13 +151,23 @@
 		opts = append(opts, WithHeader(n.instance, m.instance))
 	}
 	if n.origin != "" && m.origin != "" {
-		opts = append(opts, WithHeader(n.origin, m.origin))
+		opts = append(opts, WithHeader(n.origin, headerValue(m.origin)))
 	}
 	if n.organisation != "" && m.organisation != AnonymousOrganisation {
-		opts = append(opts, WithHeader(n.organisation, m.organisation))
+		opts = append(opts, WithHeader(n.organisation, headerValue(m.organisation)))
 	}
 	if id := n.ID(h); id != "" {
 		opts = append(opts, WithEcho(n.id, id))
 	}
 	return opts
 }
+
+// headerValue replaces the control characters of a name, which a header can't contain.
+func headerValue(name string) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsControl(r) {
+			return ' '
+		}
+		return r
+	}, name)
+}
--- a/internal/traffic/hop/header_test.go
+++ b/internal/traffic/hop/header_test.go
@@ -65,6 +65,40 @@
 	}
 }
 
+// Names and priorities that a platform assigns must reach the target's node unchanged, and
+// add no field or header.
+func TestMetaCarriesAnyNameAndPriority(t *testing.T) {
+	t.Parallel()
+	for _, name := range []string{"a b", "a=b", "100%", "%41", "Ā\u2028\t", "a\r\nX: 1", strings.Repeat("n", 300)} {
+		rt := snapshot.NewRoute(name, "/bind", name, name, snapshot.Priority(1_000_000))
+		want := NewMeta(Remaining(maxRemaining), ForOrganisation(name, snapshot.Trial), ForRoute(rt), ToInstance(name), FromOrigin(name), Priority(1_000_000_000_000))
+		var b bytes.Buffer
+		w := bufio.NewWriter(&b)
+		want.write(w)
+		_ = w.Flush()
+		text := strings.TrimSuffix(strings.TrimPrefix(b.String(), MetaHeader+": "), "\r\n")
+		got, err := ReadMeta(http.Header{MetaHeader: {text}})
+		if err != nil || got != want || strings.ContainsAny(text, "\r\n") {
+			t.Errorf("%q becomes %+v, %v", text, got, err)
+		}
+	}
+}
+
+// A caller that would wait longer than any call lasts must not be refused.
+func TestCallersDeadlineIsLimited(t *testing.T) {
+	t.Parallel()
+	names := NewHeaderNames()
+	for text, want := range map[string]time.Duration{
+		"1": time.Millisecond, "7200000": 2 * time.Hour, "9223372036854775807": maxRemaining, "99999999999999999999": maxRemaining,
+		"0": 0, "-1": 0, "-99999999999999999999": 0, "1.5": 0, "soon": 0,
+	} {
+		got, ok, err := names.Deadline(http.Header{DeadlineHeader: {text}})
+		if got != want || ok != (want > 0) || (err == nil) != ok {
+			t.Errorf("%q is %v, %v, %v", text, got, ok, err)
+		}
+	}
+}
+
 // A changed value, or one sealed with another fleet's key, must not open as another
 // context.
 func TestOpenRejectsChangedAndForeignSeals(t *testing.T) {
--- a/internal/traffic/http1/buffer.go
+++ b/internal/traffic/http1/buffer.go
@@ -19,7 +19,7 @@
 var (
 	smallBuffers = sync.Pool{New: func() any { return newBuffers(initialBufferBytes) }}
 	// largeBuffers are for connections on which a head did not fit into a small buffer.
-	largeBuffers = sync.Pool{New: func() any { return newBuffers(maxHeadBytes) }}
+	largeBuffers = sync.Pool{New: func() any { return newBuffers(MaxHeadBytes) }}
 )
 
 func newBuffers(readBytes int) *buffers {
@@ -110,22 +110,29 @@
 // releaseBuffers returns the buffers to the pool. It is not called for a connection
 // that is closed after a call, as another goroutine may still read the call's body.
 func (c *conn) releaseBuffers() {
-	pool := &smallBuffers
-	if c.longHeads {
-		pool = &largeBuffers
+	switch c.br.Size() {
+	case initialBufferBytes:
+		smallBuffers.Put(c.buffers)
+	case MaxHeadBytes:
+		largeBuffers.Put(c.buffers)
 	}
-	pool.Put(c.buffers)
 	c.buffers = nil
 }
 
-// growBuffer replaces the buffers by some that hold the longest head, with the same
-// content.
-func (c *conn) growBuffer() {
+// growBuffer replaces the buffers by larger ones with the same content, which hold up to limit
+// bytes. Those for heads above the usual limit are not pooled.
+func (c *conn) growBuffer(limit int) {
 	buffered, _ := c.br.Peek(c.br.Buffered())
 	buffered = bytes.Clone(buffered)
+	size := c.br.Size()
 	c.releaseBuffers()
 	c.longHeads = true
-	c.takeBuffers()
+	if size >= MaxHeadBytes {
+		c.buffers = newBuffers(min(2*size, limit))
+		c.bw.Reset(&c.out)
+	} else {
+		c.takeBuffers()
+	}
 	c.br.Reset(io.MultiReader(bytes.NewReader(buffered), &c.in))
 	_, _ = c.br.Peek(len(buffered))
 }
--- a/internal/traffic/http1/conn.go
+++ b/internal/traffic/http1/conn.go
@@ -65,7 +65,7 @@
 		return true
 	}
 	t := tls.Server(c.rwc, c.s.tls)
-	_ = c.rwc.SetDeadline(c.s.clk.Now().Add(c.s.headTimeout))
+	_ = c.rwc.SetDeadline(c.s.headDeadline())
 	if t.HandshakeContext(ctx) != nil {
 		return false
 	}
@@ -82,7 +82,7 @@
 	c.idle = true
 	// Drain sets draining before setDrainDeadlineIfIdle takes c.mu, so either this load
 	// sees draining or that method sees idle.
-	until := c.s.clk.Now().Add(c.s.idleTimeout)
+	until := c.s.idleDeadline()
 	if c.s.draining.Load() {
 		until = c.drainDeadline()
 	}
@@ -142,12 +142,13 @@
 
 // serveCall serves one call and reports whether the connection can be reused.
 func (c *conn) serveCall(ctx context.Context) bool {
-	_ = c.rwc.SetReadDeadline(c.s.clk.Now().Add(c.s.headTimeout))
-	r, err := readHead(c.br)
+	_ = c.rwc.SetReadDeadline(c.s.headDeadline())
+	limit := c.s.headBytes()
+	r, err := readHead(c.br, limit)
 	var short *shortBufferError
 	for errors.As(err, &short) {
-		c.growBuffer()
-		r, err = readHead(c.br)
+		c.growBuffer(limit)
+		r, err = readHead(c.br, limit)
 	}
 	if err != nil {
 		c.refuseHead(err)
@@ -157,8 +158,8 @@
 		c.refuse(c.s.drainRefusal)
 		return false
 	}
-	if r.ContentLength > c.s.maxBody {
-		c.refuse(bodyTooLarge(c.s.maxBody))
+	if limit := c.s.bodyBytes(); r.ContentLength > limit {
+		c.refuse(bodyTooLarge(limit))
 		return false
 	}
 	if PeerClosed(c.rwc) {
--- a/internal/traffic/http1/head.go
+++ b/internal/traffic/http1/head.go
@@ -11,9 +11,9 @@
 
 // readHead waits for a complete request head, checks its framing and parses it.
 // It returns a Refusal for an invalid head, and the reader's error if no complete
-// head arrived.
-func readHead(br *bufio.Reader) (*http.Request, error) {
-	head, err := peekHead(br)
+// head arrived. limit is the longest head in bytes.
+func readHead(br *bufio.Reader, limit int) (*http.Request, error) {
+	head, err := peekHead(br, limit)
 	if err != nil {
 		return nil, err
 	}
@@ -34,15 +34,15 @@
 func (*shortBufferError) Error() string { return "the head is longer than the buffer" }
 
 // peekHead returns the bytes of the next head without consuming them. The size
-// of the reader's buffer limits that of the head.
-func peekHead(br *bufio.Reader) ([]byte, error) {
+// of the reader's buffer, and limit, limit that of the head.
+func peekHead(br *bufio.Reader, limit int) ([]byte, error) {
 	for seen := 0; ; {
 		b, _ := br.Peek(br.Buffered())
 		if end := bytes.Index(b[max(0, seen-3):], []byte("\r\n\r\n")); end >= 0 {
 			return b[:max(0, seen-3)+end+4], nil
 		}
 		switch seen = len(b); {
-		case seen == br.Size() && seen < maxHeadBytes:
+		case seen == br.Size() && seen < limit:
 			return nil, &shortBufferError{}
 		case seen == br.Size():
 			return nil, &Refusal{
--- a/internal/traffic/http1/server.go
+++ b/internal/traffic/http1/server.go
@@ -13,9 +13,10 @@
 	"banyanlug.example/banyanlug/internal/clock/timer"
 )
 
+// MaxHeadBytes limits the request line and headers, unless WithLimits allows more.
+const MaxHeadBytes = 16 << 10
+
 const (
-	// maxHeadBytes limits the request line and headers.
-	maxHeadBytes = 16 << 10
 	// initialBufferBytes is the read buffer of a connection until a head doesn't fit;
 	// it is small because callers may open a connection for each attempt.
 	initialBufferBytes = 2 << 10
@@ -60,6 +61,7 @@
 	headTimeout  time.Duration
 	bodyTimeout  time.Duration
 	maxBody      int64
+	limits       func() Limits
 
 	keepAliveOff atomic.Bool
 	draining     atomic.Bool
@@ -77,9 +79,23 @@
 	busy  map[*conn]struct{}
 }
 
+// Limits bound what clients send. Those of the server itself count where they are higher.
+type Limits struct {
+	// HeadBytes and BodyBytes are the sizes of the request line with the headers, and of
+	// the body.
+	HeadBytes int
+	BodyBytes int64
+	// HeadTimeout is the time for the rest of a head after its first byte, and IdleTimeout
+	// that between two calls.
+	HeadTimeout, IdleTimeout time.Duration
+}
+
 // Option sets one property of a server.
 type Option func(*Server)
 
+// WithLimits sets a function that returns limits, which may change while the server runs.
+func WithLimits(f func() Limits) Option { return func(s *Server) { s.limits = f } }
+
 // WithTLS serves TLS with a copy of cfg; nil means plain TCP.
 func WithTLS(cfg *tls.Config) Option {
 	return func(s *Server) {
@@ -119,6 +135,7 @@
 		handler: handler, clk: clk, idleTimeout: defaultIdleTimeout, headTimeout: defaultHeadTimeout, bodyTimeout: defaultBodyTimeout, maxBody: defaultMaxBody,
 		connContext: func(ctx context.Context, _ net.Conn) context.Context { return ctx },
 		onFault:     func(error) {},
+		limits:      func() Limits { return Limits{} },
 		drainRefusal: &Refusal{
 			Status: http.StatusServiceUnavailable, Type: KindDraining,
 			Message: "this node is stopping", Outcome: NotRun, RetryAfter: time.Second,
@@ -134,6 +151,25 @@
 	return s
 }
 
+// headBytesBound bounds the memory that the head of one request may take.
+const headBytesBound = 1 << 20
+
+// headBytes returns the limit of a head in bytes.
+func (s *Server) headBytes() int { return min(max(MaxHeadBytes, s.limits().HeadBytes), headBytesBound) }
+
+// bodyBytes returns the limit of a body in bytes.
+func (s *Server) bodyBytes() int64 { return max(s.maxBody, s.limits().BodyBytes) }
+
+// headDeadline returns when a head must have arrived that begins now.
+func (s *Server) headDeadline() time.Time {
+	return s.clk.Now().Add(max(s.headTimeout, s.limits().HeadTimeout))
+}
+
+// idleDeadline returns when a connection ends that is idle from now on.
+func (s *Server) idleDeadline() time.Time {
+	return s.clk.Now().Add(max(s.idleTimeout, s.limits().IdleTimeout))
+}
+
 // Serve accepts connections from ln until Drain has returned or ctx ends, which
 // cuts off the running calls, and then sends the result on done.
 func (s *Server) Serve(ctx context.Context, ln net.Listener, done chan<- error) {
