--- a/internal/control/fleet/departed_test.go
+++ b/internal/control/fleet/departed_test.go
@@ -209,3 +209,25 @@
 		t.Errorf("the entry is %+v, %v", got, err)
 	}
 }
+
+// Guards against a departure that is never acknowledged because the response to its write was
+// lost.
+func TestADepartureWhoseWriteWasNotAnsweredIsAcknowledged(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t)
+	f := New(h.store, h.clk, departedRecord(membership.Departed("")), configKey, decodeNumber)
+	w := &entryWriter{f: f}
+	readAndAnnounce(t, f, false, func() { f.Announce(membership.Draining, "t1", 12, "", membership.Departed("t1")) })
+	h.store.set(func() { h.store.loseWriteResponse = true })
+	saved := make(chan error, 1)
+	ctx, cancel := h.clk.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	go func() { saved <- f.AwaitStored(ctx) }()
+	if err := w.reconcile(t.Context()); err == nil {
+		t.Fatal("the response was not lost")
+	}
+	_ = w.reconcile(t.Context())
+	if err := <-saved; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -63,7 +63,7 @@
 	mu            sync.Mutex
 	own           ownEntry
 	entryChanged  chan struct{}
-	entryStored   chan struct{} // closed when the store has taken an announcement
+	entryStored   chan struct{} // closed when it is known that the store has another entry of this node
 	announced     chan struct{} // closed when the next version is offered or becomes active
 	storeChanged  chan struct{} // closed when storeOK or storeLate changes
 	syncedChanged chan struct{} // closed when the node knows the members
--- a/internal/control/fleet/ownentry.go
+++ b/internal/control/fleet/ownentry.go
@@ -99,7 +99,7 @@
 		o.self = r
 	}
 	if revision > o.revision {
-		o.stored, o.revision = r, revision
+		f.setStored(r, revision)
 	}
 	self := o.self
 	f.mu.Unlock()
@@ -110,6 +110,14 @@
 	}
 }
 
+// setStored records the node's entry in the store; the caller holds the lock. The response to
+// the write may have been lost.
+func (f *Fleet) setStored(r membership.Record, revision uint64) {
+	f.own.stored, f.own.revision = r, revision
+	close(f.entryStored)
+	f.entryStored = make(chan struct{})
+}
+
 // restoreOwnEntry reads the entry that an earlier process of this node has left in the
 // store, until it gets an answer. Other reads may be stale, and lack what that process has
 // announced last.
@@ -240,9 +248,7 @@
 	case err == nil:
 		w.written = self
 		f.mu.Lock()
-		f.own.stored, f.own.revision = self, revision
-		close(f.entryStored)
-		f.entryStored = make(chan struct{})
+		f.setStored(self, revision)
 		f.mu.Unlock()
 		f.view.put(self, revision)
 		f.storeAnswered()
