--- a/internal/policy/drain/gate.go
+++ b/internal/policy/drain/gate.go
@@ -63,6 +63,10 @@
 func (Passed) decision()  {}
 func (Refused) decision() {}
 
+// serviceFactor times the usual service time is the least time left for a call that may
+// outlast the process: half of the calls take longer than usual.
+const serviceFactor = 2
+
 // Decide decides about an attempt of a call.
 func (g *Gate) Decide(now time.Time, c Call) Decision {
 	s := g.stop.Load()
@@ -70,7 +74,7 @@
 		return Passed{c.deadline}
 	}
 	accepting := now.Before(s.closing) || c.nested && now.Before(s.end)
-	if !accepting || now.Add(c.service).After(s.end) {
+	if !accepting || now.Add(serviceFactor*c.service).After(s.end) {
 		return Refused{}
 	}
 	return Passed{s.end}
