control/fleet: a stale copy of the node's entry does not replace the one that it has read

A copy from another node has no revision, and took the place of a newer record until the next announcement; its numbers were then given out again. Test: a line more in TestARestartedNodeKnowsDeparturesBeforeItIsRestored, red before.

--- a/internal/control/fleet/departed_test.go
+++ b/internal/control/fleet/departed_test.go
@@ -80,7 +80,12 @@
 			h.eventually("the node is restored", func() bool { _, n := r.state(); return n == 1 })
 			cancel()
 			<-done
+			restored, _ := f.ownRecord()
 			f.applyOwnRecord(stale, staleRevision)
+			f.applyOwnRecord(stale, 0)
+			if after, _ := f.ownRecord(); after != restored {
+				t.Errorf("a stale copy changed the record from %+v to %+v", restored, after)
+			}
 			if departed, _ := r.state(); !cmp.Equal(departed, []string{"t1"}) || f.Departed() != "t1" {
 				t.Errorf("the node heard of %q and announces %q", departed, f.Departed())
 			}
--- a/internal/control/fleet/ownentry.go
+++ b/internal/control/fleet/ownentry.go
@@ -89,7 +89,7 @@
 		o.self = o.self.WithDeparted(r.Departed()).WithSeq(o.self.Seq() + 1)
 	}
 	switch {
-	case !o.announced && r.State() != membership.Gone && sameNode(r, o.base):
+	case !o.announced && r.State() != membership.Gone && sameNode(r, o.base) && !o.stored.Newer(r):
 		o.self = r
 	case r.Newer(o.self):
 		o.self = o.self.WithBoot(r.Boot() + 1)
