--- a/internal/control/fleet/doc.go
+++ b/internal/control/fleet/doc.go
@@ -7,8 +7,11 @@
 // by long poll. The load on the store thus grows with the number of failure domains and
 // changes, not with the number of nodes.
 //
+// An entry also names the targets that have left. The next process of a node reads it before
+// it accepts a target, and a departure is acknowledged only once the store has the entry.
+//
 // Entries have no leases. The root probes the members of its domain and removes the entries
-// of those that have stopped. It keeps a key of the domain under a lease, by which other
+// of those that have stopped; departures in them stay for some minutes. It keeps a key of the domain under a lease, by which other
 // domains notice that the whole domain is lost.
 //
 // There is no election: each node ranks the members in its own list, and the first is
