process/resident: a departure reported before the node is restored waits for its announcement

Found by reading, not seen: openTracker closed the channel that saveDeparture waits on before it announced what had been reported meanwhile. A report that came while the node had not read its entry could find nothing announced, and be acknowledged some moments before the departure was written. The channel is closed after the announcement now.

--- a/internal/control/fleet/doc.go
+++ b/internal/control/fleet/doc.go
@@ -11,8 +11,8 @@
 // it accepts a target, and a departure is acknowledged only once the store has the entry.
 //
 // Entries have no leases. The root probes the members of its domain and removes the entries
-// of those that have stopped; departures in them stay for some minutes. It keeps a key of the domain under a lease, by which other
-// domains notice that the whole domain is lost.
+// of those that have stopped; departures in them stay for some minutes. It keeps a key of the
+// domain under a lease, by which other domains notice that the whole domain is lost.
 //
 // There is no election: each node ranks the members in its own list, and the first is
 // the root (see package tree). A node whose parents don't answer, or only serve stale
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -342,8 +342,10 @@
 	n.mayAnnounce = true
 	reported := n.tracker.Target() != (lifecycle.Target{}) || n.tracker.Departures() != n.fleet.Departed()
 	n.mu.Unlock()
-	close(n.opened)
 	n.updateTarget(func() bool { return n.tracker.Open() || reported })
+	// Departures that were reported before are announced by now, so that saveDeparture waits
+	// for them to be stored.
+	close(n.opened)
 }
 
 func (n *Node) handleConnRefused(id string) {
