log/event, traffic/caller, control/fleet: refusals tell how current the configuration is

A refusal by an old configuration (1801, causes no-route and unauthenticated) did not show whether the node knew of a newer version, nor how old its data was, and no line told when a node took over reading the store. 1801 has newest_known, config_age_ms and data_age_ms for these two causes; event 1218 reports a node that no parent answers with fresh data.

--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -45,6 +45,7 @@
 	freshness       sharedFreshness
 	config          atomic.Pointer[activeConfig]
 	offered         offeredVersion
+	newestKnown     atomic.Uint64 // greatest version that another node has announced
 	synced          atomic.Bool
 	storeOK         atomic.Bool
 	storeLate       atomic.Bool  // a renewal has been without a response for renewalLate
@@ -171,6 +172,19 @@
 // ConfigAge returns how long the configuration has been active on this node.
 func (f *Fleet) ConfigAge() time.Duration { return f.clk.Since(f.config.Load().since) }
 
+// NewestKnown returns the greatest version that this node knows of. It is above that of
+// Current while the node has not received or applied it.
+func (f *Fleet) NewestKnown() uint64 { return max(f.newestKnown.Load(), f.Current().Version()) }
+
+// noteVersion records a version that another node has announced.
+func (f *Fleet) noteVersion(version uint64) {
+	for known := f.newestKnown.Load(); version > known; known = f.newestKnown.Load() {
+		if f.newestKnown.CompareAndSwap(known, version) {
+			return
+		}
+	}
+}
+
 // Ready reports whether the node has a configuration and the member list.
 func (f *Fleet) Ready() bool { return f.synced.Load() && f.Current().Version() > 0 }
 
@@ -182,6 +196,7 @@
 // Hint reports that the node at a peer address has a newer configuration. It never
 // blocks, as it is called while calls are served.
 func (f *Fleet) Hint(peer netip.AddrPort, version uint64) {
+	f.noteVersion(version)
 	select {
 	case f.hints <- hint{peer, version}:
 	default:
--- a/internal/control/fleet/position.go
+++ b/internal/control/fleet/position.go
@@ -109,6 +109,8 @@
 // setOrphaned records whether the node is orphaned, and signals a change.
 func (f *Fleet) setOrphaned(orphaned bool) {
 	if f.orphaned.Swap(orphaned) != orphaned {
+		f.log.Emit(event.Orphaned, event.F("on", orphaned), event.F("rank", f.position().Rank()),
+			event.F("data_age", f.DataAge()), event.F("version", f.Current().Version()))
 		f.signal(f.readerChanged)
 	}
 }
--- a/internal/control/fleet/pull.go
+++ b/internal/control/fleet/pull.go
@@ -124,6 +124,7 @@
 	f.mergeRollouts(resp.GetRollouts(), !resp.GetRolloutsUnknown())
 	f.setSynced(f.Size(), 0)
 	announced := resp.GetVersion()
+	f.noteVersion(announced)
 	if announced > f.Current().Version() && !f.fetchVersion(ctx, f.versionSources(position, from, resp.GetVersionBytes()), announced) {
 		// Without the pause, pulls from a parent that announces a version but can't serve
 		// it would be a busy loop.
@@ -324,9 +325,9 @@
 
 const maxReportedAge = time.Hour
 
-// storeDataAge returns the age of this node's data: the time since the store last answered
-// the node that read it, as far as known and at most maxReportedAge.
-func (f *Fleet) storeDataAge() time.Duration {
+// DataAge returns the age of this node's data: the time since the store last answered the
+// node that read it, as far as known and at most an hour.
+func (f *Fleet) DataAge() time.Duration {
 	if f.readsStore() {
 		return min(f.StoreAge(), maxReportedAge)
 	}
--- a/internal/control/fleet/pullserver.go
+++ b/internal/control/fleet/pullserver.go
@@ -126,7 +126,7 @@
 func (f *Fleet) buildPullResponse(r *fleetpb.PullRequest) (*fleetpb.PullResponse, bool) {
 	version, compressed := f.newest()
 	resp := &fleetpb.PullResponse{
-		Version: version, AgeMs: uint32(f.storeDataAge().Milliseconds()),
+		Version: version, AgeMs: uint32(f.DataAge().Milliseconds()),
 		Rollouts: f.rollouts.newerThan(r.GetRollouts()), RolloutsUnknown: !f.rollouts.synced.Load(),
 	}
 	if resp.Version > r.GetVersion() {
--- a/internal/log/event/distribution.go
+++ b/internal/log/event/distribution.go
@@ -19,6 +19,7 @@
 	RolloutChanged       Code = 1214
 	RolloutHalted        Code = 1215
 	RolloutStatusWritten Code = 1216
+	Orphaned             Code = 1218
 )
 
 var distributionEvents = map[Code]Entry{
@@ -37,6 +38,7 @@
 	MemberKept:           {Warn, "a member whose entry the store has dropped still answers and is kept", "look at the store, or at the member's connection to it, if it repeats"},
 	RolloutChanged:       {Info, "the node received a change of a rollout: of its order, progress or status", "nothing"},
 	RolloutHalted:        {Warn, "a rollout is rolled back for the given reason", "see docs/operators/rollouts.md"},
+	Orphaned:             {Info, "if on is true, no parent answers with fresh data and the node reads the store itself; otherwise one does again", "look at the nodes above it in the tree if it repeats"},
 	RolloutStatusWritten: {Info, "the status of a rollout was written for operators", "nothing"},
 	QuotaLeadershipLost:  {Warn, "node is no longer the fleet's quota leader; another relay takes over", "look at the store if it repeats; failure domains keep their last shares for 15 min"},
 }
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -29,6 +29,17 @@
 	Current() *snapshot.Snapshot
 }
 
+// AgedConfig is a Config that knows how current it is.
+type AgedConfig interface {
+	Config
+	// ConfigAge returns how long the active version has been active.
+	ConfigAge() time.Duration
+	// DataAge returns the time since the source of versions last answered, as far as known.
+	DataAge() time.Duration
+	// NewestKnown returns the greatest version that is known to exist.
+	NewestKnown() uint64
+}
+
 // Directory provides the ready targets of a pool. It returns the same slice until
 // they change, and then a new one.
 type Directory interface {
--- a/internal/traffic/caller/harness_test.go
+++ b/internal/traffic/caller/harness_test.go
@@ -64,6 +64,9 @@
 }
 
 func (c *testConfig) Current() *snapshot.Snapshot { return c.snap.Load() }
+func (*testConfig) ConfigAge() time.Duration      { return 4 * time.Second }
+func (*testConfig) DataAge() time.Duration        { return 3 * time.Second }
+func (*testConfig) NewestKnown() uint64           { return 77 }
 
 func (h *harness) Targets(string) []membership.Record {
 	h.mu.Lock()
--- a/internal/traffic/caller/log.go
+++ b/internal/traffic/caller/log.go
@@ -46,10 +46,27 @@
 		if errors.As(err, &noTarget) {
 			fields = append(fields, event.F("no_target", noTarget.Reason))
 		}
+		fields = append(fields, c.configFields(err)...)
 		c.h.callLog.Emit(event.CallFailed, fields...)
 	}
 }
 
+// configFields returns how current the configuration is that does not allow a call.
+func (c *call) configFields(err error) []event.Field {
+	var (
+		noRoute *NoRouteError
+		unknown *UnauthenticatedError
+	)
+	cfg, ok := c.h.config.(AgedConfig)
+	if !ok || !errors.As(err, &noRoute) && !errors.As(err, &unknown) {
+		return nil
+	}
+	return []event.Field{
+		event.F("newest_known", cfg.NewestKnown()), event.F("config_age_ms", cfg.ConfigAge().Milliseconds()),
+		event.F("data_age_ms", cfg.DataAge().Milliseconds()),
+	}
+}
+
 // logFields returns the fields that identify the call, its configuration and its
 // progress.
 func (c *call) logFields() []event.Field {
--- a/internal/traffic/caller/observability_test.go
+++ b/internal/traffic/caller/observability_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/go-cmp/cmp"
 
 	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/traffic/caller"
@@ -63,6 +64,28 @@
 	}
 }
 
+// Guards against refusals by an old configuration whose log lines don't show that it is old.
+func TestRefusalByTheConfigurationTellsHowCurrentItIs(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		path string
+		key  bool
+	}{{"/nowhere", true}, {"/bind", false}} {
+		log := &logBuffer{}
+		h := newHarness(t, harnessOptions{caller: []caller.Option{caller.WithCallLog(event.New(log, "n"))}})
+		r := h.newRequest("GET", c.path, nil)
+		if !c.key {
+			r.Header.Del("Authorization")
+		}
+		h.do(h.newHTTPClient(), r)
+		line := log.first(event.CallFailed)
+		got := []any{line["newest_known"], line["config_age_ms"], line["data_age_ms"]}
+		if diff := cmp.Diff([]any{77.0, 4000.0, 3000.0}, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", c.path, diff)
+		}
+	}
+}
+
 // Each stage of a call needs a histogram, and each failed attempt must be counted.
 func TestMetricsCoverStageTimesAndFailedAttempts(t *testing.T) {
 	t.Parallel()
