policy/tree, control/fleet: silent parents cost a node one timeout together

Callers got 401 and 404 for routes and keys of an acknowledged version on all nodes of one failure domain, and routes that it had dropped went on being served there.

Cause: the nodes of a domain get versions from the two that read the store for it. When these fall silent without a reset (a stopped process, a cut), the next one by rank found out in turn: a pull's timeout for each silent parent, during which it did not even check whether it was an orphan, then 0.8 s from the last of these timeouts. The bound for a version is 2 to 2.5 s.

tree.Round now decides about a pull: further parents are asked after the first is late, each 150 ms after the one before and for an answer at once. A parent counts as silent from when its answer was due, and a node is an orphan 0.8 s after the first of these, whatever is still pending: 1.6 s after it sent the pull at the latest, for any number of silent parents. While it reads the store for the first time its data is as old as its parents', so that its children do not leave it for that.

--- a/internal/control/fleet/crossdomain.go
+++ b/internal/control/fleet/crossdomain.go
@@ -71,7 +71,7 @@
 	for failures := 0; ctx.Err() == nil; {
 		members := *p.members.Load()
 		from := members[failures%len(members)]
-		resp, err := f.pullFrom(ctx, from, cursor{}, false, &p.reports)
+		resp, err := f.pullFrom(ctx, from, cursor{}, f.requestedWait(), false, &p.reports)
 		if err != nil {
 			failures++
 			_ = f.clk.Sleep(ctx, f.jitter(crossDomainRetry))
--- a/internal/control/fleet/pull.go
+++ b/internal/control/fleet/pull.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"banyanlug.example/banyanlug/internal/clock/timer"
 	"banyanlug.example/banyanlug/internal/control/fleet/fleetpb"
 	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/policy/membership"
@@ -21,6 +20,9 @@
 	// must be well below the bound for applying a version.
 	pullWait  = 800 * time.Millisecond
 	pullSlack = 400 * time.Millisecond
+	// parallelPullSlack is the same for a further parent, which is asked for an answer at once
+	// while others are late.
+	parallelPullSlack = 150 * time.Millisecond
 	// maxParallelPulls bounds the parents that are pulled from concurrently.
 	maxParallelPulls = 3
 	// pullPause follows a response with members, to batch a series of changes. It also
@@ -98,6 +100,9 @@
 	from, wait := p.selector.Next(f.clk.Now())
 	f.setOrphaned(p.selector.Orphaned(f.clk.Now()))
 	if from.Instance() == "" {
+		if left, ok := p.selector.UntilOrphaned(f.clk.Now()); ok && wait > 0 {
+			wait = min(wait, left)
+		}
 		f.waitForChange(ctx, changed, wait)
 		return
 	}
@@ -163,51 +168,48 @@
 	defer pulls.Wait()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	pending := map[string]bool{}
-	start := func(from membership.Record) *timer.Subscription {
+	round := tree.NewRound(p.selector, maxParallelPulls)
+	start := func(from membership.Record, hold, slack time.Duration) {
 		at := p.cursor(from.Instance())
-		pending[from.Instance()] = true
+		if at.epoch == 0 {
+			hold = 0 // all members are new to this node
+		}
+		round.Ask(f.clk.Now(), from.Instance(), hold, slack)
 		pulls.Go(func() {
-			resp, err := f.pullFrom(ctx, from, at, true, &p.reports)
+			resp, err := f.pullFrom(ctx, from, at, hold, true, &p.reports)
 			results <- pullResult{from, resp, err}
 		})
-		return f.clk.After(hedgeDelay(at))
 	}
-	hedge, last := start(first), first
-	defer func() { hedge.Stop() }()
+	hold, nextSlack := f.requestedWait(), parallelPullSlack
+	switch {
+	case p.selector.Failing():
+		hold = 0 // whether a parent answers at all must show soon
+	case p.cursor(first.Instance()).epoch == 0:
+		nextSlack = pullSlack // nodes that start together are slow
+	}
+	start(first, hold, pullSlack)
 	for {
+		wake := f.clk.After(round.Wake(f.clk.Now()))
 		select {
 		case result := <-results:
+			wake.Stop()
 			if result.err == nil || ctx.Err() != nil {
 				return result
 			}
 			f.log.Emit(event.PeerLost, event.F("peer", result.from.Instance()), event.F("error", result.err))
-			p.selector.Failed(f.clk.Now(), result.from.Instance())
-			delete(pending, result.from.Instance())
-			if len(pending) == 0 {
+			round.Failed(f.clk.Now(), result.from.Instance())
+			if round.Over() {
 				return result
 			}
-		case <-hedge.C():
-			p.selector.Failed(f.clk.Now(), last.Instance())
-			next, _ := p.selector.Next(f.clk.Now())
-			if next.Instance() == "" || pending[next.Instance()] || len(pending) == maxParallelPulls {
-				continue
-			}
-			hedge, last = start(next), next
+		case <-wake.C():
 		}
+		if next, ok := round.Next(f.clk.Now()); ok {
+			start(next, 0, nextSlack)
+		}
+		f.setOrphaned(p.selector.Orphaned(f.clk.Now()))
 	}
 }
 
-// hedgeDelay returns the delay before another parent is also pulled from. It is short for
-// a pull without a cursor, which is answered at once. With a cursor it is the full timeout,
-// as another parent would send all members.
-func hedgeDelay(at cursor) time.Duration {
-	if at.epoch == 0 {
-		return pullSlack
-	}
-	return pullWait + pullSlack
-}
-
 // waitForChange waits for a change of the members, or for a limited time if wait is positive.
 func (f *Fleet) waitForChange(ctx context.Context, changed <-chan struct{}, wait time.Duration) {
 	if wait <= 0 {
@@ -226,8 +228,9 @@
 	}
 }
 
-// pullFrom sends one pull request, with the reports that its receiver has not been sent.
-func (f *Fleet) pullFrom(ctx context.Context, from membership.Record, at cursor, members bool, sent *sentReports) (*fleetpb.PullResponse, error) {
+// pullFrom sends one pull request, which its receiver may hold for some time, with the reports
+// that the receiver has not been sent.
+func (f *Fleet) pullFrom(ctx context.Context, from membership.Record, at cursor, hold time.Duration, members bool, sent *sentReports) (*fleetpb.PullResponse, error) {
 	ctx, cancel := f.clk.WithTimeout(ctx, pullWait+pullSlack)
 	defer cancel()
 	self, _ := f.ownRecord()
@@ -235,7 +238,7 @@
 	reports, seqs := f.unsentReports(sent, from.Instance())
 	resp, err := client.Pull(ctx, &fleetpb.PullRequest{
 		Version: f.Current().Version(), Epoch: at.epoch, Cursor: at.change,
-		WaitMs: uint32(f.requestedWait().Milliseconds()), Members: members, Peer: self.ControlAddress().String(),
+		WaitMs: uint32(hold.Milliseconds()), Members: members, Peer: self.ControlAddress().String(),
 		Rollouts: f.rollouts.revisions(), Reports: reports, Domains: f.domainDigests(at, members), StoreSilent: at.storeSilent,
 	})
 	if err == nil {
@@ -328,8 +331,10 @@
 // DataAge returns the age of this node's data: the time since the store last answered the
 // node that read it, as far as known and at most an hour.
 func (f *Fleet) DataAge() time.Duration {
+	age := min(f.freshness.age(f.clk.Now()), maxReportedAge)
 	if f.readsStore() {
-		return min(f.StoreAge(), maxReportedAge)
+		// A node that has just begun to read the store has its parents' data.
+		return min(f.StoreAge(), age)
 	}
-	return min(f.freshness.age(f.clk.Now()), maxReportedAge)
+	return age
 }
--- /dev/null
+++ b/internal/policy/tree/round_test.go
@@ -0,0 +1,189 @@
+package tree
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"banyanlug.example/banyanlug/internal/policy/membership"
+)
+
+// The timing of pulls as the nodes of a fleet use it.
+const (
+	pullHold      = 800 * time.Millisecond
+	pullTimeout   = 1200 * time.Millisecond
+	firstSlack    = pullTimeout - pullHold
+	furtherSlack  = 150 * time.Millisecond
+	pullStale     = 2500 * time.Millisecond
+	pullHoldDown  = 3 * time.Second
+	orphanedPulls = 800 * time.Millisecond
+	parallelPulls = 3
+	// versionBound is the shortest time in which a version has to be in force everywhere.
+	versionBound = 2 * time.Second
+	// hopTime and readTime are what a response of another node and a read of the store take.
+	hopTime, readTime = 30 * time.Millisecond, 150 * time.Millisecond
+)
+
+// puller is a node of a simulated failure domain, in which some stand still.
+type puller struct {
+	name     string
+	silent   bool
+	position Position
+	selector *Selector
+	round    *Round
+	pulls    map[string]pull
+	version  time.Time // from when the node has the version; zero if it has not
+	readsAt  time.Time // when it has read the store; zero if it does not
+}
+
+type pull struct {
+	at   time.Time
+	hold time.Duration
+}
+
+func (p *puller) has(now time.Time) bool { return !p.version.IsZero() && !now.Before(p.version) }
+
+func (p *puller) ask(now time.Time, parent string, hold, slack time.Duration) {
+	p.round.Ask(now, parent, hold, slack)
+	p.pulls[parent] = pull{now, hold}
+}
+
+// begin begins a round unless the node has to wait for it.
+func (p *puller) begin(now time.Time) {
+	first, _ := p.selector.Next(now)
+	if first.Instance() == "" {
+		return
+	}
+	hold := pullHold
+	if p.selector.Failing() {
+		hold = 0
+	}
+	p.round, p.pulls = NewRound(p.selector, parallelPulls), map[string]pull{}
+	p.ask(now, first.Instance(), hold, firstSlack)
+}
+
+// step advances the node; others are the nodes of the domain by name.
+func (p *puller) step(now time.Time, others map[string]*puller) {
+	if p.readsAt.IsZero() && (p.position.IsRoot() || p.selector.Orphaned(now)) {
+		p.readsAt = now.Add(readTime)
+	}
+	if !p.readsAt.IsZero() && p.version.IsZero() {
+		p.version = p.readsAt
+	}
+	if p.round == nil {
+		p.begin(now)
+		return
+	}
+	for parent, asked := range p.pulls {
+		from := others[parent]
+		switch {
+		case from.silent && now.Sub(asked.at) >= pullTimeout:
+			p.round.Failed(now, parent)
+			delete(p.pulls, parent)
+		case from.silent:
+		case from.has(now.Add(-hopTime)) && !p.has(now), now.Sub(asked.at) >= asked.hold+hopTime:
+			if from.has(now.Add(-hopTime)) && p.version.IsZero() {
+				p.version = now.Add(hopTime)
+			}
+			p.selector.Answered(now, parent, 0)
+			p.round = nil
+			return
+		}
+	}
+	if p.round.Over() {
+		p.round = nil
+		return
+	}
+	if next, ok := p.round.Next(now); ok {
+		p.ask(now, next.Instance(), 0, furtherSlack)
+	}
+}
+
+// timeToAll returns how long a version that is written just after some nodes of a failure domain
+// stood still takes to all others.
+func timeToAll(t *testing.T, rng *rand.Rand, nodes int, stillRanks []int) time.Duration {
+	t.Helper()
+	var records []membership.Record
+	for i := range nodes {
+		records = append(records, ready(fmt.Sprintf("n%d", i), "d"))
+	}
+	byName := map[string]*puller{}
+	for _, r := range records {
+		p := &puller{name: r.Instance(), position: PositionOf(r.Instance(), "d", records)}
+		p.selector = NewSelector(rng, StaleAfter(pullStale), HoldDown(pullHoldDown), OrphanedAfter(orphanedPulls))
+		p.selector.Update(p.position)
+		for _, rank := range stillRanks {
+			p.silent = p.silent || p.position.Rank() == rank
+		}
+		byName[p.name] = p
+	}
+	for _, r := range records {
+		p := byName[r.Instance()]
+		p.begin(start.Add(-time.Duration(rng.Int64N(int64(pullHold)))))
+	}
+	for now := start; now.Before(start.Add(20 * time.Second)); now = now.Add(5 * time.Millisecond) {
+		left := 0
+		for _, r := range records {
+			if p := byName[r.Instance()]; !p.silent {
+				p.step(now, byName)
+				if !p.has(now) {
+					left++
+				}
+			}
+		}
+		if left == 0 {
+			return now.Sub(start)
+		}
+	}
+	t.Fatalf("no end with %d nodes, of which ranks %v stand still", nodes, stillRanks)
+	return 0
+}
+
+// Guards against a version that is late in a whole failure domain because the nodes that read
+// the store, or pass it on, have become silent together.
+func TestAVersionIsInTimeWhicheverNodesAreSilent(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		nodes := 2 + rng.IntN(60)
+		var still []int
+		for rank := range rng.IntN(min(6, nodes)) { // the first ranks
+			still = append(still, rank)
+		}
+		for rank := len(still); rank < nodes; rank++ {
+			if rng.Float64() < 0.3 {
+				still = append(still, rank)
+			}
+		}
+		if took := timeToAll(t, rng, nodes, still); took > versionBound {
+			t.Errorf("seed %d: %v with %d nodes, of which ranks %v stand still", seed, took, nodes, still)
+		}
+	}
+}
+
+// Guards against parents that are asked one after the other, each for a full timeout, and
+// against an orphan that goes on waiting for them.
+func TestASilentRoundAsksFurtherParentsAndEndsWithAnOrphan(t *testing.T) {
+	t.Parallel()
+	s := selectorWithParents(5)
+	s.orphanedAfter = orphanedPulls
+	s.Answered(start, "p0", 0)
+	r := NewRound(s, parallelPulls)
+	r.Ask(start, "p0", pullHold, firstSlack)
+	asked := []string{}
+	for d := time.Duration(0); d < 3*time.Second && !s.Orphaned(at(d)); d += r.Wake(at(d)) {
+		if next, ok := r.Next(at(d)); ok {
+			asked = append(asked, fmt.Sprintf("%s after %v", next.Instance(), d))
+			r.Ask(at(d), next.Instance(), 0, furtherSlack)
+		}
+	}
+	if diff := cmp.Diff([]string{"p1 after 1.2s", "p2 after 1.35s"}, asked); diff != "" {
+		t.Errorf("parents asked (-want +got):\n%s", diff)
+	}
+	if s.Orphaned(at(1599*time.Millisecond)) || !s.Orphaned(at(1600*time.Millisecond)) {
+		t.Error("the node is not an orphan once the first answer is late by the time for that")
+	}
+}
--- a/internal/policy/tree/selector.go
+++ b/internal/policy/tree/selector.go
@@ -142,16 +142,37 @@
 
 // Failed records that a parent did not answer. The next one is tried at once; if
 // none remains, the jitter of the backoff spreads the nodes that lost it together.
-func (s *Selector) Failed(now time.Time, instance string) {
+func (s *Selector) Failed(now time.Time, instance string) { s.Silent(now, instance, now) }
+
+// Silent is Failed for a parent whose answer was due at a time in the past.
+func (s *Selector) Silent(now time.Time, instance string, due time.Time) {
 	ps := s.state(instance)
 	ps.stale = false
 	ps.retryAt = now.Add(ps.backoff.Next())
 	ps.avoidUntil = now.Add(s.drawHoldDown())
-	if s.failingSince.IsZero() || s.failingSince.After(now) {
-		s.failingSince = now
+	if s.failingSince.IsZero() || s.failingSince.After(due) {
+		s.failingSince = due
 	}
 }
 
+// Failing reports whether no parent has answered since one has failed.
+func (s *Selector) Failing() bool { return !s.failingSince.IsZero() }
+
+// orphanedAt returns when the node is orphaned unless a parent answers; zero if none has failed.
+func (s *Selector) orphanedAt() time.Time {
+	if s.failingSince.IsZero() {
+		return time.Time{}
+	}
+	return s.failingSince.Add(s.orphanedAfter)
+}
+
+// UntilOrphaned returns the time until the node is orphaned unless a parent answers, and false
+// if none has failed or that time is over.
+func (s *Selector) UntilOrphaned(now time.Time) (time.Duration, bool) {
+	d := s.orphanedAt().Sub(now)
+	return d, d > 0
+}
+
 // Busy records that a parent asked to be retried after a delay.
 func (s *Selector) Busy(now time.Time, instance string, after time.Duration) {
 	s.failingSince = time.Time{}
