--- a/internal/control/fleet/query.go
+++ b/internal/control/fleet/query.go
@@ -98,18 +98,21 @@
 }
 
 // queryPeer requests a node's newer configuration and its rollouts, and all of its
-// members if members is set, and applies them.
-func (f *Fleet) queryPeer(ctx context.Context, peer netip.AddrPort, members bool) {
+// members if members is set, and applies them. It returns the version of the configuration that
+// the node has sent, 0 if none.
+func (f *Fleet) queryPeer(ctx context.Context, peer netip.AddrPort, members bool) uint64 {
 	resp, err := f.requestView(ctx, f.pooledHTTP, peer, f.Current().Version(), members, fetchTimeout)
 	if ctx.Err() != nil {
-		return // another query returned first, or the node is stopping
+		return 0 // another query returned first, or the node is stopping
 	}
 	if err != nil {
 		f.log.Emit(event.PeerLost, event.F("peer", peer), event.F("error", err))
-		return
+		return 0
 	}
+	sent := uint64(0)
 	if compressed := resp.GetConfiguration(); len(compressed) > 0 {
-		f.applyCompressed(resp.GetVersion(), compressed, peer.String())
+		sent = resp.GetVersion()
+		f.applyCompressed(sent, compressed, peer.String())
 	}
 	f.mergeRollouts(resp.GetRollouts(), !resp.GetRolloutsUnknown())
 	var received []memberEntry
@@ -133,6 +136,7 @@
 	if len(received) > 0 {
 		f.acceptPeersCopy()
 	}
+	return sent
 }
 
 // checkMissing regularly probes the members whose entries, or whose failure domain's key, the
