traffic/hop: bytes that are no response head end a call at once

A target that sent anything without the end of a line kept the call, the slot and the caller until the deadline: http.ReadResponse reads to the end of the line before it looks at it. The first bytes are now compared with those of a head as they arrive, so that an idempotent call still has the time for another target. Test: 2.0 s, its deadline, before; refused at the first wrong byte now. Heads that begin right and never end are bounded as before, by 64 KiB and the deadline.

--- a/internal/traffic/hop/client.go
+++ b/internal/traffic/hop/client.go
@@ -1,6 +1,7 @@
 package hop
 
 import (
+	"bufio"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -233,6 +234,9 @@
 		}
 		return nil, &NoResponseError{To: pc.to, Err: err}
 	}
+	if !beginsAsHead(pc.br) {
+		return nil, &BadResponseError{To: pc.to, Reason: "it is not HTTP"}
+	}
 	resp, err := http.ReadResponse(pc.br, req)
 	if err != nil {
 		if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -244,6 +248,21 @@
 	return resp, nil
 }
 
+// beginsAsHead reports whether the next bytes may be a response head. It decides at the first byte
+// that can't be one: http.ReadResponse waits for the end of the line, which may never come.
+func beginsAsHead(br *bufio.Reader) bool {
+	const version = "HTTP/1."
+	for n := min(max(1, br.Buffered()), len(version)); ; n++ {
+		b, err := br.Peek(n)
+		if string(b) != version[:len(b)] {
+			return false
+		}
+		if err != nil || n == len(version) {
+			return true // http.ReadResponse returns the error
+		}
+	}
+}
+
 // accept takes the final response. A response that ends with the connection is
 // rejected unless the client allows it.
 func (res *Response) accept(resp *http.Response, method string) error {
--- a/internal/traffic/hop/client_test.go
+++ b/internal/traffic/hop/client_test.go
@@ -354,3 +354,30 @@
 		t.Error("a body that was sent counts as replayable")
 	}
 }
+
+// Guards against a call that waits until its deadline for the end of a line that is no head.
+func TestBytesThatAreNoHeadEndTheCall(t *testing.T) {
+	t.Parallel()
+	const timeout = 2 * time.Second
+	for _, tc := range []struct {
+		sent  string
+		early bool
+	}{
+		{"x", true},
+		{"HTTP/2", true},
+		{"\r", true},
+		{"HTTP/1.1 200 OK\r\n", false},
+	} {
+		f := newFakePeer(t, func(c net.Conn, _ *bufio.Reader) {
+			_, _ = io.WriteString(c, tc.sent)
+			_, _ = io.Copy(io.Discard, c)
+		})
+		began := f.clk.Now()
+		_, err := f.call(t.Context(), http.MethodGet, Buffered{}, timeout)
+		var bad *BadResponseError
+		early := errors.As(err, &bad) && f.clk.Since(began) < timeout
+		if early != tc.early || err == nil {
+			t.Errorf("%q: %v after %v", tc.sent, err, f.clk.Since(began))
+		}
+	}
+}
