traffic/hop: a pooled connection on which the target goes on sending is closed

A target that sends further bytes some time after a whole response went on for as long as the connection stayed in the pool, up to 9 s, at work on nothing. Pooled connections to the local target are now looked at twice a second.

--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -196,7 +196,7 @@
 		}, n.fleetOptions...)...)
 	n.budgets = retry.NewBudgets(rand.New(rand.NewPCG(seed, 4)), retry.RefusedRatio(refusedRetryShare), retry.WithBounds(n.retryBounds))
 	n.meshClient = hop.NewClient(n.clk, hop.ExpectContinue(), hop.WithDialTimeout(peerDialTimeout))
-	n.targetClient = hop.NewClient(n.clk, hop.AllowCloseDelimited(), hop.WithIdleTimeout(targetIdleTimeout))
+	n.targetClient = hop.NewClient(n.clk, hop.AllowCloseDelimited(), hop.WithIdleTimeout(targetIdleTimeout), hop.WatchIdle())
 	n.tokens = issuer.New(n.clk, n.fleet, n.fleet, n.cfg.Instance, n.cfg.Domain, n.domains, issuer.WithLog(n.log),
 		issuer.WithMargin(n.quotaMargin))
 	n.callerServer = caller.NewServer(caller.New(n.fleet, n.fleet, n.meshClient, nil, n.clk,
--- a/internal/traffic/hop/client.go
+++ b/internal/traffic/hop/client.go
@@ -26,6 +26,8 @@
 	closeDelimited bool
 	idleTimeout    time.Duration
 	dialTimeout    time.Duration
+	reapPeriod     time.Duration
+	watchIdle      bool
 	closed         atomic.Bool
 	shards         [shardCount]poolShard
 }
@@ -56,10 +58,16 @@
 // WithDialTimeout sets the timeout for opening a connection.
 func WithDialTimeout(d time.Duration) Option { return func(c *Client) { c.dialTimeout = d } }
 
+// WatchIdle closes pooled connections on which the peer sends unasked within half a second. A
+// peer that goes on until it is closed is at work on that all the while.
+func WatchIdle() Option {
+	return func(c *Client) { c.watchIdle, c.reapPeriod = true, watchPeriod }
+}
+
 // NewClient returns a client. Its Run method must be running for idle connections to
 // be closed.
 func NewClient(clk *timer.Service, opts ...Option) *Client {
-	c := &Client{clk: clk, idleTimeout: defaultIdleTimeout, dialTimeout: defaultDialTimeout}
+	c := &Client{clk: clk, idleTimeout: defaultIdleTimeout, dialTimeout: defaultDialTimeout, reapPeriod: reapPeriod}
 	for i := range c.shards {
 		c.shards[i].idle = map[netip.AddrPort][]*peerConn{}
 	}
@@ -72,7 +80,7 @@
 // Run closes connections that exceed the idle timeout. When ctx ends, it closes all
 // idle connections and sends the error of ctx to done.
 func (c *Client) Run(ctx context.Context, done chan<- error) {
-	tick := c.clk.Subscribe(reapPeriod)
+	tick := c.clk.Subscribe(c.reapPeriod)
 	defer tick.Stop()
 	for {
 		select {
--- a/internal/traffic/hop/pool.go
+++ b/internal/traffic/hop/pool.go
@@ -27,6 +27,8 @@
 	defaultIdleTimeout = 30 * time.Second
 	// reapPeriod is the interval between checks for expired idle connections.
 	reapPeriod = 5 * time.Second
+	// watchPeriod is the same where unasked bytes are looked for.
+	watchPeriod = 500 * time.Millisecond
 	// defaultDialTimeout allows for one lost packet on the longest network path.
 	defaultDialTimeout = 1200 * time.Millisecond
 	// dialTimeDivisor limits opening a connection to the call's remaining time divided
@@ -251,16 +253,18 @@
 	return nil
 }
 
-// reap closes the connections that have exceeded the idle timeout at now.
+// reap closes the connections that have exceeded the idle timeout at now, or whose peer has
+// closed them or sent bytes unasked, if that is watched.
 func (c *Client) reap(now time.Time) {
 	for i := range c.shards {
 		p := &c.shards[i]
+		unusable := c.unusable(p)
 		p.mu.Lock()
 		var expired []*peerConn
 		for to, idle := range p.idle {
 			keep := idle[:0]
 			for _, pc := range idle {
-				if pc.expired(now) {
+				if pc.expired(now) || unusable[pc] {
 					expired = append(expired, pc)
 				} else {
 					keep = append(keep, pc)
@@ -277,3 +281,25 @@
 		}
 	}
 }
+
+// unusable returns the pooled connections of a shard that can't carry another call.
+func (c *Client) unusable(p *poolShard) map[*peerConn]bool {
+	if !c.watchIdle {
+		return nil
+	}
+	var pooled []*peerConn
+	p.mu.Lock()
+	for _, idle := range p.idle {
+		pooled = append(pooled, idle...)
+	}
+	p.mu.Unlock()
+	out := map[*peerConn]bool{}
+	for _, pc := range pooled {
+		// A connection that is taken meanwhile may have a response unread; it is not in the
+		// pool any more when the result counts.
+		if !http1.Reusable(pc.conn) {
+			out[pc] = true
+		}
+	}
+	return out
+}
