process/resident: a heartbeat without end is given up after two seconds

Only the head of a request to the control and readiness addresses had a time limit, so that a body that drips kept a connection and a descriptor for good.

--- a/internal/process/resident/run.go
+++ b/internal/process/resident/run.go
@@ -27,8 +27,12 @@
 	// nestedSkew is how much later than the deadline of a call a nested one may seem to
 	// end, since the time for both messages is added to what its sender has left.
 	nestedSkew = 500 * time.Millisecond
-	// headTimeout bounds the reading of a request's header on the control addresses.
-	headTimeout = 2 * time.Second
+	// headTimeout bounds the reading of a request's header on the control addresses, and
+	// requestTimeout that of a whole request on those that only answer at once.
+	headTimeout    = 2 * time.Second
+	requestTimeout = 2 * time.Second
+	// controlIdleTimeout is how long a connection to such an address may be unused.
+	controlIdleTimeout = 2 * time.Minute
 )
 
 // Run serves until ctx is cancelled or a server fails, then drains and returns the
@@ -50,12 +54,12 @@
 		func(ctx context.Context, done chan<- error) { n.callerServer.Serve(ctx, n.listeners.callers, done) },
 		func(ctx context.Context, done chan<- error) { n.targetServer.Serve(ctx, n.listeners.mesh, done) },
 		func(ctx context.Context, done chan<- error) {
-			serveHTTP(ctx, n.listeners.peers, n.peersHandler(), done)
+			serveHTTP(ctx, n.listeners.peers, &http.Server{Handler: n.peersHandler()}, done)
 		},
 	}
 	if n.listeners.admin != nil {
 		components = append(components, func(ctx context.Context, done chan<- error) {
-			serveHTTP(ctx, n.listeners.admin, n.adminHandler(), done)
+			serveHTTP(ctx, n.listeners.admin, &http.Server{Handler: n.adminHandler()}, done)
 		})
 	}
 	ended := make(chan error, len(components))
@@ -120,8 +124,8 @@
 }
 
 // serveHTTP runs an HTTP server until ctx is cancelled and sends its error on done.
-func serveHTTP(ctx context.Context, ln net.Listener, h http.Handler, done chan<- error) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headTimeout}
+func serveHTTP(ctx context.Context, ln net.Listener, s *http.Server, done chan<- error) {
+	s.ReadHeaderTimeout = headTimeout
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
 	err := s.Serve(ln)
@@ -132,7 +136,7 @@
 }
 
 // Serve listens on a TCP address, serves h until ctx is cancelled and sends the
-// error on done.
+// error on done. A request that has not been read after 2 s is given up.
 func Serve(ctx context.Context, address string, h http.Handler, done chan<- error) {
 	var cfg net.ListenConfig
 	ln, err := cfg.Listen(ctx, "tcp", address)
@@ -140,5 +144,5 @@
 		done <- err
 		return
 	}
-	serveHTTP(ctx, ln, h, done)
+	serveHTTP(ctx, ln, &http.Server{Handler: h, ReadTimeout: requestTimeout, IdleTimeout: controlIdleTimeout}, done)
 }
