--- /dev/null
+++ b/internal/control/fleet/fetch_test.go
@@ -0,0 +1,58 @@
+package fleet
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	"banyanlug.example/banyanlug/internal/policy/membership"
+)
+
+// Guards against a version that is late because the nodes that have announced it are silent,
+// and against reads of a version that a node has received and refused.
+func TestAVersionThatNoNodeDeliversIsReadFromTheStore(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name          string
+		silent, other int    // sources that don't answer, and that have another version
+		other2        string // what the latter have as version 2, if anything
+		version       uint64
+		calls         int // of the store
+	}{
+		{name: "no source answers", silent: 3, version: 2, calls: 1},
+		{name: "the sources that answer don't have it", silent: 1, other: 2, version: 2, calls: 1},
+		{name: "it is refused", other: 1, other2: "none"},
+		{name: "a source delivers it", silent: 1, other: 1, other2: "2", version: 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			h.store.put(configKey, []byte("2"))
+			f := New(h.store, h.clk, membership.NewRecord("self"), configKey, decodeNumber)
+			defer f.pooledHTTP.CloseIdleConnections()
+			var from []versionSource
+			for i := range tc.silent + tc.other {
+				other := New(newFakeStore(h.clk), h.clk, membership.NewRecord("other"), configKey, decodeNumber)
+				if tc.other2 != "" {
+					other.offer(2, compress([]byte(tc.other2)), 1, "a test")
+				}
+				srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if i < tc.silent {
+						_, _ = io.Copy(io.Discard, r.Body)
+						<-r.Context().Done()
+						return
+					}
+					other.Handler().ServeHTTP(w, r)
+				}))
+				defer srv.Close()
+				from = append(from, versionSource{peer: netip.MustParseAddrPort(srv.Listener.Addr().String())})
+			}
+			f.fetchVersion(t.Context(), from, 2)
+			if v := f.Current().Version(); v != tc.version || h.store.calls != tc.calls {
+				t.Errorf("version %d after %d calls of the store, want version %d after %d", v, h.store.calls, tc.version, tc.calls)
+			}
+		})
+	}
+}
