control/fleet: a store that does not deliver a version ends no fetch from a node

If the store did not answer either, the fetches that were still in flight were cancelled, so that a slow node, or one that accepts no new connection, was given up for nothing.

--- a/internal/control/fleet/fetch.go
+++ b/internal/control/fleet/fetch.go
@@ -34,9 +34,12 @@
 		progress  = fetchProgress{pending: map[netip.AddrPort]bool{}}
 		answered  = make(chan struct{}, len(from))
 		exhausted = make(chan struct{}) // closed once all nodes have been queried and have answered
-		read      = make(chan bool, 1)  // whether the store was read
+		read      = make(chan struct{}) // closed once the store has been read, or need not be
 	)
-	fetches.Go(func() { read <- f.readUndelivered(ctx, &progress, exhausted, wanted) })
+	fetches.Go(func() {
+		defer close(read)
+		f.readUndelivered(ctx, &progress, exhausted, wanted)
+	})
 	pending := 0
 	for len(from) > 0 || pending > 0 {
 		var hedge *timer.Subscription
@@ -56,10 +59,8 @@
 		select {
 		case <-answered:
 			pending--
-		case tried := <-read:
-			if read = nil; tried {
-				from, pending = nil, 0
-			}
+		case <-read:
+			read = nil // the nodes may still deliver what the store did not
 		case <-hedge.C():
 			// Once the bytes are there, the same ones from another node would not help.
 			if version, _ := f.newest(); version >= wanted {
@@ -80,15 +81,14 @@
 }
 
 // readUndelivered reads the configuration from the store if other nodes don't deliver a version:
-// once all have answered without it, or after silentFetch while none sends it. It reports whether
-// it tried to.
-func (f *Fleet) readUndelivered(ctx context.Context, progress *fetchProgress, exhausted <-chan struct{}, wanted uint64) bool {
+// once all have answered without it, or after silentFetch while none sends it.
+func (f *Fleet) readUndelivered(ctx context.Context, progress *fetchProgress, exhausted <-chan struct{}, wanted uint64) {
 	for {
 		wait := f.clk.After(silentFetch)
 		select {
 		case <-ctx.Done():
 			wait.Stop()
-			return false
+			return
 		case <-exhausted:
 			wait.Stop()
 		case <-wait.C():
@@ -97,7 +97,7 @@
 			}
 		}
 		if held, _ := f.newest(); held >= wanted || progress.delivered.Load() {
-			return false
+			return
 		}
 		v, err := f.store.Get(ctx, f.configKey)
 		switch {
@@ -108,7 +108,7 @@
 			f.storeAnswered()
 			f.applyConfig(version.Unknown, v.Data(), fromStore)
 		}
-		return true
+		return
 	}
 }
 
--- a/internal/control/fleet/fetch_test.go
+++ b/internal/control/fleet/fetch_test.go
@@ -11,13 +11,15 @@
 )
 
 // Guards against a version that is late because the nodes that have announced it are silent,
-// and against reads of a version that a node has received and refused.
+// against reads of a version that a node has received and refused, and against a node that is
+// given up for a store that does not answer.
 func TestAVersionThatNoNodeDeliversIsReadFromTheStore(t *testing.T) {
 	t.Parallel()
 	for _, tc := range []struct {
 		name          string
 		silent, other int    // sources that don't answer, and that have another version
 		other2        string // what the latter have as version 2, if anything
+		late, refused bool   // they are slow, and the store refuses
 		version       uint64
 		calls         int // of the store
 	}{
@@ -25,11 +27,13 @@
 		{name: "the sources that answer don't have it", silent: 1, other: 2, version: 2, calls: 1},
 		{name: "it is refused", other: 1, other2: "none"},
 		{name: "a source delivers it", silent: 1, other: 1, other2: "2", version: 2},
+		{name: "a slow source delivers it, and the store does not", other: 1, other2: "2", late: true, refused: true, version: 2, calls: 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			h := newHarness(t)
 			h.store.put(configKey, []byte("2"))
+			h.store.set(func() { h.store.unavailable = tc.refused })
 			f := New(h.store, h.clk, membership.NewRecord("self"), configKey, decodeNumber)
 			defer f.pooledHTTP.CloseIdleConnections()
 			var from []versionSource
@@ -44,6 +48,9 @@
 						<-r.Context().Done()
 						return
 					}
+					if tc.late {
+						_ = h.clk.Sleep(r.Context(), silentFetch+fetchHedgeDelay)
+					}
 					other.Handler().ServeHTTP(w, r)
 				}))
 				defer srv.Close()
