--- a/internal/policy/tree/round.go
+++ b/internal/policy/tree/round.go
@@ -16,11 +16,11 @@
 	pending    []pendingPull
 }
 
-// pendingPull is a parent that has been asked. It is silent if it has not answered by late.
+// pendingPull is a parent that has been asked.
 type pendingPull struct {
 	instance string
-	due      time.Time // when its answer was due
-	late     time.Time
+	due      time.Time // when its answer is due
+	late     time.Time // from when it counts as silent without one
 	silent   bool
 }
 
--- a/internal/traffic/hop/pool.go
+++ b/internal/traffic/hop/pool.go
@@ -295,8 +295,8 @@
 	p.mu.Unlock()
 	out := map[*peerConn]bool{}
 	for _, pc := range pooled {
-		// A connection that is taken meanwhile may have a response unread; it is not in the
-		// pool any more when the result counts.
+		// One that is taken meanwhile may seem unusable because of its response. If it is back
+		// in the pool before it is removed, that costs a new connection.
 		if !http1.Reusable(pc.conn) {
 			out[pc] = true
 		}
