control/fleet, traffic/hop, policy/tree: no state that follows from other state

Behaviour stays: a fetch recorded each node that it had asked although only those that respond are looked at, and waited for the read of the store on a channel where its own wait group does; the client kept the period of its checks beside the option that it follows from; and when a node is an orphan was computed in two places of the selector.

Looked at as well: whether a version is transferred again while it is applied, once the read of the store turns out not to be needed. It is not: a test of that passed on the code as it was.

--- a/internal/control/fleet/fetch.go
+++ b/internal/control/fleet/fetch.go
@@ -31,7 +31,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var (
-		progress  = fetchProgress{pending: map[netip.AddrPort]bool{}}
+		progress  = fetchProgress{responding: map[netip.AddrPort]bool{}}
 		answered  = make(chan struct{}, len(from))
 		exhausted = make(chan struct{}) // closed once all nodes have been queried and have answered
 		read      = make(chan struct{}) // closed once the store has been read, or need not be
@@ -47,7 +47,6 @@
 			source := from[0]
 			from = from[1:]
 			pending++
-			progress.begin(source.peer)
 			fetches.Go(func() {
 				progress.end(source.peer, f.queryPeer(progress.trace(ctx, source.peer), source.peer, false) >= wanted)
 				answered <- struct{}{}
@@ -74,9 +73,7 @@
 		}
 	}
 	close(exhausted)
-	if read != nil {
-		<-read
-	}
+	fetches.Wait()
 	return f.Current().Version() >= wanted
 }
 
@@ -114,15 +111,9 @@
 
 // fetchProgress is what the queries for one version have returned, for concurrent use.
 type fetchProgress struct {
-	delivered atomic.Bool // some node has sent the version
-	mu        sync.Mutex
-	pending   map[netip.AddrPort]bool // whether a node that was queried has begun to respond
-}
-
-func (p *fetchProgress) begin(peer netip.AddrPort) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.pending[peer] = false
+	delivered  atomic.Bool // some node has sent the version
+	mu         sync.Mutex
+	responding map[netip.AddrPort]bool // nodes whose response has begun and not ended
 }
 
 func (p *fetchProgress) end(peer netip.AddrPort, delivered bool) {
@@ -131,7 +122,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.pending, peer)
+	delete(p.responding, peer)
 }
 
 // trace returns a context in which the response of a node is noticed when it begins.
@@ -139,7 +130,7 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.pending[peer] = true
+		p.responding[peer] = true
 	}})
 }
 
@@ -147,10 +138,5 @@
 func (p *fetchProgress) transferring() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, began := range p.pending {
-		if began {
-			return true
-		}
-	}
-	return false
+	return len(p.responding) > 0
 }
--- a/internal/policy/tree/selector.go
+++ b/internal/policy/tree/selector.go
@@ -211,7 +211,7 @@
 // other.
 func (s *Selector) Orphaned(now time.Time) bool {
 	return len(s.parents) == 0 ||
-		!s.failingSince.IsZero() && now.Sub(s.failingSince) >= s.orphanedAfter ||
+		s.Failing() && !now.Before(s.orphanedAt()) ||
 		!s.staleSince.IsZero() && now.Sub(s.staleSince) >= s.maxStale
 }
 
--- a/internal/traffic/hop/client.go
+++ b/internal/traffic/hop/client.go
@@ -26,7 +26,6 @@
 	closeDelimited bool
 	idleTimeout    time.Duration
 	dialTimeout    time.Duration
-	reapPeriod     time.Duration
 	watchIdle      bool
 	closed         atomic.Bool
 	shards         [shardCount]poolShard
@@ -60,14 +59,12 @@
 
 // WatchIdle closes pooled connections on which the peer sends unasked within half a second. A
 // peer that goes on until it is closed is at work on that all the while.
-func WatchIdle() Option {
-	return func(c *Client) { c.watchIdle, c.reapPeriod = true, watchPeriod }
-}
+func WatchIdle() Option { return func(c *Client) { c.watchIdle = true } }
 
 // NewClient returns a client. Its Run method must be running for idle connections to
 // be closed.
 func NewClient(clk *timer.Service, opts ...Option) *Client {
-	c := &Client{clk: clk, idleTimeout: defaultIdleTimeout, dialTimeout: defaultDialTimeout, reapPeriod: reapPeriod}
+	c := &Client{clk: clk, idleTimeout: defaultIdleTimeout, dialTimeout: defaultDialTimeout}
 	for i := range c.shards {
 		c.shards[i].idle = map[netip.AddrPort][]*peerConn{}
 	}
@@ -80,7 +77,11 @@
 // Run closes connections that exceed the idle timeout. When ctx ends, it closes all
 // idle connections and sends the error of ctx to done.
 func (c *Client) Run(ctx context.Context, done chan<- error) {
-	tick := c.clk.Subscribe(c.reapPeriod)
+	period := reapPeriod
+	if c.watchIdle {
+		period = watchPeriod
+	}
+	tick := c.clk.Subscribe(period)
 	defer tick.Stop()
 	for {
 		select {
