traffic/target: the first calls of a version are decided by its slots

Callers of a target whose node had just taken its first version got 503 queue-full while the target was idle.

Cause: the first call of a version marked it as applied before it configured the gate. Calls beside it took the gate as configured and were decided by the slots before: one slot and a queue of two after a start. The version is now marked once the gate is configured, and calls that arrive meanwhile wait for that.

Ruled out: a lowered limit (the target rejected no call), the stop itself. Targets that report their slots are not affected, as their reports configure the gate.

--- a/internal/traffic/target/admit.go
+++ b/internal/traffic/target/admit.go
@@ -31,7 +31,9 @@
 	gate   *admission.Gate
 	// overload is nil where the scheduling delay is not measured.
 	overload *overload.Controller
-	snap     atomic.Pointer[snapshot.Snapshot]
+	// snap is the version that the gate is configured by; configuring is held while it changes.
+	snap        atomic.Pointer[snapshot.Snapshot]
+	configuring sync.Mutex
 	// process is the target process; nil where targets don't report their state.
 	process atomic.Pointer[lifecycle.Target]
 	// responded is set once the target process has responded to a call.
@@ -116,13 +118,19 @@
 // Drain refuses the waiting calls and all later ones.
 func (s *Slots) Drain() { s.deliver(s.gate.Drain(s.clk.Now(), nil)) }
 
-// configure applies the slots of a new configuration version.
+// configure applies the slots of a new configuration version. Calls that arrive meanwhile wait
+// for it.
 func (s *Slots) configure() {
+	if s.snap.Load() == s.config.Current() {
+		return
+	}
+	s.configuring.Lock()
+	defer s.configuring.Unlock()
 	snap := s.config.Current()
 	if s.snap.Load() == snap {
 		return
 	}
-	s.snap.Store(snap)
+	defer s.snap.Store(snap)
 	// A pool that was removed from the configuration keeps its last slots: calls
 	// sent under the previous version still arrive.
 	if p, ok := snap.Pool(s.pool); ok && s.process.Load() == nil {
--- a/internal/traffic/target/admit_test.go
+++ b/internal/traffic/target/admit_test.go
@@ -191,6 +191,35 @@
 	}
 }
 
+// Guards against calls that are decided by the slots of the version before while the first call
+// of a new one configures the gate.
+func TestFirstCallsOfAVersionAreDecidedByItsSlots(t *testing.T) {
+	t.Parallel()
+	const rounds, calls = 500, 12
+	clk := timer.NewManual(time.Unix(1_800_000_000, 0))
+	meta := hop.NewMeta(hop.ForOrganisation("harbour", snapshot.Paying))
+	cfg := withSlots(t, snapshot.Empty(), calls)
+	for range rounds {
+		current := &testConfig{snapshot.Empty()}
+		s := NewSlots(current, "p", clk)
+		current.snap = cfg
+		begin, results := make(chan struct{}), make(chan error, calls)
+		for range calls {
+			go func() {
+				<-begin
+				_, err := s.acquire(t.Context(), meta, clk.Now().Add(time.Second))
+				results <- err
+			}()
+		}
+		close(begin)
+		for range calls {
+			if err := <-results; err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
+
 // waitForExpiryTimer waits until the queued call has scheduled its expiry.
 func (s *Slots) waitForExpiryTimer() {
 	for {
