policy/tree: the simulation of transfers rounds alike on all processors

Its simulation of links subtracts a product, which Go computes without rounding the product there, so that a transfer of exactly 24 steps takes 25, and the estimate of the code under test, which is exact, runs out. With the product rounded the result is that of other processors, 420 ms. The bounds stay. The plan of the transfers itself (SourceOf) has no such expression, so that nodes on different processors agree on it.

--- a/internal/policy/tree/source_test.go
+++ b/internal/policy/tree/source_test.go
@@ -82,7 +82,8 @@
 		for _, f := range active {
 			source := f.sources[f.tried-1]
 			mbps := min(float64(f.self.LinkMbps()), float64(nodes[source].self.LinkMbps())/float64(sending[source]))
-			if f.left -= mbps * step.Seconds(); f.left <= 0 {
+			// The conversion rounds the product, which some processors would not.
+			if f.left -= float64(mbps * step.Seconds()); f.left <= 0 {
 				f.has = now
 			}
 		}
