control/fleet, policy/tree: a shorter hold during a rollout does not make a slow parent a silent one

While a rollout of the product is undecided a parent is asked to hold a pull for a shorter time. The answer is due after the usual time again. Found by reading; TestPullTiming has the case.

--- a/internal/control/fleet/pull.go
+++ b/internal/control/fleet/pull.go
@@ -169,25 +169,16 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	round := tree.NewRound(p.selector, maxParallelPulls)
-	start := func(from membership.Record, hold, slack time.Duration) {
+	start := func(from membership.Record, hold, due, slack time.Duration) {
 		at := p.cursor(from.Instance())
-		if at.epoch == 0 {
-			hold = 0 // all members are new to this node
-		}
-		round.Ask(f.clk.Now(), from.Instance(), hold, slack)
+		round.Ask(f.clk.Now(), from.Instance(), due, slack)
 		pulls.Go(func() {
 			resp, err := f.pullFrom(ctx, from, at, hold, true, &p.reports)
 			results <- pullResult{from, resp, err}
 		})
 	}
-	hold, nextSlack := f.requestedWait(), parallelPullSlack
-	switch {
-	case p.selector.Failing():
-		hold = 0 // whether a parent answers at all must show soon
-	case p.cursor(first.Instance()).epoch == 0:
-		nextSlack = pullSlack // nodes that start together are slow
-	}
-	start(first, hold, pullSlack)
+	timing := timingOf(f.requestedWait(), p.selector.Failing(), p.cursor(first.Instance()).epoch != 0)
+	start(first, timing.hold, timing.due, pullSlack)
 	for {
 		wake := f.clk.After(round.Wake(f.clk.Now()))
 		select {
@@ -204,12 +195,30 @@
 		case <-wake.C():
 		}
 		if next, ok := round.Next(f.clk.Now()); ok {
-			start(next, 0, nextSlack)
+			start(next, 0, 0, timing.nextSlack)
 		}
 		f.setOrphaned(p.selector.Orphaned(f.clk.Now()))
 	}
 }
 
+// pullTiming is the timing of a round of pulls: how long the first parent may hold its response,
+// when that is due, and by how much those of further parents may be late.
+type pullTiming struct{ hold, due, nextSlack time.Duration }
+
+// timingOf returns the timing of a round that requests a hold. failing is set while no parent
+// answers, known if the node has the first parent's changes so far.
+func timingOf(hold time.Duration, failing, known bool) pullTiming {
+	switch {
+	case failing:
+		return pullTiming{nextSlack: parallelPullSlack} // whether a parent answers at all must show soon
+	case !known:
+		return pullTiming{nextSlack: pullSlack} // nodes that start together are slow
+	default:
+		// A shorter hold does not make a slow parent a silent one.
+		return pullTiming{hold: hold, due: pullWait, nextSlack: parallelPullSlack}
+	}
+}
+
 // waitForChange waits for a change of the members, or for a limited time if wait is positive.
 func (f *Fleet) waitForChange(ctx context.Context, changed <-chan struct{}, wait time.Duration) {
 	if wait <= 0 {
--- a/internal/control/fleet/tree_test.go
+++ b/internal/control/fleet/tree_test.go
@@ -352,6 +352,26 @@
 	}
 }
 
+// Guards against a slow parent that is left during a rollout, as it is asked for a shorter hold.
+func TestPullTiming(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name           string
+		hold           time.Duration
+		failing, known bool
+		want           pullTiming
+	}{
+		{"calm", pullWait, false, true, pullTiming{pullWait, pullWait, parallelPullSlack}},
+		{"a rollout", rolloutInterval, false, true, pullTiming{rolloutInterval, pullWait, parallelPullSlack}},
+		{"no parent answers", pullWait, true, true, pullTiming{0, 0, parallelPullSlack}},
+		{"a parent without a cursor", pullWait, false, false, pullTiming{0, 0, pullSlack}},
+	} {
+		if got := timingOf(tc.hold, tc.failing, tc.known); got != tc.want {
+			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
 // Guards against a version that is late at all nodes because the store turns away just the
 // one that reads it for them.
 func TestTheNextNodeReadsTheStoreOnceItDoesNotAnswerTheRoot(t *testing.T) {
--- a/internal/policy/tree/round.go
+++ b/internal/policy/tree/round.go
@@ -28,11 +28,11 @@
 // same time.
 func NewRound(s *Selector, maxPending int) *Round { return &Round{s: s, maxPending: maxPending} }
 
-// Ask records that a parent has been asked, which may hold its answer for some time. It counts
-// as silent if it is later than that by more than slack.
-func (r *Round) Ask(now time.Time, instance string, hold, slack time.Duration) {
-	due := now.Add(hold)
-	r.pending = append(r.pending, pendingPull{instance: instance, due: due, late: due.Add(slack)})
+// Ask records that a parent has been asked, whose answer is due after some time. It counts as
+// silent if it is later than that by more than slack.
+func (r *Round) Ask(now time.Time, instance string, due, slack time.Duration) {
+	at := now.Add(due)
+	r.pending = append(r.pending, pendingPull{instance: instance, due: at, late: at.Add(slack)})
 }
 
 // Next returns a further parent to ask now, and false if there is none.
