control/fleet, policy/tree: only the parent that answered last holds a pull

Callers got 404 for a route of an acknowledged version 2.5 s after it, on nodes two levels below the readers of their failure domain.

Cause: since silent readers cost one timeout together, but each level below began a timeout of its own. A node that had left a parent goes back to it once it no longer avoids it, or turns to one that it has never asked, with a pull that may be held for 0.8 s. If that parent is silent, 1.2 s pass in which the node asks no other, not even the one that answered a moment before, and its children wait with it. That comes on top of the 1.6 s in which an orphan above it reads the store.

Now only the parent that answered the last pull may hold one. Any other is asked for an answer at once, and the one that answered last is pulled from beside it, so that trying a parent costs no time. A node is not failing while that one is not late, and a parent that has nothing to serve yet (it starts) is passed over if the other may answer.

--- a/internal/control/fleet/pull.go
+++ b/internal/control/fleet/pull.go
@@ -177,18 +177,24 @@
 			results <- pullResult{from, resp, err}
 		})
 	}
-	timing := timingOf(f.requestedWait(), p.selector.Failing(), p.cursor(first.Instance()).epoch != 0)
+	timing := timingOf(f.requestedWait(), p.selector.MayHold(first.Instance()), p.selector.Failing(), p.cursor(first.Instance()).epoch != 0)
 	start(first, timing.hold, timing.due, pullSlack)
+	if beside, ok := p.selector.Beside(f.clk.Now(), first.Instance()); ok {
+		start(beside, f.requestedWait(), pullWait, pullSlack)
+	}
 	for {
 		wake := f.clk.After(round.Wake(f.clk.Now()))
 		select {
 		case result := <-results:
 			wake.Stop()
-			if result.err == nil || ctx.Err() != nil {
+			now, from := f.clk.Now(), result.from.Instance()
+			if ctx.Err() != nil || result.err == nil && (result.resp.GetStartingMs() == 0 || !round.Starting(now, from)) {
 				return result
 			}
-			f.log.Emit(event.PeerLost, event.F("peer", result.from.Instance()), event.F("error", result.err))
-			round.Failed(f.clk.Now(), result.from.Instance())
+			if result.err != nil {
+				f.log.Emit(event.PeerLost, event.F("peer", from), event.F("error", result.err))
+				round.Failed(now, from)
+			}
 			if round.Over() {
 				return result
 			}
@@ -205,17 +211,18 @@
 // when that is due, and by how much those of further parents may be late.
 type pullTiming struct{ hold, due, nextSlack time.Duration }
 
-// timingOf returns the timing of a round that requests a hold. failing is set while no parent
-// answers, known if the node has the first parent's changes so far.
-func timingOf(hold time.Duration, failing, known bool) pullTiming {
+// timingOf returns the timing of a round that requests a hold. mayHold is set if the first parent
+// answered last; failing while no parent answers, known if the node has the first parent's changes
+// so far.
+func timingOf(hold time.Duration, mayHold, failing, known bool) pullTiming {
 	switch {
-	case failing:
-		return pullTiming{nextSlack: parallelPullSlack} // whether a parent answers at all must show soon
-	case !known:
-		return pullTiming{nextSlack: pullSlack} // nodes that start together are slow
-	default:
+	case mayHold && known:
 		// A shorter hold does not make a slow parent a silent one.
 		return pullTiming{hold: hold, due: pullWait, nextSlack: parallelPullSlack}
+	case !failing && !known:
+		return pullTiming{nextSlack: pullSlack} // nodes that start together are slow
+	default:
+		return pullTiming{nextSlack: parallelPullSlack}
 	}
 }
 
--- a/internal/control/fleet/tree_test.go
+++ b/internal/control/fleet/tree_test.go
@@ -352,21 +352,24 @@
 	}
 }
 
-// Guards against a slow parent that is left during a rollout, as it is asked for a shorter hold.
+// Guards against a slow parent that is left during a rollout, as it is asked for a shorter hold,
+// and against a silent parent that is waited for like one that answers.
 func TestPullTiming(t *testing.T) {
 	t.Parallel()
 	for _, tc := range []struct {
-		name           string
-		hold           time.Duration
-		failing, known bool
-		want           pullTiming
+		name                    string
+		hold                    time.Duration
+		mayHold, failing, known bool
+		want                    pullTiming
 	}{
-		{"calm", pullWait, false, true, pullTiming{pullWait, pullWait, parallelPullSlack}},
-		{"a rollout", rolloutInterval, false, true, pullTiming{rolloutInterval, pullWait, parallelPullSlack}},
-		{"no parent answers", pullWait, true, true, pullTiming{0, 0, parallelPullSlack}},
-		{"a parent without a cursor", pullWait, false, false, pullTiming{0, 0, pullSlack}},
+		{"calm", pullWait, true, false, true, pullTiming{pullWait, pullWait, parallelPullSlack}},
+		{"a rollout", rolloutInterval, true, false, true, pullTiming{rolloutInterval, pullWait, parallelPullSlack}},
+		{"another parent than the last", pullWait, false, false, true, pullTiming{0, 0, parallelPullSlack}},
+		{"no parent answers", pullWait, false, true, true, pullTiming{0, 0, parallelPullSlack}},
+		{"no parent answers and the first is new", pullWait, false, true, false, pullTiming{0, 0, parallelPullSlack}},
+		{"a parent without a cursor", pullWait, false, false, false, pullTiming{0, 0, pullSlack}},
 	} {
-		if got := timingOf(tc.hold, tc.failing, tc.known); got != tc.want {
+		if got := timingOf(tc.hold, tc.mayHold, tc.failing, tc.known); got != tc.want {
 			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
 		}
 	}
--- a/internal/policy/tree/round.go
+++ b/internal/policy/tree/round.go
@@ -37,16 +37,13 @@
 
 // Next returns a further parent to ask now, and false if there is none.
 func (r *Round) Next(now time.Time) (membership.Record, bool) {
-	answering := false
 	for i := range r.pending {
-		p := &r.pending[i]
-		if !p.silent && !now.Before(p.late) {
+		if p := &r.pending[i]; !p.silent && !now.Before(p.late) {
 			p.silent = true
-			r.s.Silent(now, p.instance, p.due)
+			r.lost(now, p.instance, p.due)
 		}
-		answering = answering || !p.silent
 	}
-	if answering || len(r.pending) >= r.maxPending {
+	if r.answering(now) || len(r.pending) >= r.maxPending {
 		return membership.Record{}, false
 	}
 	next, _ := r.s.Next(now)
@@ -60,13 +57,44 @@
 // parent has been silent since then.
 func (r *Round) Failed(now time.Time, instance string) {
 	since := now
-	r.pending = slices.DeleteFunc(r.pending, func(p pendingPull) bool {
-		if p.instance == instance && p.due.Before(since) {
-			since = p.due
-		}
-		return p.instance == instance
-	})
-	r.s.Silent(now, instance, since)
+	if p := r.remove(instance); p.due.Before(since) {
+		since = p.due
+	}
+	r.lost(now, instance, since)
+}
+
+// Starting records that a parent has nothing to serve yet. It reports whether the round goes on,
+// as another one may answer.
+func (r *Round) Starting(now time.Time, instance string) bool {
+	r.remove(instance)
+	if !r.answering(now) {
+		return false
+	}
+	r.s.avoid(now, instance)
+	return true
+}
+
+// remove ends the wait for a parent that has been asked.
+func (r *Round) remove(instance string) pendingPull {
+	i := slices.IndexFunc(r.pending, func(p pendingPull) bool { return p.instance == instance })
+	p := r.pending[i]
+	r.pending = slices.Delete(r.pending, i, i+1)
+	return p
+}
+
+// lost records a parent that has failed or is silent. The node is not failing while another one
+// is asked that is not late.
+func (r *Round) lost(now time.Time, instance string, due time.Time) {
+	if r.answering(now) {
+		r.s.avoid(now, instance)
+		return
+	}
+	r.s.Silent(now, instance, due)
+}
+
+// answering reports whether some parent that was asked is not late.
+func (r *Round) answering(now time.Time) bool {
+	return slices.ContainsFunc(r.pending, func(p pendingPull) bool { return now.Before(p.late) })
 }
 
 // Over reports whether no parent can answer any more.
--- a/internal/policy/tree/round_test.go
+++ b/internal/policy/tree/round_test.go
@@ -57,12 +57,15 @@
 	if first.Instance() == "" {
 		return
 	}
-	hold := pullHold
-	if p.selector.Failing() {
-		hold = 0
+	hold := time.Duration(0)
+	if p.selector.MayHold(first.Instance()) {
+		hold = pullHold
 	}
 	p.round, p.pulls = NewRound(p.selector, parallelPulls), map[string]pull{}
 	p.ask(now, first.Instance(), hold, firstSlack)
+	if beside, ok := p.selector.Beside(now, first.Instance()); ok {
+		p.ask(now, beside.Instance(), pullHold, firstSlack)
+	}
 }
 
 // step advances the node; others are the nodes of the domain by name.
@@ -102,6 +105,21 @@
 	}
 }
 
+// avoidParents has the node avoid some of its first parents, as after earlier failures, while a
+// later one answers.
+func (p *puller) avoidParents(rng *rand.Rand) {
+	parents := p.position.Parents()
+	if len(parents) < 2 {
+		return
+	}
+	n := rng.IntN(len(parents))
+	for _, parent := range parents[:n] {
+		failed := start.Add(-time.Duration(rng.Int64N(int64(2 * pullHoldDown))))
+		p.selector.Silent(failed, parent.Instance(), failed)
+	}
+	p.selector.Answered(start.Add(-pullHold), parents[n].Instance(), 0)
+}
+
 // timeToAll returns how long a version that is written just after some nodes of a failure domain
 // stood still takes to all others.
 func timeToAll(t *testing.T, rng *rand.Rand, nodes int, stillRanks []int) time.Duration {
@@ -118,6 +136,7 @@
 		for _, rank := range stillRanks {
 			p.silent = p.silent || p.position.Rank() == rank
 		}
+		p.avoidParents(rng)
 		byName[p.name] = p
 	}
 	for _, r := range records {
--- a/internal/policy/tree/selector.go
+++ b/internal/policy/tree/selector.go
@@ -38,6 +38,8 @@
 	// staleSince that of the first stale answer since the last one that was not
 	// stale; each is zero if there was none.
 	failingSince, staleSince time.Time
+	// answered is the parent that answered last; empty once it has failed.
+	answered string
 	// maxStale is how long all parents may be stale before the node acts as a
 	// root.
 	maxStale time.Duration
@@ -146,18 +148,44 @@
 
 // Silent is Failed for a parent whose answer was due at a time in the past.
 func (s *Selector) Silent(now time.Time, instance string, due time.Time) {
+	s.avoid(now, instance)
+	if s.failingSince.IsZero() || s.failingSince.After(due) {
+		s.failingSince = due
+	}
+}
+
+// avoid has a parent avoided that did not answer while another one may.
+func (s *Selector) avoid(now time.Time, instance string) {
 	ps := s.state(instance)
 	ps.stale = false
+	if s.answered == instance {
+		s.answered = ""
+	}
 	ps.retryAt = now.Add(ps.backoff.Next())
 	ps.avoidUntil = now.Add(s.drawHoldDown())
-	if s.failingSince.IsZero() || s.failingSince.After(due) {
-		s.failingSince = due
-	}
 }
 
 // Failing reports whether no parent has answered since one has failed.
 func (s *Selector) Failing() bool { return !s.failingSince.IsZero() }
 
+// MayHold reports whether a parent may hold a pull: it answered the last one. Whether any other
+// answers at all has to show soon.
+func (s *Selector) MayHold(instance string) bool { return !s.Failing() && s.answered == instance }
+
+// Beside returns the parent to pull from as well while another one is tried: the one that
+// answered last, unless its data is stale. It returns false if there is none.
+func (s *Selector) Beside(now time.Time, tried string) (membership.Record, bool) {
+	if s.Failing() || s.answered == tried {
+		return membership.Record{}, false
+	}
+	for _, r := range s.parents {
+		if ps := s.states[r.Instance()]; r.Instance() == s.answered && ps != nil && s.remaining(ps.avoidUntil, now) == 0 {
+			return r, true
+		}
+	}
+	return membership.Record{}, false
+}
+
 // orphanedAt returns when the node is orphaned unless a parent answers; zero if none has failed.
 func (s *Selector) orphanedAt() time.Time {
 	if s.failingSince.IsZero() {
@@ -189,7 +217,7 @@
 // Answered records a parent's answer and the age of its last report from the
 // domain's root.
 func (s *Selector) Answered(now time.Time, instance string, age time.Duration) {
-	s.failingSince = time.Time{}
+	s.failingSince, s.answered = time.Time{}, instance
 	ps := s.state(instance)
 	ps.backoff.Reset()
 	ps.retryAt, ps.avoidUntil = time.Time{}, time.Time{}
