control/fleet, policy/tree: a parent whose data is stale is asked beside others

Callers got 404 for a route of an acknowledged version 2.6 s after it, and 200 for a key that it had dropped, on a node two levels below readers that stood still.

Cause: the parent of that node had become an orphan and was reading the store. Its data was 2.5 s old by then, so that the node left it as stale and asked four others in turn, all of which stood still. When the parent had the version nobody asked it: the node got it once it was an orphan as well.

The parent that answered last is now asked beside another that is tried whether its data is stale or not. A round does not rely on a stale one: others are asked, and the node becomes an orphan, as if it were not there.

TestAParentWithStaleDataIsAskedBesideOthersAndNotWaitedFor has the decision.

--- a/internal/control/fleet/pull.go
+++ b/internal/control/fleet/pull.go
@@ -163,24 +163,32 @@
 // first response, or an error if all pulls failed.
 func (p *puller) pullFirst(ctx context.Context, first membership.Record) pullResult {
 	f := p.f
-	results := make(chan pullResult, maxParallelPulls)
+	results := make(chan pullResult, maxParallelPulls+1)
 	var pulls sync.WaitGroup
 	defer pulls.Wait()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	round := tree.NewRound(p.selector, maxParallelPulls)
-	start := func(from membership.Record, hold, due, slack time.Duration) {
+	send := func(from membership.Record, hold time.Duration) {
 		at := p.cursor(from.Instance())
-		round.Ask(f.clk.Now(), from.Instance(), due, slack)
 		pulls.Go(func() {
 			resp, err := f.pullFrom(ctx, from, at, hold, true, &p.reports)
 			results <- pullResult{from, resp, err}
 		})
 	}
+	ask := func(from membership.Record, hold, due, slack time.Duration) {
+		round.Ask(f.clk.Now(), from.Instance(), due, slack)
+		send(from, hold)
+	}
 	timing := timingOf(f.requestedWait(), p.selector.MayHold(first.Instance()), p.selector.Failing(), p.cursor(first.Instance()).epoch != 0)
-	start(first, timing.hold, timing.due, pullSlack)
-	if beside, ok := p.selector.Beside(f.clk.Now(), first.Instance()); ok {
-		start(beside, f.requestedWait(), pullWait, pullSlack)
+	ask(first, timing.hold, timing.due, pullSlack)
+	switch beside, fresh := p.selector.Beside(first.Instance()); {
+	case beside.Instance() == "":
+	case fresh:
+		ask(beside, f.requestedWait(), pullWait, pullSlack)
+	default:
+		round.AskStale(beside.Instance())
+		send(beside, f.requestedWait())
 	}
 	for {
 		wake := f.clk.After(round.Wake(f.clk.Now()))
@@ -201,7 +209,7 @@
 		case <-wake.C():
 		}
 		if next, ok := round.Next(f.clk.Now()); ok {
-			start(next, 0, 0, timing.nextSlack)
+			ask(next, 0, 0, timing.nextSlack)
 		}
 		f.setOrphaned(p.selector.Orphaned(f.clk.Now()))
 	}
--- a/internal/policy/tree/round.go
+++ b/internal/policy/tree/round.go
@@ -22,10 +22,12 @@
 	due      time.Time // when its answer is due
 	late     time.Time // from when it counts as silent without one
 	silent   bool
+	// stale is set if its data is: it may learn of a version before others, but is not waited for.
+	stale bool
 }
 
 // NewRound returns a round over the parents of s, of which at most maxPending are asked at the
-// same time.
+// same time, besides one with stale data.
 func NewRound(s *Selector, maxPending int) *Round { return &Round{s: s, maxPending: maxPending} }
 
 // Ask records that a parent has been asked, whose answer is due after some time. It counts as
@@ -35,15 +37,27 @@
 	r.pending = append(r.pending, pendingPull{instance: instance, due: at, late: at.Add(slack)})
 }
 
+// AskStale records that a parent with stale data has been asked as well. Others are asked and the
+// node may be orphaned as if it were not.
+func (r *Round) AskStale(instance string) {
+	r.pending = append(r.pending, pendingPull{instance: instance, stale: true})
+}
+
 // Next returns a further parent to ask now, and false if there is none.
 func (r *Round) Next(now time.Time) (membership.Record, bool) {
+	asked := 0
 	for i := range r.pending {
-		if p := &r.pending[i]; !p.silent && !now.Before(p.late) {
+		p := &r.pending[i]
+		if p.stale {
+			continue
+		}
+		asked++
+		if !p.silent && !now.Before(p.late) {
 			p.silent = true
 			r.lost(now, p.instance, p.due)
 		}
 	}
-	if r.answering(now) || len(r.pending) >= r.maxPending {
+	if r.answering(now) || asked >= r.maxPending {
 		return membership.Record{}, false
 	}
 	next, _ := r.s.Next(now)
@@ -57,7 +71,7 @@
 // parent has been silent since then.
 func (r *Round) Failed(now time.Time, instance string) {
 	since := now
-	if p := r.remove(instance); p.due.Before(since) {
+	if p := r.remove(instance); !p.stale && p.due.Before(since) {
 		since = p.due
 	}
 	r.lost(now, instance, since)
--- a/internal/policy/tree/round_test.go
+++ b/internal/policy/tree/round_test.go
@@ -63,7 +63,7 @@
 	}
 	p.round, p.pulls = NewRound(p.selector, parallelPulls), map[string]pull{}
 	p.ask(now, first.Instance(), hold, firstSlack)
-	if beside, ok := p.selector.Beside(now, first.Instance()); ok {
+	if beside, fresh := p.selector.Beside(first.Instance()); fresh {
 		p.ask(now, beside.Instance(), pullHold, firstSlack)
 	}
 }
@@ -206,3 +206,33 @@
 		t.Error("the node is not an orphan once the first answer is late by the time for that")
 	}
 }
+
+// Guards against a node that no longer asks the parent that is about to learn of a version, as its
+// data has become stale, while others are silent.
+func TestAParentWithStaleDataIsAskedBesideOthersAndNotWaitedFor(t *testing.T) {
+	t.Parallel()
+	s := selectorWithParents(5)
+	s.orphanedAfter = orphanedPulls
+	s.Answered(start, "p4", s.staleAfter)
+	first, _ := s.Next(start)
+	beside, fresh := s.Beside(first.Instance())
+	if first.Instance() != "p0" || beside.Instance() != "p4" || fresh {
+		t.Fatalf("first %s, beside it %q, fresh %v", first.Instance(), beside.Instance(), fresh)
+	}
+	r := NewRound(s, parallelPulls)
+	r.Ask(start, "p0", 0, firstSlack)
+	r.AskStale("p4")
+	asked := []string{}
+	for d := time.Duration(0); d < 3*time.Second && !s.Orphaned(at(d)); d += r.Wake(at(d)) {
+		if next, ok := r.Next(at(d)); ok {
+			asked = append(asked, fmt.Sprintf("%s after %v", next.Instance(), d))
+			r.Ask(at(d), next.Instance(), 0, furtherSlack)
+		}
+	}
+	if diff := cmp.Diff([]string{"p1 after 400ms", "p2 after 550ms"}, asked); diff != "" {
+		t.Errorf("parents asked (-want +got):\n%s", diff)
+	}
+	if s.Orphaned(at(799*time.Millisecond)) || !s.Orphaned(at(800*time.Millisecond)) {
+		t.Error("the node is not an orphan once the first answer is late by the time for that")
+	}
+}
--- a/internal/policy/tree/selector.go
+++ b/internal/policy/tree/selector.go
@@ -173,14 +173,15 @@
 func (s *Selector) MayHold(instance string) bool { return !s.Failing() && s.answered == instance }
 
 // Beside returns the parent to pull from as well while another one is tried: the one that
-// answered last, unless its data is stale. It returns false if there is none.
-func (s *Selector) Beside(now time.Time, tried string) (membership.Record, bool) {
+// answered last. It reports whether its data is fresh, and returns the zero record if there is
+// none.
+func (s *Selector) Beside(tried string) (beside membership.Record, fresh bool) {
 	if s.Failing() || s.answered == tried {
 		return membership.Record{}, false
 	}
 	for _, r := range s.parents {
-		if ps := s.states[r.Instance()]; r.Instance() == s.answered && ps != nil && s.remaining(ps.avoidUntil, now) == 0 {
-			return r, true
+		if ps := s.states[r.Instance()]; r.Instance() == s.answered && ps != nil {
+			return r, !ps.stale
 		}
 	}
 	return membership.Record{}, false
