control/fleet: an entry without a boot or sequence number is ignored

A node took the entry of another writer that lacked these for a member's and sent calls to the target that it names. Nodes always write both, so that an entry without is not of a node.

Evidence: TestInvalidEntriesAreRejected, three of its new rows (no boot, boot null, no seq) were decoded as members before; all prefixes of an entry and 15 other wrong ones were ignored and are still.

--- a/internal/control/fleet/entry.go
+++ b/internal/control/fleet/entry.go
@@ -38,28 +38,29 @@
 
 // entry is the JSON form of a node's record in the store.
 type entry struct {
-	Instance string `json:"instance"`
-	Domain   string `json:"failure_domain"`
-	Pool     string `json:"pool"`
-	Address  string `json:"address"`
-	Peer     string `json:"peer"`
-	Boot     uint64 `json:"boot"`
-	Seq      uint64 `json:"seq"`
-	State    string `json:"state"`
-	Target   string `json:"target,omitempty"`
-	Slots    int    `json:"slots,omitempty"`
-	Crash    string `json:"crash,omitempty"`
-	Link     int    `json:"link_mbps,omitempty"`
-	Version  string `json:"version,omitempty"`
-	Departed string `json:"departed,omitempty"`
+	Instance string  `json:"instance"`
+	Domain   string  `json:"failure_domain"`
+	Pool     string  `json:"pool"`
+	Address  string  `json:"address"`
+	Peer     string  `json:"peer"`
+	Boot     *uint64 `json:"boot"`
+	Seq      *uint64 `json:"seq"`
+	State    string  `json:"state"`
+	Target   string  `json:"target,omitempty"`
+	Slots    int     `json:"slots,omitempty"`
+	Crash    string  `json:"crash,omitempty"`
+	Link     int     `json:"link_mbps,omitempty"`
+	Version  string  `json:"version,omitempty"`
+	Departed string  `json:"departed,omitempty"`
 }
 
 func encodeEntry(r membership.Record) []byte {
+	boot, seq := r.Boot(), r.Seq()
 	// Marshalling strings and numbers can't fail.
 	b, _ := json.Marshal(entry{
 		Instance: r.Instance(), Domain: r.Domain(), Pool: r.Pool(),
 		Address: r.Address().String(), Peer: r.ControlAddress().String(),
-		Boot: r.Boot(), Seq: r.Seq(), State: r.State().String(), Target: r.TargetID(), Slots: r.Slots(), Crash: r.Crash(), Link: r.LinkMbps(), Version: r.Version(), Departed: r.Departed(),
+		Boot: &boot, Seq: &seq, State: r.State().String(), Target: r.TargetID(), Slots: r.Slots(), Crash: r.Crash(), Link: r.LinkMbps(), Version: r.Version(), Departed: r.Departed(),
 	})
 	return b
 }
@@ -95,12 +96,14 @@
 		return membership.Record{}, &EntryError{Key: key, Reason: "unknown state"}
 	case aerr != nil || perr != nil:
 		return membership.Record{}, &EntryError{Key: key, Reason: "invalid address"}
+	case e.Boot == nil || e.Seq == nil:
+		return membership.Record{}, &EntryError{Key: key, Reason: "without a boot or sequence number"}
 	case state == membership.Ready && (e.Pool == "" || e.Target == ""):
 		return membership.Record{}, &EntryError{Key: key, Reason: "ready without a pool or target"}
 	}
 	return membership.NewRecord(e.Instance,
 		membership.Domain(e.Domain), membership.Pool(e.Pool), membership.Address(address), membership.ControlAddress(peer),
-		membership.Boot(e.Boot), membership.Seq(e.Seq), membership.InState(state),
+		membership.Boot(*e.Boot), membership.Seq(*e.Seq), membership.InState(state),
 		membership.TargetID(e.Target), membership.Slots(e.Slots), membership.Crash(e.Crash), membership.LinkMbps(max(0, e.Link)), membership.Version(e.Version), membership.Departed(e.Departed)), nil
 }
 
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -499,16 +499,45 @@
 	}
 }
 
+// Guards against an entry of another writer, incomplete or of another instance, that names a
+// target to use.
 func TestInvalidEntriesAreRejected(t *testing.T) {
 	t.Parallel()
-	for _, text := range []string{
-		``, `[]`, `{"instance":7}`, `{}`,
-		`{"instance":"n2","failure_domain":"a","pool":"q","address":"127.0.0.1:1","peer":"127.0.0.1:1","state":"ready","target":"t"}`,
-		`{"instance":"n1","failure_domain":"a","pool":"q","address":"here","peer":"127.0.0.1:1","state":"ready","target":"t"}`,
-		`{"instance":"n1","failure_domain":"a","pool":"q","address":"127.0.0.1:1","peer":"127.0.0.1:1","state":"asleep","target":"t"}`,
-		`{"instance":"n1","failure_domain":"a","pool":"","address":"127.0.0.1:1","peer":"127.0.0.1:1","state":"ready","target":"t"}`,
-		`{"instance":"n1","failure_domain":"a","pool":"q","address":"127.0.0.1:1","peer":"127.0.0.1:1","state":"ready"}`,
+	const whole = `{"instance":"n1","failure_domain":"a","pool":"q","address":"127.0.0.1:1","peer":"127.0.0.1:1","boot":1,"seq":1,"state":"ready","target":"t"}`
+	if r, err := decodeEntry(entryKey("a", "n1"), []byte(whole)); err != nil || r.State() != membership.Ready {
+		t.Errorf("a whole entry is decoded as %+v, error %v", r, err)
+	}
+	texts := []string{``, `[]`, `null`, `{"instance":7}`, `{}`}
+	for end := range len(whole) {
+		texts = append(texts, whole[:end])
+	}
+	for _, wrong := range []struct{ part, instead string }{
+		{`"n1"`, `"n2"`},
+		{`"failure_domain":"a",`, ``},
+		{`"failure_domain":"a"`, `"failure_domain":"b"`},
+		{`"pool":"q"`, `"pool":""`},
+		{`"pool":"q",`, ``},
+		{`"address":"127.0.0.1:1"`, `"address":"here"`},
+		{`"address":"127.0.0.1:1",`, ``},
+		{`"peer":"127.0.0.1:1"`, `"peer":"127.0.0.1"`},
+		{`"peer":"127.0.0.1:1",`, ``},
+		{`"boot":1,`, ``},
+		{`"boot":1`, `"boot":null`},
+		{`"boot":1`, `"boot":-1`},
+		{`"seq":1,`, ``},
+		{`"seq":1`, `"seq":"1"`},
+		{`"ready"`, `"asleep"`},
+		{`"state":"ready",`, ``},
+		{`,"target":"t"`, ``},
+		{`"target":"t"`, `"target":{}`},
 	} {
+		text := strings.Replace(whole, wrong.part, wrong.instead, 1)
+		if text == whole {
+			t.Errorf("%s is not in the entry", wrong.part)
+		}
+		texts = append(texts, text)
+	}
+	for _, text := range texts {
 		if r, err := decodeEntry(entryKey("a", "n1"), []byte(text)); err == nil {
 			t.Errorf("invalid entry %s is decoded as %+v", text, r)
 		}
