--- a/internal/log/event/calls.go
+++ b/internal/log/event/calls.go
@@ -14,6 +14,8 @@
 	Overload               Code = 1410
 	HighestLevel           Code = 1411
 	DepartureUnsaved       Code = 1412
+	HeartbeatRefused       Code = 1413
+	TargetDoubted          Code = 1414
 )
 
 var callsEvents = map[Code]Entry{
@@ -28,5 +30,7 @@
 	Overload:               {Warn, "this node is short of processor time and refuses calls for its target (started), or no longer is (ended)", "see docs/operators/admission.md if it repeats"},
 	HighestLevel:           {Info, "an organisation uses three quarters of its limit or more at this issuer, so that its calls go behind those of others; at most one line in 10 s for an organisation", "see docs/operators/fairness.md"},
 	DepartureUnsaved:       {Warn, "a target's report that it leaves was not acknowledged, as the store did not take it in time; the target gets no more calls", "look at the store, or at this node's connection to it, if it repeats"},
+	HeartbeatRefused:       {Warn, "a heartbeat that is incomplete, or not of the target at this node's address, was answered with 400 and changed nothing", "look at the error for the field; find out who sends it if it is not the target"},
+	TargetDoubted:          {Info, "another process than the target that reported last answers at its address; the next heartbeat of any that has not left counts", "nothing after a restart of the target; if it repeats, find out who sends heartbeats under that id"},
 	UnauthenticatedRefused: {Warn, "unauthenticated connection refused; at most one line per second", "look at the address: a node with another fleet key, or a client that is not a node"},
 }
--- a/internal/policy/lifecycle/departures.go
+++ b/internal/policy/lifecycle/departures.go
@@ -48,6 +48,12 @@
 	return p.reported
 }
 
+// forgetReplaced drops the processes that have been replaced and have not reported that they
+// leave.
+func (d *departures) forgetReplaced() {
+	*d = slices.DeleteFunc(*d, func(known departure) bool { return !known.reported })
+}
+
 // contains reports whether a process that has started at startMs has left or been replaced.
 func (d departures) contains(id string, startMs uint64) bool {
 	return slices.ContainsFunc(d, func(known departure) bool { return known.id == id && startMs <= known.startMs })
--- a/internal/policy/lifecycle/doc.go
+++ b/internal/policy/lifecycle/doc.go
@@ -1,5 +1,6 @@
 // Package lifecycle tracks the state of the target that a node serves, from the
-// target's own heartbeats and from refused connections to it.
+// target's own heartbeats, from refused connections to it and from its answers that it is
+// another process.
 //
 // Targets are replaced while calls are running. Heartbeats are therefore ordered
 // by process start and sequence number, so that a delayed one can't reactivate a
--- a/internal/policy/lifecycle/tracker.go
+++ b/internal/policy/lifecycle/tracker.go
@@ -40,6 +40,9 @@
 	slots    int
 	version  string
 	warming  bool
+	// orderMs is startMs, or the time of arrival if that is earlier: a start in the future
+	// would make all later processes stale.
+	orderMs uint64
 }
 
 // HeartbeatOption sets one property of a heartbeat.
@@ -112,9 +115,11 @@
 // has left from that of a live one before it knows what the node's earlier process knew.
 type Tracker struct {
 	target   Target
+	orderMs  uint64 // of the target's last heartbeat
 	sequence uint64
 	warming  bool
 	departed departures
+	doubted  bool // see HandleMisdirected
 	open     bool
 	held     []Heartbeat // that came before Open
 }
@@ -153,14 +158,19 @@
 	held := t.held
 	t.held = nil
 	for _, h := range held {
-		changed = t.HandleHeartbeat(h) || changed
+		changed = t.handle(h) || changed
 	}
 	return changed
 }
 
-// HandleHeartbeat processes a heartbeat and reports whether the target or the departures
-// changed.
-func (t *Tracker) HandleHeartbeat(h Heartbeat) (changed bool) {
+// HandleHeartbeat processes a heartbeat, received at nowMs in Unix milliseconds, and reports
+// whether the target or the departures changed.
+func (t *Tracker) HandleHeartbeat(h Heartbeat, nowMs uint64) (changed bool) {
+	h.orderMs = min(h.startMs, nowMs)
+	return t.handle(h)
+}
+
+func (t *Tracker) handle(h Heartbeat) (changed bool) {
 	switch {
 	case h.draining && !t.supersedes(h):
 		// Draining is final for a process, so the report counts whenever it arrives.
@@ -177,7 +187,7 @@
 	if before.id != "" && before.id != h.id {
 		t.departed.add(departure{id: before.id, startMs: before.startMs})
 	}
-	t.sequence, t.warming = h.sequence, h.warming
+	t.orderMs, t.sequence, t.warming, t.doubted = h.orderMs, h.sequence, h.warming, false
 	t.target.id, t.target.startMs, t.target.slots, t.target.version = h.id, h.startMs, max(1, h.slots), h.version
 	t.target.phase = Serving
 	if h.draining {
@@ -194,14 +204,16 @@
 	switch {
 	case t.target.phase == Unknown:
 		return true
-	case h.startMs != t.target.startMs:
-		return h.startMs > t.target.startMs
-	case h.id != t.target.id:
+	case h.id == t.target.id && h.startMs == t.target.startMs:
+		return h.sequence > t.sequence
+	case t.doubted:
+		return true
+	case h.orderMs != t.orderMs:
+		return h.orderMs > t.orderMs
+	default:
 		// The start times are equal or not reported. Delayed heartbeats of predecessors
 		// are excluded above, so the sender is a later process.
 		return true
-	default:
-		return h.sequence > t.sequence
 	}
 }
 
@@ -227,6 +239,21 @@
 	return changed
 }
 
+// HandleMisdirected processes the answer of the process at the target's address that it is not
+// the one with the given id. If that is the target, its heartbeat may have been of another
+// writer: those that it has replaced may be running still, and the next heartbeat of any process
+// that has not left counts, whenever that has started.
+func (t *Tracker) HandleMisdirected(id string) {
+	if id == t.target.id && !t.doubted {
+		t.doubted = true
+		t.departed.forgetReplaced()
+	}
+}
+
+// Doubted reports whether another process has answered at the target's address since the last
+// heartbeat that counted.
+func (t *Tracker) Doubted() bool { return t.doubted }
+
 // HandleConnectionRefused processes a refused connection to the address of a
 // process and reports whether the target changed.
 func (t *Tracker) HandleConnectionRefused(id string) bool {
--- a/internal/policy/lifecycle/tracker_test.go
+++ b/internal/policy/lifecycle/tracker_test.go
@@ -10,11 +10,13 @@
 
 // targetAfter returns the target after a space-separated list of events:
 // id:start:sequence is a heartbeat, a suffix D marks it as draining, bye:id is a
-// goodbye, with :time if its time counts, and no:id a refused connection. restart starts
-// the node again, and kill starts it without what it has saved until open.
+// goodbye, with :time if its time counts, no:id a refused connection, and other:id an answer of
+// the process at the target's address that it is not id. now:time sets the time of arrival of
+// what follows. restart starts the node again, and kill starts it without what it has saved
+// until open.
 func targetAfter(t *testing.T, events string) Target {
 	t.Helper()
-	tr, saved := NewTracker(), ""
+	tr, saved, now := NewTracker(), "", uint64(9)
 	tr.Open()
 	for event := range strings.FieldsSeq(events) {
 		fields := strings.Split(event, ":")
@@ -36,6 +38,10 @@
 				nowMs = digit(fields[2])
 			}
 			tr.HandleGoodbye(fields[1], nowMs)
+		case "now":
+			now = digit(fields[1])
+		case "other":
+			tr.HandleMisdirected(fields[1])
 		case "no":
 			tr.HandleConnectionRefused(fields[1])
 		default:
@@ -43,7 +49,7 @@
 			if strings.HasSuffix(fields[2], "D") {
 				opts = append(opts, Draining())
 			}
-			tr.HandleHeartbeat(NewHeartbeat(fields[0], opts...))
+			tr.HandleHeartbeat(NewHeartbeat(fields[0], opts...), now)
 		}
 	}
 	return tr.Target()
@@ -114,6 +120,41 @@
 	}
 }
 
+// Guards against a heartbeat of a process that is not at the target's address, or that names a
+// start in the future, which makes all heartbeats of the target's process stale.
+func TestOneWrongHeartbeatDoesNotReplaceTheTargetForGood(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct{ name, events, want string }{
+		{"one answer alone changes nothing", "a:1:5 x:2:1 other:x", "x serving"},
+		{"the target's process goes on", "a:1:5 x:2:1 other:x a:1:6", "a serving"},
+		{"also if no process names its start", "a:0:5 x:0:1 other:x a:0:6", "a serving"},
+		{"also if the wrong one came first", "x:8:1 other:x a:1:6", "a serving"},
+		{"also after two wrong ones", "a:1:5 x:2:1 y:3:1 other:y a:1:6", "a serving"},
+		{"also if the wrong one comes again", "a:1:5 x:2:1 other:x a:1:6 x:2:2 other:x a:1:7", "a serving"},
+		{"a successor of the target's process serves", "a:1:5 x:9:1 other:x b:2:1", "b serving"},
+		{"a process that has left stays away", "a:1:5D x:2:1 other:x a:1:6", "x serving"},
+		{"also if it leaves while the other is believed", "a:1:5 x:2:1 a:1:6D other:x a:1:7", "x serving"},
+		{"also over a restart of the node", "a:1:5D x:2:1 other:x restart a:1:6", " unknown"},
+		{"a process that is there after all serves with its next heartbeat", "a:1:5 b:2:1 other:b b:2:2", "b serving"},
+		{"and is ordered again from then on", "a:1:5 b:2:1 other:b b:2:2 a:1:6", "b serving"},
+		{"an answer about a process before is ignored", "a:1:5 b:2:1 other:a a:1:6", "b serving"},
+		{"an answer does not end leaving", "a:1:5D other:a a:1:6", "a leaving"},
+		{"an older heartbeat of the same process does not count", "a:1:5 other:a a:1:4 a:1:3D", "a leaving"},
+		{"a successor of one that starts in the future serves", "now:5 a:9:1 now:6 b:6:1", "b serving"},
+		{"and of the same id", "now:5 a:9:1 now:6 a:6:1", "a serving"},
+		{"a process that starts in the future goes on", "now:5 a:9:1 now:6 a:9:2 no:a a:9:3", "a serving"},
+		{"its delayed heartbeat is ignored", "now:5 a:9:1 now:6 b:6:1 now:7 a:9:2", "b serving"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			got := targetAfter(t, tc.events)
+			if diff := cmp.Diff(tc.want, got.ID()+" "+got.Phase().String()); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
 // Guards against departures that are lost because many others follow, or because an id has
 // characters of the text form.
 func TestTheLatestDeparturesAreSaved(t *testing.T) {
@@ -124,9 +165,10 @@
 		tr.HandleGoodbye(fmt.Sprint("old-", i), 1)
 	}
 	odd := "i 7@f+%/é"
-	tr.HandleHeartbeat(NewHeartbeat(odd, StartMs(1_800_000_000_000), Draining()))
+	const now = 1_900_000_000_000
+	tr.HandleHeartbeat(NewHeartbeat(odd, StartMs(1_800_000_000_000), Draining()), now)
 	for i := range maxDepartures - 1 {
-		tr.HandleHeartbeat(NewHeartbeat(fmt.Sprint("crashed-", i), StartMs(uint64(1_800_000_000_001+i))))
+		tr.HandleHeartbeat(NewHeartbeat(fmt.Sprint("crashed-", i), StartMs(uint64(1_800_000_000_001+i))), now)
 	}
 	if tr.supersedes(NewHeartbeat(odd, Sequence(9), StartMs(1_800_000_000_000))) {
 		t.Error("the latest departure was dropped for processes that were replaced")
@@ -134,7 +176,7 @@
 	next := NewTracker()
 	next.Remember(tr.Departures())
 	next.Open()
-	if next.HandleHeartbeat(NewHeartbeat(odd, Sequence(9), StartMs(1_800_000_000_000))) {
+	if next.HandleHeartbeat(NewHeartbeat(odd, Sequence(9), StartMs(1_800_000_000_000)), now) {
 		t.Errorf("accepted a process that has left; saved: %q", tr.Departures())
 	}
 	if saved := len(strings.Fields(tr.Departures())); saved != maxSavedDepartures {
--- a/internal/process/resident/crash.go
+++ b/internal/process/resident/crash.go
@@ -75,14 +75,14 @@
 
 // detectCrash returns the text form of a crash with the calls that were in
 // flight, or "". A serving target has crashed if it is down or another process
-// has replaced it.
-func (n *Node) detectCrash(before, now lifecycle.Target) string {
+// has replaced it. If it was doubted, calls that still run do so at a process that lives.
+func (n *Node) detectCrash(before, now lifecycle.Target, doubted bool) string {
 	down := before.Phase() == lifecycle.Serving && now.Phase() == lifecycle.Down
 	replaced := before.Phase() == lifecycle.Serving && (now.ID() != before.ID() || now.StartMs() != before.StartMs())
 	if !down && !replaced {
 		return ""
 	}
-	suspects := n.targetHandler.CrashSuspects()
+	suspects := n.targetHandler.CrashSuspects(down || !doubted)
 	n.log.Emit(event.TargetCrashed, event.F("target", before.ID()), event.F("calls", len(suspects)), event.F("suspects", fmt.Sprint(suspects)))
 	if len(suspects) == 0 {
 		return ""
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -211,7 +211,7 @@
 	n.slots.SetProcess(n.tracker.Target())
 	n.targetHandler = target.New(n.slots, targetAddress, n.targetClient, nil, nil, n.clk,
 		target.WithLog(n.log), target.WithMetrics(n.metrics), target.WithHeaderNames(n.headerNames),
-		target.OnConnRefused(n.handleConnRefused), target.OnLeaving(n.noteGoodbye), target.WithVersion(n.Version), target.WithCallLog(n.log),
+		target.OnConnRefused(n.handleConnRefused), target.OnLeaving(n.noteGoodbye), target.OnMisdirected(n.handleMisdirected), target.WithVersion(n.Version), target.WithCallLog(n.log),
 		target.WithRollout(n.fleet.Admits, n.observe), target.WithDrain(n.drainGate))
 	n.targetServer = target.NewServer(n.targetHandler, n.clk, http1.WithLimits(n.meshLimits))
 	n.registerMetrics()
@@ -276,12 +276,17 @@
 // is not stopping.
 func (n *Node) Ready() bool { return n.fleet.Ready() && !n.stopping.Load() }
 
+// LogHeartbeatError logs that a heartbeat can't be used; it changes nothing.
+func (n *Node) LogHeartbeatError(err error) {
+	n.log.Emit(event.HeartbeatRefused, event.F("error", err))
+}
+
 // HandleHeartbeat handles a heartbeat of the target. Once it returns, no call is
 // forwarded to a target that has reported that it is draining. Its error is an
 // UnsavedDepartureError: the target must not take the report for acknowledged.
 func (n *Node) HandleHeartbeat(ctx context.Context, h lifecycle.Heartbeat) error {
 	n.updateTarget(func() bool {
-		changed := n.tracker.HandleHeartbeat(h)
+		changed := n.tracker.HandleHeartbeat(h, uint64(n.clk.Now().UnixMilli()))
 		n.warming.Store(n.tracker.Warming())
 		return changed
 	})
@@ -352,17 +357,27 @@
 	n.updateTarget(func() bool { return n.tracker.HandleConnectionRefused(id) })
 }
 
+func (n *Node) handleMisdirected(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	before := n.tracker.Doubted()
+	n.tracker.HandleMisdirected(id)
+	if n.tracker.Doubted() != before {
+		n.log.Emit(event.TargetDoubted, event.F("target", id))
+	}
+}
+
 // updateTarget runs update and, if that changed the target's state, applies the
 // new state to the slots and announces it to the other nodes.
 func (n *Node) updateTarget(update func() bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	before := n.tracker.Target()
+	before, doubted := n.tracker.Target(), n.tracker.Doubted()
 	if !update() {
 		return
 	}
 	t := n.tracker.Target()
-	if crash := n.detectCrash(before, t); crash != "" {
+	if crash := n.detectCrash(before, t, doubted); crash != "" {
 		n.lastCrash = crash
 		n.crashes.Record(crash)
 	}
--- a/internal/traffic/caller/crash_test.go
+++ b/internal/traffic/caller/crash_test.go
@@ -62,7 +62,7 @@
 		id := "i-" + strconv.Itoa(i)
 		trackers[i] = lifecycle.NewTracker()
 		trackers[i].Open()
-		trackers[i].HandleHeartbeat(lifecycle.NewHeartbeat(id, lifecycle.Slots(12)))
+		trackers[i].HandleHeartbeat(lifecycle.NewHeartbeat(id, lifecycle.Slots(12)), 1)
 		s.slots.SetProcess(trackers[i].Target())
 		ready[i] = membership.NewRecord(s.record.Instance(), membership.Pool("quotes"), membership.Address(s.record.Address()),
 			membership.TargetID(id), membership.InState(membership.Ready))
--- a/internal/traffic/target/admit_test.go
+++ b/internal/traffic/target/admit_test.go
@@ -140,7 +140,7 @@
 		return err == nil
 	}
 	report := func(id string, startMs, sequence uint64) {
-		tracker.HandleHeartbeat(lifecycle.NewHeartbeat(id, lifecycle.StartMs(startMs), lifecycle.Sequence(sequence), lifecycle.Slots(8)))
+		tracker.HandleHeartbeat(lifecycle.NewHeartbeat(id, lifecycle.StartMs(startMs), lifecycle.Sequence(sequence), lifecycle.Slots(8)), startMs)
 		s.SetProcess(tracker.Target())
 	}
 	const tooFew = 0.5 // a call would wait longer than its deadline
@@ -265,7 +265,7 @@
 	if err := s.checkProcess("i-1"); !errors.As(err, &refused) || refused.Reason != hop.KindStarting || refused.RetryAfter <= 0 {
 		t.Errorf("before the first heartbeat: %v", err)
 	}
-	tracker.HandleHeartbeat(lifecycle.NewHeartbeat("i-1", lifecycle.Sequence(1), lifecycle.Slots(1)))
+	tracker.HandleHeartbeat(lifecycle.NewHeartbeat("i-1", lifecycle.Sequence(1), lifecycle.Slots(1)), 1)
 	s.SetProcess(tracker.Target())
 	if err := s.checkProcess("i-1"); err != nil {
 		t.Errorf("after the first heartbeat: %v", err)
--- a/internal/traffic/target/forward.go
+++ b/internal/traffic/target/forward.go
@@ -70,6 +70,7 @@
 // the one that the call is meant for speaks for itself alone.
 func (c *call) observeTarget(resp *hop.Response) {
 	if resp.Status() == http.StatusMisdirectedRequest {
+		c.h.onMisdirected(c.meta.Instance())
 		return
 	}
 	c.readRateLimit(resp)
--- a/internal/traffic/target/handler.go
+++ b/internal/traffic/target/handler.go
@@ -30,6 +30,7 @@
 	headerNames             hop.HeaderNames
 	onConnRefused           func(instance string)
 	onLeaving               func(instance string)
+	onMisdirected           func(instance string)
 	version                 func() uint64
 	callLog                 *event.Logger // per-call events; nil disables them
 	responses               atomic.Uint64
@@ -59,6 +60,10 @@
 // response is passed on that says that the process is leaving; it must not block.
 func OnLeaving(f func(instance string)) Option { return func(h *Handler) { h.onLeaving = f } }
 
+// OnMisdirected sets a function that is called with the id of a target process that a call was
+// meant for if another process answers at its address; it must not block.
+func OnMisdirected(f func(instance string)) Option { return func(h *Handler) { h.onMisdirected = f } }
+
 // WithRollout sets a function that reports whether the target's version may
 // receive calls, and one that receives the result of each call that the target
 // completed or failed.
@@ -90,7 +95,7 @@
 	h := &Handler{
 		slots: slots, local: local, client: client, credential: credential, sealer: sealer, clk: clk,
 		versionAdmitted: func() bool { return true }, observe: func(string, time.Duration, bool) {},
-		headerNames: hop.NewHeaderNames(), onConnRefused: func(string) {}, onLeaving: func(string) {}, guard: noGuard{}, log: event.Discard(),
+		headerNames: hop.NewHeaderNames(), onConnRefused: func(string) {}, onLeaving: func(string) {}, onMisdirected: func(string) {}, guard: noGuard{}, log: event.Discard(),
 		drain: drain.NewGate(),
 	}
 	h.callMetrics = newHandlerMetrics(metrics.NewSet(), slots, &h.rate)
--- a/internal/traffic/target/inflight.go
+++ b/internal/traffic/target/inflight.go
@@ -99,8 +99,9 @@
 }
 
 // suspects returns the calls that may have caused a crash of the target's process now, those
-// that run before those that broke, and these latest first: a report may hold only the first.
-func (f *inFlightCalls) suspects(now time.Time) []Suspect {
+// that run, if these count, before those that broke, and these latest first: a report may hold
+// only the first.
+func (f *inFlightCalls) suspects(now time.Time, running bool) []Suspect {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []Suspect
@@ -109,8 +110,10 @@
 			out = append(out, s)
 		}
 	}
-	for _, s := range f.running {
-		add(s)
+	if running {
+		for _, s := range f.running {
+			add(s)
+		}
 	}
 	f.broken = f.pruneBroken(now)
 	for _, b := range slices.Backward(f.broken) {
@@ -136,8 +139,11 @@
 // the zero time if none does. A nested call that one of them makes has no later one.
 func (h *Handler) LatestDeadline() time.Time { return h.inFlight.latestDeadline() }
 
-// CrashSuspects returns the calls that may have caused a crash of the target's process now.
-func (h *Handler) CrashSuspects() []Suspect { return h.inFlight.suspects(h.clk.Now()) }
+// CrashSuspects returns the calls that may have caused a crash of the target's process now:
+// those whose connections it has closed and, if running is set, those that it runs.
+func (h *Handler) CrashSuspects(running bool) []Suspect {
+	return h.inFlight.suspects(h.clk.Now(), running)
+}
 
 // ForgetCompleted forgets which calls the target has completed, as another version of its
 // software may fail on them.
--- a/internal/traffic/target/inflight_test.go
+++ b/internal/traffic/target/inflight_test.go
@@ -14,7 +14,7 @@
 // suspectIDs returns the sorted ids of the suspects of a crash.
 func suspectIDs(f *inFlightCalls, now time.Time) []string {
 	var ids []string
-	for _, s := range f.suspects(now) {
+	for _, s := range f.suspects(now, true) {
 		ids = append(ids, s.id)
 	}
 	slices.Sort(ids)
@@ -44,7 +44,7 @@
 	if diff := cmp.Diff([]string{"another query", "broken", "new", "slow again"}, suspectIDs(f, now)); diff != "" {
 		t.Error(diff)
 	}
-	for _, s := range f.suspects(now) {
+	for _, s := range f.suspects(now, true) {
 		if content := s.call.Content != (poison.Fingerprint{}); content == (s.id == "another query") {
 			t.Errorf("%s: its content is suspected: %v", s.id, content)
 		}
@@ -71,10 +71,24 @@
 	}
 	begin("running")
 	var ids []string
-	for _, s := range f.suspects(now) {
+	for _, s := range f.suspects(now, true) {
 		ids = append(ids, s.id)
 	}
 	if diff := cmp.Diff([]string{"running", "newest", "older", "oldest"}, ids); diff != "" {
 		t.Error(diff)
 	}
 }
+
+// Guards against holding back calls that go on at a target which was taken for replaced.
+func TestRunningCallsAreNoSuspectsIfTheTargetLives(t *testing.T) {
+	t.Parallel()
+	var f inFlightCalls
+	now := time.Unix(1_800_000_000, 0)
+	f.begin(&call{id: "running", r: httptest.NewRequest("GET", "/running", nil)})
+	broken := &call{id: "broken", r: httptest.NewRequest("GET", "/broken", nil)}
+	f.begin(broken)
+	f.end(broken, now, runBroken)
+	if got := f.suspects(now, false); len(got) != 1 || got[0].id != "broken" {
+		t.Errorf("suspects: %v", got)
+	}
+}
