--- a/internal/config/snapshot/revise.go
+++ b/internal/config/snapshot/revise.go
@@ -114,7 +114,7 @@
 		}
 	}
 	if kinds[KindOrganisation] {
-		l.byKey = fresh.byKey
+		l.byKey, l.organisations = fresh.byKey, fresh.organisations
 	}
 	if kinds[KindPool] {
 		l.pools = fresh.pools
--- a/internal/config/snapshot/revise_test.go
+++ b/internal/config/snapshot/revise_test.go
@@ -35,7 +35,7 @@
 // calls returns what a version decides about calls of all hosts, paths and methods used by
 // drawObject.
 func calls(s *Snapshot) string {
-	out := ""
+	out := fmt.Sprintln(s.HasOrganisations())
 	for _, name := range []string{"a", "b", "c"} {
 		o, known := s.Identify(name)
 		p, pool := s.Pool(name)
--- a/internal/config/snapshot/snapshot_test.go
+++ b/internal/config/snapshot/snapshot_test.go
@@ -460,6 +460,44 @@
 	}
 }
 
+// Guards against a version whose organisations count as none because none of them has a key.
+func TestOrganisationsWithoutKeysAreOrganisations(t *testing.T) {
+	t.Parallel()
+	keyed, keyless, pool := NewOrganisation("gym", Paying, gymHash), NewOrganisation("gym", Paying), NewService("maps")
+	for _, tc := range []struct {
+		name    string
+		objects []Object
+		want    bool
+	}{
+		{"none", []Object{pool}, false},
+		{"one with a key", []Object{pool, keyed}, true},
+		{"one without", []Object{pool, keyless}, true},
+	} {
+		b, err := mustBuild(t, tc.objects...).EncodeFull()
+		if err != nil {
+			t.Fatal(err)
+		}
+		decoded, err := DecodeFull(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if adopted := Adopt(2, tc.objects); adopted.HasOrganisations() != tc.want || decoded.HasOrganisations() != tc.want {
+			t.Errorf("%s: adopted %v, decoded %v", tc.name, adopted.HasOrganisations(), decoded.HasOrganisations())
+		}
+		for _, before := range [][]Object{{pool}, {pool, keyed}, {pool, keyless}, {pool, NewService("a"), NewService("b"), NewService("c"), keyed}} {
+			s := Adopt(1, before)
+			change, err := s.Diff(tc.objects)
+			if err != nil {
+				t.Fatal(err)
+			}
+			next, err := s.Revise(2, change)
+			if err != nil || next.HasOrganisations() != tc.want {
+				t.Errorf("%s after %v: %v, error %v", tc.name, before, next.HasOrganisations(), err)
+			}
+		}
+	}
+}
+
 func FuzzDecodeDelta(f *testing.F) {
 	current := mustBuild(f, sampleObjects()...)
 	d, _ := mustNext(f, current, NewChange([]Object{NewService("x")}, []Key{{KindLimit, "gym"}}))
--- a/internal/traffic/caller/identify.go
+++ b/internal/traffic/caller/identify.go
@@ -40,6 +40,9 @@
 		}
 		key, header = auth[len(bearerPrefix):], "Authorization"
 	}
+	if key == "" {
+		return &UnauthenticatedError{}
+	}
 	org, ok := c.snap.Identify(key)
 	if !ok {
 		return &UnauthenticatedError{KeyPresent: true}
