policy/lifecycle: a target that is doubted keeps the order of those before it

By reading: an answer of another process at the target's address made the tracker forget all replaced processes, so that a delayed heartbeat of one that had crashed long before could take the place of the successor that came next. They are kept now and only passed over until a heartbeat counts again; the process that comes back is no longer taken for replaced.

Evidence: two new rows of TestOneWrongHeartbeatDoesNotReplaceTheTargetForGood.

--- a/internal/policy/lifecycle/departures.go
+++ b/internal/policy/lifecycle/departures.go
@@ -48,10 +48,9 @@
 	return p.reported
 }
 
-// forgetReplaced drops the processes that have been replaced and have not reported that they
-// leave.
-func (d *departures) forgetReplaced() {
-	*d = slices.DeleteFunc(*d, func(known departure) bool { return !known.reported })
+// restore drops a process that was taken for replaced.
+func (d *departures) restore(id string) {
+	*d = slices.DeleteFunc(*d, func(known departure) bool { return known.id == id && !known.reported })
 }
 
 // contains reports whether a process that has started at startMs has left or been replaced.
@@ -59,6 +58,14 @@
 	return slices.ContainsFunc(d, func(known departure) bool { return known.id == id && startMs <= known.startMs })
 }
 
+// containsReported reports whether a process that has started at startMs has reported that it
+// leaves.
+func (d departures) containsReported(id string, startMs uint64) bool {
+	return slices.ContainsFunc(d, func(known departure) bool {
+		return known.reported && known.id == id && startMs <= known.startMs
+	})
+}
+
 // String returns the text form of the latest reported departures, which parseDepartures
 // reads: space-separated ids, with the start of the process if it is known.
 func (d departures) String() string {
--- a/internal/policy/lifecycle/tracker.go
+++ b/internal/policy/lifecycle/tracker.go
@@ -186,6 +186,7 @@
 	before := t.target
 	if before.id != "" && before.id != h.id {
 		t.departed.add(departure{id: before.id, startMs: before.startMs})
+		t.departed.restore(h.id)
 	}
 	t.orderMs, t.sequence, t.warming, t.doubted = h.orderMs, h.sequence, h.warming, false
 	t.target.id, t.target.startMs, t.target.slots, t.target.version = h.id, h.startMs, max(1, h.slots), h.version
@@ -198,10 +199,9 @@
 
 // supersedes reports whether a heartbeat is newer than all accepted ones.
 func (t *Tracker) supersedes(h Heartbeat) bool {
-	if t.departed.contains(h.id, h.startMs) {
-		return false
-	}
 	switch {
+	case t.departed.containsReported(h.id, h.startMs), !t.doubted && t.departed.contains(h.id, h.startMs):
+		return false
 	case t.target.phase == Unknown:
 		return true
 	case h.id == t.target.id && h.startMs == t.target.startMs:
@@ -244,9 +244,8 @@
 // writer: those that it has replaced may be running still, and the next heartbeat of any process
 // that has not left counts, whenever that has started.
 func (t *Tracker) HandleMisdirected(id string) {
-	if id == t.target.id && !t.doubted {
+	if id == t.target.id && t.target.phase == Serving {
 		t.doubted = true
-		t.departed.forgetReplaced()
 	}
 }
 
--- a/internal/policy/lifecycle/tracker_test.go
+++ b/internal/policy/lifecycle/tracker_test.go
@@ -136,6 +136,8 @@
 		{"also if it leaves while the other is believed", "a:1:5 x:2:1 a:1:6D other:x a:1:7", "x serving"},
 		{"also over a restart of the node", "a:1:5D x:2:1 other:x restart a:1:6", " unknown"},
 		{"a process that is there after all serves with its next heartbeat", "a:1:5 b:2:1 other:b b:2:2", "b serving"},
+		{"a delayed heartbeat of an earlier one is ignored once a successor serves", "z:0:5 a:0:1 other:a b:0:1 z:0:6", "b serving"},
+		{"also with start times", "z:1:5 a:2:1 other:a b:3:1 z:1:6", "b serving"},
 		{"and is ordered again from then on", "a:1:5 b:2:1 other:b b:2:2 a:1:6", "b serving"},
 		{"an answer about a process before is ignored", "a:1:5 b:2:1 other:a a:1:6", "b serving"},
 		{"an answer does not end leaving", "a:1:5D other:a a:1:6", "a leaving"},
