--- a/internal/policy/lifecycle/departures.go
+++ b/internal/policy/lifecycle/departures.go
@@ -53,16 +53,11 @@
 	*d = slices.DeleteFunc(*d, func(known departure) bool { return known.id == id && !known.reported })
 }
 
-// contains reports whether a process that has started at startMs has left or been replaced.
-func (d departures) contains(id string, startMs uint64) bool {
-	return slices.ContainsFunc(d, func(known departure) bool { return known.id == id && startMs <= known.startMs })
-}
-
-// containsReported reports whether a process that has started at startMs has reported that it
-// leaves.
-func (d departures) containsReported(id string, startMs uint64) bool {
+// contains reports whether a process that has started at startMs has reported that it leaves or,
+// unless only that counts, has been replaced.
+func (d departures) contains(id string, startMs uint64, onlyReported bool) bool {
 	return slices.ContainsFunc(d, func(known departure) bool {
-		return known.reported && known.id == id && startMs <= known.startMs
+		return known.id == id && startMs <= known.startMs && (known.reported || !onlyReported)
 	})
 }
 
--- a/internal/policy/lifecycle/tracker.go
+++ b/internal/policy/lifecycle/tracker.go
@@ -200,7 +200,7 @@
 // supersedes reports whether a heartbeat is newer than all accepted ones.
 func (t *Tracker) supersedes(h Heartbeat) bool {
 	switch {
-	case t.departed.containsReported(h.id, h.startMs), !t.doubted && t.departed.contains(h.id, h.startMs):
+	case t.departed.contains(h.id, h.startMs, t.doubted):
 		return false
 	case t.target.phase == Unknown:
 		return true
@@ -240,13 +240,13 @@
 }
 
 // HandleMisdirected processes the answer of the process at the target's address that it is not
-// the one with the given id. If that is the target, its heartbeat may have been of another
-// writer: those that it has replaced may be running still, and the next heartbeat of any process
-// that has not left counts, whenever that has started.
-func (t *Tracker) HandleMisdirected(id string) {
-	if id == t.target.id && t.target.phase == Serving {
-		t.doubted = true
-	}
+// the one with the given id, and reports whether the target is doubted from now on. Its heartbeat
+// may have been of another writer then: those that it has replaced may be running still, and the
+// next heartbeat of any process that has not left counts, whenever that has started.
+func (t *Tracker) HandleMisdirected(id string) (changed bool) {
+	changed = !t.doubted && id == t.target.id && t.target.phase == Serving
+	t.doubted = t.doubted || changed
+	return changed
 }
 
 // Doubted reports whether another process has answered at the target's address since the last
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -360,9 +360,7 @@
 func (n *Node) handleMisdirected(id string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	before := n.tracker.Doubted()
-	n.tracker.HandleMisdirected(id)
-	if n.tracker.Doubted() != before {
+	if n.tracker.HandleMisdirected(id) {
 		n.log.Emit(event.TargetDoubted, event.F("target", id))
 	}
 }
--- a/internal/traffic/hop/cutoff_test.go
+++ b/internal/traffic/hop/cutoff_test.go
@@ -27,7 +27,7 @@
 	{"after an interim response", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n", "whole answer", false},
 	{"with a folded header", "HTTP/1.1 200 OK\r\nX-Sig: s\r\n s\r\nContent-Length: 12\r\n\r\n", "whole answer", false},
 	{"with bare line feeds", "HTTP/1.1 200 OK\nX-Sig: s\nContent-Length: 12\n\n", "whole answer", false},
-	{"a refusal", "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", "", false},
+	{"a refusal", "HTTP/1.1 503 Service Unavailable\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n", "", false},
 	{"that ends with the connection", "HTTP/1.1 200 OK\r\nX-Sig: s\r\nConnection: close\r\n\r\n", "whole answer", true},
 	{"of HTTP/1.0", "HTTP/1.0 200 OK\r\nX-Sig: s\r\n\r\n", "whole answer", true},
 }
