policy/poison, traffic/hop, traffic/target, traffic/caller: the first part of a long body neither holds back nor clears

What callers saw, in two tests of uploads that had not been passed on whole when their target crashed:

- after two crashes harmless uploads that begin alike in 32 KiB were refused as held-back, all of eight, in two kinds of two;
- an upload that begins like completed ones in 32 KiB, and crashes its target before it was passed on, crashed five of six targets, in two kinds of two.

Cause: as long as a long body was not passed on whole, its call was identified by the digest of the first 32 KiB alone. That digest held calls back, and a completion of another call cleared it. It is the class of the fault of uploads that were held back: a suspect is identified by less than what clears it.

Now a long body is identified by the digest of its first 1 MiB, or of all of it if it is shorter, and by nothing as long as that is not known. A crash report also holds a mark for each long body in flight, by organisation, path and the first 32 KiB. A mark holds nothing back: a caller's node that has a body which begins so reads up to 1 MiB of it before it sends the call, looks the digest up and sends it along, so that the target's node knows it from the beginning. The memory for this is 8 MiB at one time, counted by bytes; it was eight bodies before. Marks are no longer counted among the calls that are held back.

Evidence: TestUploadsAreServedAfterCrashesBesideUnfinishedOnes and the two new kinds of TestUploadThatCrashesTargetsIsRefused failed before as said above and pass now, with the race detector; the other kinds of both tests passed before and do now. A call from a node of an earlier version with a long body is no suspect: its length identifies nothing.

Tests of the first part as an identity are replaced: TestStreamedCallsAreSuspectedByWhatTellsThemApart by TestLongCallsAreSuspectedByWhatTellsThemApart (eight rows in place of five, with calls and marks counted apart), TestBufferedStreamsKeepAllBytes by TestExaminedBodiesKeepAllBytes (60 cases in place of eight). The rows on the stated length asked for the cause itself; a length must identify nothing now.

--- a/internal/policy/poison/call.go
+++ b/internal/policy/poison/call.go
@@ -26,9 +26,6 @@
 	// BodyDigest stands for Body if that is not held in memory, and Extent says what it covers.
 	BodyDigest Fingerprint
 	Extent     Extent
-	// StreamLength is the length of a body of which nothing else is known, -1 if that isn't
-	// either; it stands for Body.
-	StreamLength int64
 }
 
 // Extent is what a digest covers of a body.
@@ -38,11 +35,11 @@
 const (
 	// WholeBody is a digest of the whole body.
 	WholeBody Extent = iota
-	// BodyPrefix is a digest of the body's first part, whose length is the same for all calls.
-	BodyPrefix
-	// SharedPrefix is the same digest in the identity of calls that are to be told apart by their
-	// whole bodies.
-	SharedPrefix
+	// LongestPart is a digest of the first part of a body that is too long to be read into memory.
+	LongestPart
+	// FirstPart is a digest of the part that a caller's node has of each long body. It does not
+	// identify a call; see Description.Mark.
+	FirstPart
 )
 
 // NewCall returns the fingerprints of a call. Both include the organisation, so that no
@@ -54,26 +51,30 @@
 		f := fingerprintOf(appendParts(b, d.Route))
 		return Call{f, f}
 	}
+	content := d.content(b)
+	return Call{fingerprintOf(appendParts(content.appendTo(b[:0]), d.Origin, d.Route, d.Method, d.Query)), content}
+}
+
+// Mark returns the fingerprint that calls of an organisation to a path share if their bodies begin
+// alike. BodyDigest is of the first part.
+func (d Description) Mark() Fingerprint {
+	d.Extent = FirstPart
+	return d.content(appendParts(nil, d.Organisation))
+}
+
+// content returns the fingerprint of what a call's retries have in common, after b.
+func (d Description) content(b []byte) Fingerprint {
 	b = appendParts(b, d.Path)
-	length := d.StreamLength
-	if d.Extent != WholeBody {
-		length = unknownLength - int64(d.Extent)
-	}
-	b = binary.BigEndian.AppendUint64(b, uint64(length))
+	b = binary.BigEndian.AppendUint64(b, uint64(d.Extent))
 	if len(d.Body) > 0 {
 		d.BodyDigest = Digest(d.Body)
 	}
 	if d.BodyDigest != (Fingerprint{}) {
 		b = d.BodyDigest.appendTo(b)
 	}
-	content := fingerprintOf(b)
-	return Call{fingerprintOf(appendParts(content.appendTo(b[:0]), d.Origin, d.Route, d.Method, d.Query)), content}
+	return fingerprintOf(b)
 }
 
-// unknownLength is the StreamLength of a body whose length is not known. Lower ones are of the
-// extents of digests.
-const unknownLength = -1
-
 // appendParts appends strings with their lengths: without these, ("a", "bc") and ("ab", "c")
 // would be the same.
 func appendParts(b []byte, parts ...string) []byte {
--- a/internal/process/resident/crash.go
+++ b/internal/process/resident/crash.go
@@ -10,6 +10,7 @@
 	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/policy/lifecycle"
 	"banyanlug.example/banyanlug/internal/policy/poison"
+	"banyanlug.example/banyanlug/internal/traffic/target"
 )
 
 // crashRegister records target crashes announced by any node. It is safe for
@@ -41,6 +42,13 @@
 	return r.register.Held(r.clk.Now(), c)
 }
 
+// Marked implements caller.CrashRegister.
+func (r *crashRegister) Marked(mark poison.Fingerprint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.register.Marked(r.clk.Now(), mark)
+}
+
 // Record implements caller.CrashRegister; a crash reported again has no effect.
 func (r *crashRegister) Record(text string) {
 	c, ok := poison.ParseCrash(text)
@@ -88,9 +96,5 @@
 		return ""
 	}
 	n.crashes.detected.Add(1)
-	c := poison.Crash{Process: poison.Process{Instance: before.ID(), Boot: before.StartMs()}, At: n.clk.Now()}
-	for _, s := range suspects {
-		c.InFlight = append(c.InFlight, s.Calls()...)
-	}
-	return c.String()
+	return target.CrashReport(poison.Process{Instance: before.ID(), Boot: before.StartMs()}, n.clk.Now(), suspects).String()
 }
--- a/internal/traffic/caller/crash_test.go
+++ b/internal/traffic/caller/crash_test.go
@@ -28,6 +28,12 @@
 	return r.register.Held(time.Now(), c)
 }
 
+func (r *testRegister) Marked(mark poison.Fingerprint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.register.Marked(time.Now(), mark)
+}
+
 func (r *testRegister) Record(crash string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -100,7 +100,7 @@
 
 	callLog       *event.Logger // per-call events; nil disables them
 	crashRegister CrashRegister
-	examinations  chan struct{} // holds a value for each body that examine keeps in memory
+	examined      atomic.Int64 // bytes of bodies that examine keeps in memory
 	successes     atomic.Uint64
 
 	mu  sync.Mutex
@@ -202,7 +202,6 @@
 		headerNames:    hop.NewHeaderNames(),
 		rng:            rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		maxDepth:       DefaultMaxDepth, callMetrics: newHandlerMetrics(),
-		examinations: make(chan struct{}, maxExaminations),
 	}
 	for _, opt := range opts {
 		opt(h)
@@ -249,7 +248,7 @@
 	meta              hop.Meta
 	callInfo          balance.CallInfo
 	body              hop.Body
-	examined          bool // see examine
+	examined          int // bytes that the body has taken; see examine
 	claim             Claim
 
 	attempts   retry.Call
--- a/internal/traffic/hop/body.go
+++ b/internal/traffic/hop/body.go
@@ -16,6 +16,9 @@
 // slot.
 const ReplayBytes = 32 << 10
 
+// ExaminedBytes is the length of the first part by which a body longer than that is identified.
+const ExaminedBytes = 1 << 20
+
 // Body is the body of a call: a None, Buffered or *Stream.
 type Body interface{ isBody() }
 
@@ -31,8 +34,25 @@
 	length    int64
 	interrupt func()
 	started   bool
-	prefix    poison.Fingerprint                 // digest of the first ReplayBytes; zero if not known
-	whole     atomic.Pointer[poison.Fingerprint] // digest of the body; nil until all of it was read, or if it isn't computed
+	prefix    poison.Fingerprint         // digest of the first ReplayBytes; zero if not known
+	digest    atomic.Pointer[bodyDigest] // nil until as much of the body was read, or if it isn't computed
+}
+
+// bodyDigest identifies a long body.
+type bodyDigest struct {
+	sum    poison.Fingerprint
+	extent poison.Extent // WholeBody or LongestPart
+}
+
+// digestOf returns the digest of a body whose first bytes are in b: of all of it if b has no more
+// than ExaminedBytes.
+func digestOf(b []byte) *bodyDigest {
+	d := &bodyDigest{extent: poison.WholeBody}
+	if len(b) > ExaminedBytes {
+		b, d.extent = b[:ExaminedBytes], poison.LongestPart
+	}
+	d.sum = poison.Digest(b)
+	return d
 }
 
 func (None) isBody()     {}
@@ -85,16 +105,20 @@
 	}
 }
 
-// ReceiveBody reads the body of a call from another node. One that the sender streams is passed
-// on unread, and its digest is computed on the way.
+// ReceiveBody reads the body of a call from another node. One that the sender knows as a long one is
+// passed on unread. Unless the sender has its digest, that is computed on the way.
 func ReceiveBody(w http.ResponseWriter, r *http.Request, m Meta, deadline time.Time) (Body, error) {
-	streamed := m.bodyPrefix != (poison.Fingerprint{})
-	if bodyless(r) || !streamed && r.ContentLength <= ReplayBytes {
+	long := m.bodyPrefix != (poison.Fingerprint{})
+	if bodyless(r) || !long && r.ContentLength <= ReplayBytes {
 		return ReadBody(w, r, deadline)
 	}
 	s := NewStream(r.Body, r.ContentLength, limitReads(w, deadline))
-	if streamed {
-		s.prefix, s.r = m.bodyPrefix, &digestReader{r: r.Body, whole: &s.whole}
+	s.prefix = m.bodyPrefix
+	switch {
+	case m.bodyDigest != (bodyDigest{}):
+		s.digest.Store(&m.bodyDigest)
+	case long:
+		s.r = &digestReader{r: r.Body, digest: &s.digest}
 	}
 	return s, nil
 }
@@ -110,40 +134,56 @@
 	return func() { _ = control.SetReadDeadline(pastDeadline) }
 }
 
-// digestReader computes the digest of what it reads.
+// digestReader computes the digest of a body that is read from it.
 type digestReader struct {
-	r     io.Reader
-	hash  poison.BodyHash
-	whole *atomic.Pointer[poison.Fingerprint] // set at the end
+	r      io.Reader
+	hash   poison.BodyHash
+	n      int                         // bytes in hash
+	digest *atomic.Pointer[bodyDigest] // set once enough was read
 }
 
 func (d *digestReader) Read(p []byte) (int, error) {
 	n, err := d.r.Read(p)
-	_, _ = d.hash.Write(p[:n])
-	if err == io.EOF {
-		digest := d.hash.Digest()
-		d.whole.Store(&digest)
+	if d.digest.Load() != nil {
+		return n, err
+	}
+	part := p[:min(n, ExaminedBytes-d.n)]
+	_, _ = d.hash.Write(part)
+	d.n += len(part)
+	switch {
+	case len(part) < n:
+		d.digest.Store(&bodyDigest{d.hash.Digest(), poison.LongestPart})
+	case err == io.EOF:
+		d.digest.Store(&bodyDigest{d.hash.Digest(), poison.WholeBody})
 	}
 	return n, err
 }
 
-// Buffer reads a body that is not sent yet into memory if it has no more than limit bytes. A longer
-// one stays a stream. The error is a BodyError.
-func (s *Stream) Buffer(limit int64) (Body, error) {
-	if s.length > limit {
-		return s, nil
-	}
+// examinedStep is how much of a body Examine reads at once.
+const examinedStep = 64 << 10
+
+// Examine reads as much into memory of a body that is not sent yet as identifies it. For each part
+// it takes memory; if that returns false, the body stays without an identity. A body of at most
+// ExaminedBytes is Buffered then. The error is a BodyError.
+func (s *Stream) Examine(take func(bytes int) bool) (Body, error) {
 	var b bytes.Buffer
-	_, err := io.CopyN(&b, s.r, limit+1)
-	switch {
-	case err == io.EOF && (s.length < 0 || s.length == int64(b.Len())):
-		return NewBuffered(b.Bytes()), nil
-	case err == nil:
-		s.r = io.MultiReader(&b, s.r)
-		return s, nil
-	default:
-		return nil, &BodyError{Err: err}
+	for b.Len() <= ExaminedBytes {
+		step := min(examinedStep, ExaminedBytes+1-b.Len())
+		if !take(step) {
+			s.r = io.MultiReader(&b, s.r)
+			return s, nil
+		}
+		_, err := io.CopyN(&b, s.r, int64(step))
+		switch {
+		case err == io.EOF && (s.length < 0 || s.length == int64(b.Len())):
+			return NewBuffered(b.Bytes()), nil
+		case err != nil:
+			return nil, &BodyError{Err: err}
+		}
 	}
+	s.digest.Store(digestOf(b.Bytes()))
+	s.r = io.MultiReader(&b, s.r)
+	return s, nil
 }
 
 // readEOF reads the io.EOF after the body, which the server needs to reuse the
--- a/internal/traffic/hop/header.go
+++ b/internal/traffic/hop/header.go
@@ -80,7 +80,9 @@
 	// fromOverloaded is set if the sending node is overloaded itself.
 	fromOverloaded bool
 	level          int
-	bodyPrefix     poison.Fingerprint // of a long body; zero for others
+	// bodyPrefix and bodyDigest are of a long body; the latter is zero if it is not known.
+	bodyPrefix poison.Fingerprint
+	bodyDigest bodyDigest
 }
 
 // targetRate is the limit that the target has named to the sender, if any.
@@ -135,16 +137,20 @@
 // Level sets the part of its limit that the organisation uses, as a level from 0 to 3.
 func Level(n int) MetaOption { return func(m *Meta) { m.level = n } }
 
-// ForBody sets what identifies a long body.
+// ForBody sets what is known of a long body.
 func ForBody(b Body) MetaOption {
 	return func(m *Meta) {
+		m.bodyPrefix, m.bodyDigest = firstPart(b), bodyDigest{}
+		if m.bodyPrefix == (poison.Fingerprint{}) {
+			return
+		}
 		switch b := b.(type) {
 		case *Stream:
-			m.bodyPrefix = b.prefix
-		case Buffered:
-			if len(b.bytes) > ReplayBytes {
-				m.bodyPrefix = poison.Digest(b.bytes[:ReplayBytes])
+			if d := b.digest.Load(); d != nil {
+				m.bodyDigest = *d
 			}
+		case Buffered:
+			m.bodyDigest = *digestOf(b.bytes)
 		}
 	}
 }
@@ -239,6 +245,8 @@
 	valueOverloaded    = "1"
 	fieldLevel         = "s"
 	fieldBodyPrefix    = "h"
+	fieldWholeBody     = "hw"
+	fieldLongestPart   = "hl"
 	valueIdempotent    = "any"
 	valueNonIdempotent = "once"
 )
@@ -304,6 +312,13 @@
 	if m.bodyPrefix != (poison.Fingerprint{}) {
 		_, _ = w.WriteString(" " + fieldBodyPrefix + "=" + m.bodyPrefix.Text())
 	}
+	if m.bodyDigest != (bodyDigest{}) {
+		field := fieldWholeBody
+		if m.bodyDigest.extent == poison.LongestPart {
+			field = fieldLongestPart
+		}
+		_, _ = w.WriteString(" " + field + "=" + m.bodyDigest.sum.Text())
+	}
 	_, _ = w.WriteString("\r\n")
 }
 
@@ -378,6 +393,10 @@
 			m.level = int(parseBounded(value, maxLevel))
 		case fieldBodyPrefix:
 			m.bodyPrefix, _ = poison.ParseFingerprint(value)
+		case fieldWholeBody:
+			m.bodyDigest = parseBodyDigest(value, poison.WholeBody)
+		case fieldLongestPart:
+			m.bodyDigest = parseBodyDigest(value, poison.LongestPart)
 		case fieldTargetRate:
 			m.targetRate.perSecond, m.targetRate.named = parseRate(value)
 		}
@@ -409,6 +428,15 @@
 	return n
 }
 
+// parseBodyDigest parses a digest of a body; it returns the zero value for any other text.
+func parseBodyDigest(text string, extent poison.Extent) bodyDigest {
+	sum, ok := poison.ParseFingerprint(text)
+	if !ok {
+		return bodyDigest{}
+	}
+	return bodyDigest{sum, extent}
+}
+
 // hopByHop lists the headers that apply to a single connection or that
 // Request.writeHead sets.
 var hopByHop = []string{
--- a/internal/traffic/target/forward.go
+++ b/internal/traffic/target/forward.go
@@ -54,10 +54,12 @@
 func (c *call) endRun(err error) {
 	switch {
 	case brokenByTarget(err):
-		suspected := c.h.inFlight.end(c, c.h.clk.Now(), runBroken)
+		suspect, ok := c.h.inFlight.end(c, c.h.clk.Now(), runBroken)
 		c.h.probe(c.meta.Instance())
-		c.reportCrash(suspected)
-	case err == nil && hop.Identified(c.body):
+		if ok {
+			c.reportCrash(suspect)
+		}
+	case err == nil:
 		c.h.inFlight.end(c, c.h.clk.Now(), runCompleted)
 	default:
 		// The completion of a call whose body is not in its fingerprints says nothing of
@@ -153,13 +155,11 @@
 
 // reportCrash tells the sender of a broken call that the target's process has ended, so
 // that it can count the crash before it tries another target.
-func (c *call) reportCrash(suspected []poison.Call) {
+func (c *call) reportCrash(suspect Suspect) {
 	t := c.h.slots.process.Load()
-	if len(suspected) == 0 || t == nil || t.ID() != c.meta.Instance() || t.Phase() != lifecycle.Down {
+	if t == nil || t.ID() != c.meta.Instance() || t.Phase() != lifecycle.Down {
 		return
 	}
-	crash := poison.Crash{
-		Process: poison.Process{Instance: t.ID(), Boot: t.StartMs()}, At: c.h.clk.Now(), InFlight: suspected,
-	}
+	crash := CrashReport(poison.Process{Instance: t.ID(), Boot: t.StartMs()}, c.h.clk.Now(), []Suspect{suspect})
 	c.w.Header()[hop.CrashHeader] = []string{crash.String()}
 }
--- a/internal/traffic/target/inflight.go
+++ b/internal/traffic/target/inflight.go
@@ -20,36 +20,49 @@
 	id       string
 	method   string
 	hasQuery bool
-	call     poison.Call
-	// prefix and shared are set for a streamed body whose end was read; call is by the whole
-	// body then.
-	prefix, shared poison.Call
+	call     poison.Call        // zero as long as not enough of a long body is known
+	mark     poison.Fingerprint // of a long body; zero for others
 }
 
-// Calls returns the fingerprints under which the call is suspected, at least one.
-func (s Suspect) Calls() []poison.Call {
-	out := []poison.Call{s.call}
-	for _, more := range []poison.Call{s.prefix, s.shared} {
-		if more != (poison.Call{}) {
-			out = append(out, more)
-		}
+// newSuspect returns a call as a suspect, by what is known of its body by now.
+func newSuspect(c *call) Suspect {
+	s := Suspect{id: c.id, method: c.r.Method, hasQuery: c.r.URL.RawQuery != ""}
+	s.call, _ = hop.Identify(c.meta, c.r, c.body)
+	s.mark, _ = hop.Mark(c.meta, c.r, c.body)
+	return s
+}
+
+// identified returns the suspect with what is known of the call's body by now.
+func (s Suspect) identified(c *call) Suspect {
+	if s.call == (poison.Call{}) {
+		s.call, _ = hop.Identify(c.meta, c.r, c.body)
 	}
-	return out
+	return s
 }
 
 // without returns the suspect without the fingerprints of calls that the target has completed,
-// and false if none is left.
+// and false if none is left. One that is not known by its body stays: what was completed may only
+// begin like it.
 func (s Suspect) without(completed *poison.Completed) (Suspect, bool) {
-	s.call = s.call.Without(completed.Contains)
 	if s.call == (poison.Call{}) {
-		return Suspect{}, false
+		return s, s.mark != (poison.Fingerprint{})
 	}
-	prefix := s.prefix.Without(completed.Contains)
-	if prefix == s.prefix {
-		s.shared = poison.Call{} // the prefix alone identifies the call
+	s.call = s.call.Without(completed.Contains)
+	return s, s.call != (poison.Call{})
+}
+
+// CrashReport returns the report of a crash of a target's process.
+func CrashReport(p poison.Process, at time.Time, suspects []Suspect) poison.Crash {
+	c := poison.Crash{Process: p, At: at}
+	for _, s := range suspects {
+		if s.call != (poison.Call{}) {
+			c.InFlight = append(c.InFlight, s.call)
+		}
+		if s.mark != (poison.Fingerprint{}) && !slices.Contains(c.Marks, s.mark) {
+			c.Marks = append(c.Marks, s.mark)
+		}
 	}
-	s.prefix = prefix
-	return s, true
+	return c
 }
 
 // String describes the call in log events.
@@ -86,7 +99,7 @@
 )
 
 func (f *inFlightCalls) begin(c *call) {
-	s := Suspect{id: c.id, method: c.r.Method, hasQuery: c.r.URL.RawQuery != "", call: hop.Identify(c.meta, c.r, c.body)}
+	s := newSuspect(c)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.running == nil {
@@ -95,35 +108,21 @@
 	f.running[c] = s
 }
 
-// identified returns the suspect of a call with what is known of its body by now.
-func identified(c *call, s Suspect) Suspect {
-	if whole, ok := hop.IdentifyWhole(c.meta, c.r, c.body); ok {
-		s.prefix, s.call = s.call, whole
-		s.shared, _ = hop.IdentifyShared(c.meta, c.r, c.body)
-	}
-	return s
-}
-
-// end records the end of a call. It returns the fingerprints under which a broken call is
-// suspected if the process has crashed.
-func (f *inFlightCalls) end(c *call, now time.Time, result runResult) (suspected []poison.Call) {
+// end records the end of a call. It returns a broken call as a suspect if the process has
+// crashed, and false if it is none.
+func (f *inFlightCalls) end(c *call, now time.Time, result runResult) (s Suspect, suspected bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := identified(c, f.running[c])
+	s = f.running[c].identified(c)
 	delete(f.running, c)
-	switch result {
-	case runBroken:
+	switch {
+	case result == runBroken:
 		f.broken = append(f.pruneBroken(now), brokenCall{s, now})
-		if s, ok := s.without(&f.completed); ok {
-			return s.Calls()
-		}
-	case runCompleted:
+		return s.without(&f.completed)
+	case result == runCompleted && s.call != (poison.Call{}):
 		f.completed.Add(s.call)
-		if s.prefix != (poison.Call{}) {
-			f.completed.Add(s.prefix)
-		}
 	}
-	return nil
+	return Suspect{}, false
 }
 
 // pruneBroken drops the broken calls older than brokenCallWindow and returns
@@ -152,7 +151,7 @@
 	}
 	if running {
 		for c, s := range f.running {
-			add(identified(c, s))
+			add(s.identified(c))
 		}
 	}
 	f.broken = f.pruneBroken(now)
