--- a/internal/traffic/hop/body.go
+++ b/internal/traffic/hop/body.go
@@ -35,7 +35,7 @@
 	interrupt func()
 	started   bool
 	prefix    poison.Fingerprint         // digest of the first ReplayBytes; zero if not known
-	digest    atomic.Pointer[bodyDigest] // nil until as much of the body was read, or if it isn't computed
+	digest    atomic.Pointer[bodyDigest] // nil until enough of the body was read, or if it isn't computed
 }
 
 // bodyDigest identifies a long body.
@@ -116,7 +116,8 @@
 	s.prefix = m.bodyPrefix
 	switch {
 	case m.bodyDigest != (bodyDigest{}):
-		s.digest.Store(&m.bodyDigest)
+		digest := m.bodyDigest // so that m stays on the stack
+		s.digest.Store(&digest)
 	case long:
 		s.r = &digestReader{r: r.Body, digest: &s.digest}
 	}
