--- a/internal/traffic/caller/crash_test.go
+++ b/internal/traffic/caller/crash_test.go
@@ -1,10 +1,12 @@
 package caller_test
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +15,7 @@
 	"banyanlug.example/banyanlug/internal/policy/membership"
 	"banyanlug.example/banyanlug/internal/policy/poison"
 	"banyanlug.example/banyanlug/internal/traffic/caller"
+	"banyanlug.example/banyanlug/internal/traffic/http1"
 	"banyanlug.example/banyanlug/internal/traffic/target"
 )
 
@@ -95,6 +98,35 @@
 	}
 }
 
+// markedRegister is a CrashRegister in which all long calls begin like one that was in flight at a crash.
+type markedRegister struct{ testRegister }
+
+func (*markedRegister) Marked(poison.Fingerprint) bool { return true }
+
+// Guards against an examined call that ends as one that may have run because its target's node
+// refuses it before it has read the body.
+func TestExaminedCallsThatATargetsNodeRefusesHaveNotRun(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, harnessOptions{
+		targets: 1,
+		caller:  []caller.Option{caller.WithCrashRegister(&markedRegister{testRegister{register: poison.NewRegister()}})},
+	})
+	leaving := lifecycle.NewTracker()
+	leaving.Open()
+	leaving.HandleHeartbeat(lifecycle.NewHeartbeat("i-0", lifecycle.Slots(12), lifecycle.Draining()), 1)
+	h.targets[0].slots.SetProcess(leaving.Target())
+	client := h.newHTTPClient()
+	for _, size := range []int{48 << 10, 900 << 10, 3 << 20} {
+		for range 10 {
+			req := h.newRequest(http.MethodPost, "/bind", nil)
+			req.Body, req.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", size))), int64(size)
+			if got, _, cut := h.do(client, req); got.Status != http.StatusServiceUnavailable || got.Outcome != http1.NotRun || cut {
+				t.Errorf("%d bytes: answered %+v, cut off %v", size, got, cut)
+			}
+		}
+	}
+}
+
 func accepts(address netip.AddrPort) bool {
 	conn, err := (&net.Dialer{}).Dial("tcp", address.String())
 	if err != nil {
--- a/internal/traffic/hop/body.go
+++ b/internal/traffic/hop/body.go
@@ -44,17 +44,6 @@
 	extent poison.Extent // WholeBody or LongestPart
 }
 
-// digestOf returns the digest of a body whose first bytes are in b: of all of it if b has no more
-// than ExaminedBytes.
-func digestOf(b []byte) *bodyDigest {
-	d := &bodyDigest{extent: poison.WholeBody}
-	if len(b) > ExaminedBytes {
-		b, d.extent = b[:ExaminedBytes], poison.LongestPart
-	}
-	d.sum = poison.Digest(b)
-	return d
-}
-
 func (None) isBody()     {}
 func (Buffered) isBody() {}
 func (*Stream) isBody()  {}
@@ -164,27 +153,22 @@
 const examinedStep = 64 << 10
 
 // Examine reads as much into memory of a body that is not sent yet as identifies it. For each part
-// it takes memory; if that returns false, the body stays without an identity. A body of at most
-// ExaminedBytes is Buffered then. The error is a BodyError.
-func (s *Stream) Examine(take func(bytes int) bool) (Body, error) {
+// it takes memory; if that returns false, the body stays without an identity. The error is a
+// BodyError.
+func (s *Stream) Examine(take func(bytes int) bool) error {
 	var b bytes.Buffer
-	for b.Len() <= ExaminedBytes {
-		step := min(examinedStep, ExaminedBytes+1-b.Len())
-		if !take(step) {
-			s.r = io.MultiReader(&b, s.r)
-			return s, nil
-		}
-		_, err := io.CopyN(&b, s.r, int64(step))
+	rest := &digestReader{r: s.r, digest: &s.digest}
+	for s.digest.Load() == nil && take(examinedStep) {
+		_, err := io.CopyN(&b, rest, examinedStep)
 		switch {
-		case err == io.EOF && (s.length < 0 || s.length == int64(b.Len())):
-			return NewBuffered(b.Bytes()), nil
-		case err != nil:
-			return nil, &BodyError{Err: err}
+		case err == io.EOF && s.length >= 0 && s.length != int64(b.Len()):
+			return &BodyError{Err: io.ErrUnexpectedEOF}
+		case err != nil && err != io.EOF:
+			return &BodyError{Err: err}
 		}
 	}
-	s.digest.Store(digestOf(b.Bytes()))
 	s.r = io.MultiReader(&b, s.r)
-	return s, nil
+	return nil
 }
 
 // readEOF reads the io.EOF after the body, which the server needs to reuse the
--- a/internal/traffic/hop/header.go
+++ b/internal/traffic/hop/header.go
@@ -137,20 +137,14 @@
 // Level sets the part of its limit that the organisation uses, as a level from 0 to 3.
 func Level(n int) MetaOption { return func(m *Meta) { m.level = n } }
 
-// ForBody sets what is known of a long body.
+// ForBody sets what is known of a streamed body.
 func ForBody(b Body) MetaOption {
 	return func(m *Meta) {
-		m.bodyPrefix, m.bodyDigest = firstPart(b), bodyDigest{}
-		if m.bodyPrefix == (poison.Fingerprint{}) {
-			return
-		}
-		switch b := b.(type) {
-		case *Stream:
-			if d := b.digest.Load(); d != nil {
+		if s, ok := b.(*Stream); ok {
+			m.bodyPrefix = s.prefix
+			if d := s.digest.Load(); d != nil {
 				m.bodyDigest = *d
 			}
-		case Buffered:
-			m.bodyDigest = *digestOf(b.bytes)
 		}
 	}
 }
