--- a/internal/traffic/target/forward.go
+++ b/internal/traffic/target/forward.go
@@ -62,8 +62,6 @@
 	case err == nil:
 		c.h.inFlight.end(c, c.h.clk.Now(), runCompleted)
 	default:
-		// The completion of a call whose body is not in its fingerprints says nothing of
-		// others that have the same ones.
 		c.h.inFlight.end(c, c.h.clk.Now(), runUnknown)
 	}
 }
