traffic/http1: an early answer to a long body is no longer lost by a reset

Callers whose body was refused before it was read, or answered early by its target, saw a closed connection in place of the answer if more than 256 KiB were still on their way.

Cause: after an answer that ends its connection the server dropped 256 KiB at most and then closed. With further bytes unread the kernel sends a reset, and the caller's write fails before it reads the answer.

The server drops what comes until nothing has come for 300 ms, for 2 s at most, so that the close sends no reset, and a client that sends without end is closed.

--- a/internal/traffic/caller/crash_test.go
+++ b/internal/traffic/caller/crash_test.go
@@ -116,7 +116,7 @@
 	leaving.HandleHeartbeat(lifecycle.NewHeartbeat("i-0", lifecycle.Slots(12), lifecycle.Draining()), 1)
 	h.targets[0].slots.SetProcess(leaving.Target())
 	client := h.newHTTPClient()
-	for _, size := range []int{48 << 10, 900 << 10, 3 << 20} {
+	for _, size := range []int{48 << 10, 900 << 10, 3 << 20, 16 << 20} {
 		for range 10 {
 			req := h.newRequest(http.MethodPost, "/bind", nil)
 			req.Body, req.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", size))), int64(size)
--- a/internal/traffic/http1/conn.go
+++ b/internal/traffic/http1/conn.go
@@ -267,15 +267,33 @@
 	}
 }
 
-// linger closes the write side and reads for a moment, so that the client can
-// read the last response.
+// linger closes the write side and drops what the client still sends, so that the client
+// can read the last response: many send the whole of a body before they read.
 func (c *conn) linger() {
 	type closeWriter interface{ CloseWrite() error }
 	if cw, ok := c.rwc.(closeWriter); !ok || cw.CloseWrite() != nil {
 		return
 	}
-	_ = c.rwc.SetReadDeadline(c.s.clk.Now().Add(lingerTimeout))
-	_, _ = io.CopyN(io.Discard, c.rwc, lingerBytes)
+	_, _ = io.Copy(io.Discard, &lingeringReader{c: c, until: c.s.clk.Now().Add(maxLinger)})
+}
+
+// lingeringReader reads from a closing connection until no byte has come for lingerTimeout.
+type lingeringReader struct {
+	c     *conn
+	until time.Time
+}
+
+func (r *lingeringReader) Read(p []byte) (int, error) {
+	now := r.c.s.clk.Now()
+	if !now.Before(r.until) {
+		return 0, os.ErrDeadlineExceeded
+	}
+	until := now.Add(lingerTimeout)
+	if r.until.Before(until) {
+		until = r.until
+	}
+	_ = r.c.rwc.SetReadDeadline(until)
+	return r.c.rwc.Read(p)
 }
 
 // abort closes the connection with a reset, so that a truncated response never
--- a/internal/traffic/http1/server.go
+++ b/internal/traffic/http1/server.go
@@ -36,12 +36,16 @@
 	// clientCheckInterval is the time between checks for disconnected clients; a call
 	// holds its slot for at most two intervals after its client disconnected.
 	clientCheckInterval = 50 * time.Millisecond
-	// lingerTimeout is how long a closing connection still reads. Closing with
-	// unread bytes makes the kernel send a reset, which can overtake the last
+	// lingerTimeout is how long a closing connection waits for further bytes. Closing
+	// with unread bytes makes the kernel send a reset, which can overtake the last
 	// response, so it must exceed the longest network latency.
 	lingerTimeout = 300 * time.Millisecond
-	// lingerBytes limits what a closing connection reads and drops.
-	lingerBytes = 256 << 10
+	// maxLinger bounds the time for which a closing connection reads and drops what a
+	// client goes on sending.
+	maxLinger = 2 * time.Second
+	// maxDiscardBytes is the longest unread body that is dropped so that its connection
+	// can be reused.
+	maxDiscardBytes = 256 << 10
 	// pendingHandshakeWait is the time for TCP handshakes in progress before the
 	// listener closes: several round trips inside a region.
 	pendingHandshakeWait = 50 * time.Millisecond
