policy/rollout, control/fleet: a rollout ends once its targets' nodes take no more calls

Operators read `rolled_back` or `completed` while targets of the ended version still got calls. At `completed` they stop the old targets without draining.

Cause: the root wrote the status in the step in which it stopped the version, before the targets' nodes had heard of it, and took a report without running calls as a sign that none would follow. A call that waited at a target's node was asked about its version only before it waited.

Reports say whether the node refuses further calls, read before the running ones are counted. `rolled_back` and `completed` need that of each target concerned, or the longest call's time; stopping a version is a step of its own, as early as before. Old targets refuse calls 0.75 s after the shift (1 s before), so that a sound version completes in time. A call that has waited is asked again.

--- a/internal/control/fleet/fakestore_test.go
+++ b/internal/control/fleet/fakestore_test.go
@@ -32,6 +32,7 @@
 	// maxWatchEvents, if not 0, is the number of events above which a watch response
 	// exceeds its timeout; the last key is then written again.
 	maxWatchEvents int
+	onSwap         func(key string, value []byte) // called before each CompareAndSwap, if not nil
 }
 
 func newFakeStore(clk *timer.Service) *fakeStore {
@@ -159,6 +160,9 @@
 }
 
 func (s *fakeStore) CompareAndSwap(_ context.Context, key string, revision uint64, value []byte, opts ...platform.WriteOption) (uint64, error) {
+	if s.onSwap != nil {
+		s.onSwap(key, value)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.call(platform.KindCompareAndSwap); err != nil {
--- a/internal/control/fleet/rollout_test.go
+++ b/internal/control/fleet/rollout_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -172,6 +173,44 @@
 	h.eventually("the barred version is rolled back at once", func() bool { return h.status() == testStatus{rollout.RolledBack, "v2"} })
 }
 
+// Guards against a version that is reported as rolled back, or as replaced, while the node of one of
+// its targets still admits calls.
+func TestTargetsAdmitNoCallsOnceTheirVersionIsReportedAsEnded(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		bad   bool
+		want  rollout.State
+		ended []string
+	}{
+		{true, rollout.RolledBack, []string{"n4", "n5", "n6"}},
+		{false, rollout.Completed, []string{"n1", "n2", "n3"}},
+	} {
+		t.Run(tc.want.String(), func(t *testing.T) {
+			t.Parallel()
+			h := newRolloutHarness(t)
+			var open atomic.Int32
+			h.store.set(func() {
+				h.store.onSwap = func(_ string, value []byte) {
+					var s testStatus
+					if json.Unmarshal(value, &s) != nil || s.State != tc.want {
+						return
+					}
+					for _, n := range tc.ended {
+						if h.nodes[n].Admits() {
+							open.Add(1)
+						}
+					}
+				}
+			})
+			h.order("v2", 4*time.Second)
+			h.eventually("the rollout ends", func() bool { h.observeCalls(tc.bad); return h.status().State == tc.want })
+			if n := open.Load(); n > 0 {
+				t.Errorf("%d targets' nodes admit calls", n)
+			}
+		})
+	}
+}
+
 // Guards against a node that says that it knows all rollouts and leaves out those that it learns of
 // while it answers: the receiver admits calls to a version that was rolled back.
 func TestAnAnswerThatIsCompleteHasAllRollouts(t *testing.T) {
--- a/internal/control/fleet/rolloutcontrol.go
+++ b/internal/control/fleet/rolloutcontrol.go
@@ -9,6 +9,7 @@
 	"banyanlug.example/banyanlug/internal/config/snapshot"
 	"banyanlug.example/banyanlug/internal/control/platform"
 	"banyanlug.example/banyanlug/internal/log/event"
+	"banyanlug.example/banyanlug/internal/policy/membership"
 	"banyanlug.example/banyanlug/internal/policy/rollout"
 )
 
@@ -42,19 +43,17 @@
 
 func (f *Fleet) controlRollout(ctx context.Context, pool string) {
 	f.recordOwnReport(pool)
-	groups, longest := f.view.rolloutGroups(pool), f.longestDeadline(pool)
-	known, s := f.rollouts.situation(f.clk.Now(), pool)
-	s.Candidates, s.Current, s.MaxCallTime = len(groups.Candidates()), len(groups.Current()), longest
+	targets, longest := f.view.ready(pool), f.longestDeadline(pool)
+	known, s := f.rollouts.situation(f.clk.Now(), pool, targets)
+	s.MaxCallTime = longest
 	step := known.Next(s)
 	if _, wait := step.(rollout.Wait); wait {
 		return
 	}
-	if _, ok := step.(rollout.RollBack); ok {
+	if stop, ok := step.(rollout.Stop); ok && known.HaltedOrder() < known.Order().Revision() {
 		// Propagate the halt to the nodes first, as the store may be unavailable.
 		f.updateRollout(pool, func(r rollout.Rollout) rollout.Rollout { return r.WithHalt(known.Order().Revision()) })
-	}
-	if rollBack, ok := step.(rollout.RollBack); ok && known.HaltedOrder() < known.Order().Revision() {
-		f.log.Emit(event.RolloutHalted, event.F("pool", pool), event.F("version", known.Order().Version()), event.F("reason", rollBack.Reason))
+		f.log.Emit(event.RolloutHalted, event.F("pool", pool), event.F("version", known.Order().Version()), event.F("reason", stop.Reason))
 	}
 	err := f.applyStep(ctx, pool, known, step)
 	var conflict *platform.ConflictError
@@ -64,13 +63,19 @@
 }
 
 // situation returns a pool's rollout and the inputs for deciding its next step.
-func (rs *rolloutSet) situation(now time.Time, pool string) (rollout.Rollout, rollout.Situation) {
+func (rs *rolloutSet) situation(now time.Time, pool string, targets []membership.Record) (rollout.Rollout, rollout.Situation) {
 	limit := rs.limit()
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	pr := rs.forPool(pool)
-	s := rollout.Situation{Limit: limit, Verdict: pr.judge.Verdict(now), CurrentIdle: pr.judge.CurrentIdle()}
+	s := rollout.Situation{Limit: limit, Verdict: pr.judge.Verdict(now)}
 	s.Elapsed, s.SinceShift = pr.elapsed(now)
+	if !pr.stopSeen.IsZero() {
+		s.SinceStop = now.Sub(pr.stopSeen)
+	}
+	candidates, current := pr.known.ByVersion(targets)
+	s.Candidates, s.CandidatesClosed = len(candidates), pr.judge.Closed(candidates)
+	s.Current, s.CurrentClosed = len(current), pr.judge.Closed(current)
 	return pr.known, s
 }
 
@@ -92,12 +97,12 @@
 		return err
 	case rollout.Complete:
 		return f.writeStatus(ctx, pool, known, rollout.Completed)
-	case rollout.RollBack:
+	case rollout.Stop, rollout.RollBack:
 		if barred := p.Barred(); !slices.Contains(barred, o.Version()) {
 			barred = append(slices.Clone(barred), o.Version())
 			known, err = f.writeProgress(ctx, pool, known, rollout.NewProgress(o.Revision(), p.Began(), p.Shifted(), barred, 0))
 		}
-		if err != nil {
+		if _, stop := step.(rollout.Stop); stop || err != nil {
 			return err
 		}
 		return f.writeStatus(ctx, pool, known, rollout.RolledBack)
--- a/internal/control/fleet/rollouts.go
+++ b/internal/control/fleet/rollouts.go
@@ -64,12 +64,12 @@
 // poolRollout is the state of one pool's rollout on this node.
 type poolRollout struct {
 	known rollout.Rollout
-	// orderSeen and shiftSeen are when this node first learned of the order, and that
-	// calls have begun to shift to its version.
-	orderSeen, shiftSeen time.Time
-	exposure             *rollout.Exposure
-	recorder             *rollout.Recorder
-	judge                *rollout.Judge
+	// orderSeen, shiftSeen and stopSeen are when this node first learned of the order, that
+	// calls have begun to shift to its version, and that calls to it were stopped.
+	orderSeen, shiftSeen, stopSeen time.Time
+	exposure                       *rollout.Exposure
+	recorder                       *rollout.Recorder
+	judge                          *rollout.Judge
 }
 
 func newRolloutSet() *rolloutSet {
@@ -108,12 +108,15 @@
 	pr.known = after
 	rs.anyOrder.Store(true)
 	if before.Order().Revision() != after.Order().Revision() {
-		pr.orderSeen, pr.shiftSeen = now, time.Time{}
+		pr.orderSeen, pr.shiftSeen, pr.stopSeen = now, time.Time{}, time.Time{}
 		pr.exposure, pr.recorder, pr.judge = rollout.NewExposure(rs.rng.Float64()), rollout.NewRecorder(), rollout.NewJudge(after.Order())
 	}
 	if after.Stage() == rollout.StageShift && pr.shiftSeen.IsZero() {
 		pr.shiftSeen = now
 	}
+	if after.Stage() == rollout.StageRolledBack && pr.stopSeen.IsZero() {
+		pr.stopSeen = now
+	}
 	close(rs.changed)
 	rs.changed = make(chan struct{})
 	return true
--- a/internal/control/fleet/rolloutsync.go
+++ b/internal/control/fleet/rolloutsync.go
@@ -137,6 +137,7 @@
 		return
 	}
 	rs := f.rollouts
+	closed := !f.Admits()
 	running := rs.running()
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
@@ -145,7 +146,7 @@
 		return
 	}
 	rs.seq++
-	pr.judge.Add(rollout.NewReport(self.Instance(), self.Version(), f.own.base.Boot(), pr.known.Order().Revision(), rs.seq, running, pr.recorder.Routes()))
+	pr.judge.Add(rollout.NewReport(self.Instance(), self.Version(), f.own.base.Boot(), pr.known.Order().Revision(), rs.seq, running, pr.recorder.Routes()).WithClosed(closed))
 }
 
 // reportsOf returns the latest report of each of a pool's targets.
@@ -174,7 +175,7 @@
 
 func encodeReport(pool string, r rollout.Report) *fleetpb.RolloutReport {
 	m := &fleetpb.RolloutReport{
-		Pool: pool, Instance: r.Instance(), Version: r.Version(), Boot: r.Boot(), Order: r.OrderRevision(), Seq: r.Seq(), Running: uint32(r.Running()),
+		Pool: pool, Instance: r.Instance(), Version: r.Version(), Boot: r.Boot(), Order: r.OrderRevision(), Seq: r.Seq(), Running: uint32(r.Running()), Closed: r.Closed(),
 	}
 	for _, route := range slices.Sorted(maps.Keys(r.Routes())) {
 		a := r.Routes()[route]
@@ -188,5 +189,5 @@
 	for _, a := range m.GetRoutes() {
 		routes[a.GetRoute()] = rollout.NewRouteStats(a.GetCalls(), a.GetFailed(), a.GetTimes())
 	}
-	return rollout.NewReport(m.GetInstance(), m.GetVersion(), m.GetBoot(), m.GetOrder(), m.GetSeq(), int(m.GetRunning()), routes)
+	return rollout.NewReport(m.GetInstance(), m.GetVersion(), m.GetBoot(), m.GetOrder(), m.GetSeq(), int(m.GetRunning()), routes).WithClosed(m.GetClosed())
 }
--- a/internal/control/fleet/view.go
+++ b/internal/control/fleet/view.go
@@ -478,6 +478,19 @@
 // rolloutGroups returns a pool's groups, empty if it has no candidates.
 func (v *view) rolloutGroups(pool string) rollout.Groups { return (*v.grouped.Load())[pool] }
 
+// ready returns all ready targets of a pool, whether or not they may get calls.
+func (v *view) ready(pool string) []membership.Record {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var out []membership.Record
+	for _, name := range v.names {
+		if r := v.members[name].record; r.State() == membership.Ready && r.Pool() == pool {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // setRevision records the store revision of an instance's entry, 0 if the store has none.
 func (v *view) setRevision(r membership.Record, revision uint64) {
 	v.update(func(b *batch) {
--- a/internal/policy/rollout/groups.go
+++ b/internal/policy/rollout/groups.go
@@ -54,6 +54,12 @@
 	return g
 }
 
+// ByVersion returns the targets of the order's version and the other ones that may get calls.
+func (r Rollout) ByVersion(records []membership.Record) (candidates, current []membership.Record) {
+	return filterByVersion(records, func(v string) bool { return v == r.order.version }),
+		filterByVersion(records, func(v string) bool { return v != r.order.version && r.permits(v) })
+}
+
 func (r Rollout) permits(version string) bool {
 	return version == "" || !slices.Contains(r.progress.barred, version)
 }
--- a/internal/policy/rollout/judge.go
+++ b/internal/policy/rollout/judge.go
@@ -8,6 +8,8 @@
 
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
+
+	"banyanlug.example/banyanlug/internal/policy/membership"
 )
 
 const (
@@ -108,11 +110,11 @@
 	return true
 }
 
-// CurrentIdle reports whether no call is in flight at targets of other versions,
-// according to the last reports.
-func (j *Judge) CurrentIdle() bool {
-	for _, r := range j.reports {
-		if r.version != j.order.version && r.running > 0 {
+// Closed reports whether each of some targets refuses further calls and runs none, according
+// to their last reports.
+func (j *Judge) Closed(targets []membership.Record) bool {
+	for _, t := range targets {
+		if r, ok := j.reports[t.Instance()]; !ok || r.version != t.Version() || !r.closed || r.running > 0 {
 			return false
 		}
 	}
--- a/internal/policy/rollout/next.go
+++ b/internal/policy/rollout/next.go
@@ -9,6 +9,9 @@
 const (
 	// propagationTime is how long the start of the shift may take to reach all nodes.
 	propagationTime = time.Second
+	// closeTime is how long after the shift the current targets take calls of nodes that
+	// learn of it late. It leaves time for the report that they take none.
+	closeTime = propagationTime * 3 / 4
 	// deadlineMargin is the time before the deadline reserved for delays of the store
 	// and the nodes.
 	deadlineMargin = time.Second
@@ -23,14 +26,16 @@
 	// Candidates and Current are the numbers of targets of the new version and of
 	// others.
 	Candidates, Current int
-	// CurrentIdle says that no call is in flight at current targets; MaxCallTime is the
-	// longest time that a call can take.
-	CurrentIdle bool
-	MaxCallTime time.Duration
-	Verdict     Verdict
+	// SinceStop is the time since calls to the new version were stopped.
+	SinceStop time.Duration
+	// CurrentClosed and CandidatesClosed say that the targets of that version refuse further
+	// calls and run none; MaxCallTime is the longest time that a call can take.
+	CurrentClosed, CandidatesClosed bool
+	MaxCallTime                     time.Duration
+	Verdict                         Verdict
 }
 
-// Step is Wait, Begin, Shift, Complete or RollBack.
+// Step is Wait, Begin, Shift, Complete, Stop or RollBack.
 type Step interface{ isStep() }
 
 // Wait changes nothing.
@@ -45,13 +50,17 @@
 // Complete reports to operators that the new version has taken over.
 type Complete struct{}
 
-// RollBack reports to operators that the new version gets no more calls, and why.
-type RollBack struct{ Reason string }
+// Stop stops calls to the new version, for a reason.
+type Stop struct{ Reason string }
+
+// RollBack reports to operators that the new version gets no more calls.
+type RollBack struct{}
 
 func (Wait) isStep()     {}
 func (Begin) isStep()    {}
 func (Shift) isStep()    {}
 func (Complete) isStep() {}
+func (Stop) isStep()     {}
 func (RollBack) isStep() {}
 
 // Reasons for a rollback other than a fault.
@@ -92,7 +101,10 @@
 		return Wait{}
 	}
 	if r.Stage() == StageRolledBack {
-		return RollBack{r.rollbackReason(s)}
+		if s.CandidatesClosed || s.SinceStop >= propagationTime+s.MaxCallTime {
+			return RollBack{}
+		}
+		return Stop{r.stopReason(s)}
 	}
 	if r.progress.orderRevision != r.order.revision || r.status.state == Pending || r.status.version != r.order.version {
 		return Begin{}
@@ -111,13 +123,13 @@
 	case StageCompleted:
 		return Complete{}
 	case StageRolledBack:
-		return RollBack{reason}
+		return Stop{reason}
 	default:
 		return Wait{}
 	}
 }
 
-func (r Rollout) rollbackReason(s Situation) string {
+func (r Rollout) stopReason(s Situation) string {
 	if f, ok := s.Verdict.(Faulty); ok {
 		return f.reason()
 	}
@@ -157,16 +169,16 @@
 	return max(r.order.duration-timeNeeded, r.order.duration/2)
 }
 
-// takenOver reports whether the shift has ended and no call is in flight at the current
-// targets, according to the last reports or because MaxCallTime has passed. The current
+// takenOver reports whether the shift has ended and the current targets get and run no more
+// calls, according to the last reports or because MaxCallTime has passed. The current
 // targets are stopped afterwards.
 func (r Rollout) takenOver(s Situation) bool {
 	sinceEnd := s.SinceShift - ShiftTime(s.Limit) - propagationTime
-	return sinceEnd >= 0 && s.CurrentIdle || sinceEnd >= s.MaxCallTime
+	return sinceEnd >= 0 && s.CurrentClosed || sinceEnd >= s.MaxCallTime
 }
 
 // CurrentClosed reports whether the current targets refuse further calls, as the shift
-// has ended at all senders.
+// has ended at the senders.
 func (r Rollout) CurrentClosed(limit float64, sinceShift time.Duration) bool {
-	return r.Stage() == StageShift && sinceShift >= ShiftTime(limit)+propagationTime
+	return r.Stage() == StageShift && sinceShift >= ShiftTime(limit)+closeTime
 }
--- a/internal/policy/rollout/report.go
+++ b/internal/policy/rollout/report.go
@@ -77,6 +77,7 @@
 	instance, version        string
 	boot, orderRevision, seq uint64
 	running                  int
+	closed                   bool
 	routes                   map[string]RouteStats
 }
 
@@ -104,6 +105,16 @@
 // Running returns how many calls are in flight at the target.
 func (r Report) Running() int { return r.running }
 
+// WithClosed returns a copy of a report that says whether the target's node refuses further
+// calls. It must have begun to before it counted the running ones.
+func (r Report) WithClosed(closed bool) Report {
+	r.closed = closed
+	return r
+}
+
+// Closed reports whether the target's node refuses further calls.
+func (r Report) Closed() bool { return r.closed }
+
 // Routes returns the statistics by route.
 func (r Report) Routes() map[string]RouteStats { return r.routes }
 
--- a/internal/policy/rollout/rollout_test.go
+++ b/internal/policy/rollout/rollout_test.go
@@ -74,7 +74,7 @@
 	running := orderedRollout(NewStatus(Running, "v2", 11)).WithProgress(began)
 	shifting := running.WithProgress(NewProgress(10, noon, noon.Add(time.Second), nil, 13))
 	situation := func(change func(s *Situation)) Situation {
-		out := Situation{Elapsed: time.Second, Limit: 0.1, Candidates: 3, Current: 3, CurrentIdle: true, MaxCallTime: 2 * time.Second, Verdict: Undecided{}}
+		out := Situation{Elapsed: time.Second, Limit: 0.1, Candidates: 3, Current: 3, CurrentClosed: true, MaxCallTime: 2 * time.Second, Verdict: Undecided{}}
 		change(&out)
 		return out
 	}
@@ -93,18 +93,20 @@
 		{"healthy so far", running, verdictAt(Healthy{}, time.Second), Wait{}},
 		{"healthy for long enough", running, verdictAt(Healthy{}, 9*time.Second), Shift{}},
 		{"no evidence", running, verdictAt(Undecided{}, 9*time.Second), Wait{}},
-		{"no evidence at the deadline", running, verdictAt(Undecided{}, 12*time.Second), RollBack{ReasonNoEvidence}},
-		{"faulty", running, verdictAt(Faulty{"read", ByFailures}, time.Second), RollBack{"failures on route read"}},
-		{"faulty in the shift", shifting, verdictAt(Faulty{"read", BySlowness}, time.Second), RollBack{"slowness on route read"}},
+		{"no evidence at the deadline", running, verdictAt(Undecided{}, 12*time.Second), Stop{ReasonNoEvidence}},
+		{"faulty", running, verdictAt(Faulty{"read", ByFailures}, time.Second), Stop{"failures on route read"}},
+		{"faulty in the shift", shifting, verdictAt(Faulty{"read", BySlowness}, time.Second), Stop{"slowness on route read"}},
 		{"the shift goes on", shifting, situation(func(s *Situation) { s.SinceShift = time.Second }), Wait{}},
 		{"the shift goes on past the deadline", shifting, situation(func(s *Situation) { s.SinceShift, s.Elapsed = time.Second, time.Minute }), Wait{}},
-		{"the shift has ended, but calls are in flight", shifting, situation(func(s *Situation) { s.SinceShift, s.CurrentIdle = 3*time.Second, false }), Wait{}},
+		{"the shift has ended, but calls are in flight", shifting, situation(func(s *Situation) { s.SinceShift, s.CurrentClosed = 3*time.Second, false }), Wait{}},
 		{"the shift has ended", shifting, situation(func(s *Situation) { s.SinceShift = 3 * time.Second }), Complete{}},
-		{"the shift has ended, and the longest call must have", shifting, situation(func(s *Situation) { s.SinceShift, s.CurrentIdle = 5*time.Second, false }), Complete{}},
+		{"the shift has ended, and the longest call must have", shifting, situation(func(s *Situation) { s.SinceShift, s.CurrentClosed = 5*time.Second, false }), Complete{}},
 		{"only the new version has targets", running, situation(func(s *Situation) { s.Current, s.Verdict = 0, Healthy{} }), Complete{}},
 		{"reported as completed", orderedRollout(NewStatus(Completed, "v2", 11)), verdictAt(Faulty{"read", ByFailures}, time.Second), Wait{}},
 		{"reported as rolled back", orderedRollout(NewStatus(RolledBack, "v2", 11)), verdictAt(Healthy{}, 9*time.Second), Wait{}},
-		{"halted but not reported yet", running.WithHalt(10), verdictAt(Healthy{}, 9*time.Second), RollBack{ReasonBarred}},
+		{"stopped, but a target may take calls", running.WithHalt(10), situation(func(s *Situation) { s.SinceStop = 2 * time.Second }), Stop{ReasonBarred}},
+		{"stopped, and no target takes calls", running.WithHalt(10), situation(func(s *Situation) { s.CandidatesClosed = true }), RollBack{}},
+		{"stopped, and the longest call must have ended", running.WithHalt(10), situation(func(s *Situation) { s.SinceStop = 3 * time.Second }), RollBack{}},
 	} {
 		if diff := cmp.Diff(tc.want, tc.r.Next(tc.s)); diff != "" {
 			t.Errorf("%s: %s", tc.name, diff)
--- a/internal/policy/rollout/simulation_test.go
+++ b/internal/policy/rollout/simulation_test.go
@@ -67,7 +67,8 @@
 	endedAt                     time.Duration
 	total, exposed              int
 	lastExposed, fiftiethFaulty time.Duration // last call to the new version by senders not cut off; 50th faulty answer
-	interrupted                 int           // calls in flight at the old targets when they stop
+	interrupted                 int           // calls in flight, at the end, at targets of the version that gets no more
+	late                        int           // calls that such a target took after the end
 	reason                      string
 }
 
@@ -119,6 +120,21 @@
 	out := outcome{}
 	shiftAt, halted, faultyAnswers := time.Duration(0), time.Duration(0), 0
 	rates := make([]float64, len(records))
+	// closed reports whether a target's node has heard that it takes no more calls.
+	closed := func(target int, at time.Duration) bool {
+		if target >= sc.oldTargets {
+			return halted > 0 && at >= halted+propagationDelay
+		}
+		return shiftAt > 0 && at >= shiftAt+propagationDelay && r.CurrentClosed(exposureLimit, at-shiftAt)
+	}
+	running := func(at time.Duration, among func(target int) bool) (n int) {
+		for _, call := range inFlight {
+			if call.endsAt > at && among(call.target) {
+				n++
+			}
+		}
+		return n
+	}
 	callsToSend := 0.0
 	for at := time.Duration(0); at < sc.duration+5*time.Second; at += tick {
 		for i := range rates {
@@ -158,8 +174,8 @@
 			if !warm {
 				took = min(2*took, maxCallTime)
 			}
+			faulty := false
 			if isNew {
-				faulty := false
 				if sc.defect.applies(at, route, rates[target]) {
 					x := rng.Float64()
 					if x < sc.defect.failShare {
@@ -171,6 +187,14 @@
 				if sc.canaryFailures > 0 && target == g.Canaries()[0].Slots() {
 					failed = failed || rng.Float64() < sc.canaryFailures
 				}
+			}
+			if closed(target, at) {
+				continue
+			}
+			if out.stage == StageCompleted && !isNew || out.stage == StageRolledBack && isNew {
+				out.late++
+			}
+			if isNew {
 				if at < sc.duration {
 					out.exposed++
 				}
@@ -182,20 +206,19 @@
 						out.fiftiethFaulty = at
 					}
 				}
-			} else {
-				inFlight = append(inFlight, runningCall{target, at + took})
 			}
+			inFlight = append(inFlight, runningCall{target, at + min(took, maxCallTime)})
 			recorders[target].Record(route, took, failed, warm)
 		}
 		if at%(250*time.Millisecond) < tick {
 			inFlight = slices.DeleteFunc(inFlight, func(call runningCall) bool { return call.endsAt <= at })
-			running := make([]int, len(records))
+			counts := make([]int, len(records))
 			for _, call := range inFlight {
-				running[call.target]++
+				counts[call.target]++
 			}
 			var batch []Report
 			for i, rec := range recorders {
-				batch = append(batch, NewReport(records[i].Instance(), records[i].Version(), 1, 10, uint64(at), running[i], rec.Routes()))
+				batch = append(batch, NewReport(records[i].Instance(), records[i].Version(), 1, 10, uint64(at), counts[i], rec.Routes()).WithClosed(closed(i, at)))
 			}
 			reports = append(reports, delayedReports{at + propagationDelay, batch})
 		}
@@ -209,8 +232,9 @@
 			continue
 		}
 		step := r.Next(Situation{
-			Elapsed: at, SinceShift: at - shiftAt, Limit: exposureLimit, Candidates: sc.newTargets, Current: sc.oldTargets,
-			CurrentIdle: judge.CurrentIdle(), MaxCallTime: maxCallTime, Verdict: judge.Verdict(start.Add(at)),
+			Elapsed: at, SinceShift: at - shiftAt, SinceStop: at - halted, Limit: exposureLimit, Candidates: sc.newTargets, Current: sc.oldTargets,
+			CurrentClosed: judge.Closed(records[:sc.oldTargets]), CandidatesClosed: judge.Closed(records[sc.oldTargets:]),
+			MaxCallTime: maxCallTime, Verdict: judge.Verdict(start.Add(at)),
 		})
 		switch step := step.(type) {
 		case Shift:
@@ -218,14 +242,15 @@
 			r = r.WithProgress(NewProgress(10, start, start.Add(at), nil, 20))
 		case Complete:
 			out.stage, out.endedAt = StageCompleted, at
-			for _, call := range inFlight {
-				if call.endsAt > at {
-					out.interrupted++
-				}
+			out.interrupted = running(at, func(target int) bool { return target < sc.oldTargets })
+		case Stop:
+			if halted == 0 {
+				halted, out.reason = at, step.Reason
+				r = r.WithHalt(10)
 			}
 		case RollBack:
-			halted = at
-			out.stage, out.endedAt, out.reason = StageRolledBack, at, step.Reason
+			out.stage, out.endedAt = StageRolledBack, at
+			out.interrupted = running(at, func(target int) bool { return target >= sc.oldTargets })
 		}
 	}
 	return out
@@ -275,6 +300,9 @@
 				if bound := exposureLimit*float64(out.total) + exposureSlack; float64(out.exposed) > bound {
 					t.Errorf("seed %d: %d calls of %d to the faulty version", seed, out.exposed, out.total)
 				}
+				if out.interrupted > 0 || out.late > 0 {
+					t.Errorf("seed %d: the faulty version ran %d calls when it was reported as rolled back, and took %d afterwards", seed, out.interrupted, out.late)
+				}
 				if out.fiftiethFaulty > 0 && out.lastExposed-out.fiftiethFaulty > rollbackBound {
 					t.Errorf("seed %d: the last call came %v after the 50th faulty answer", seed, out.lastExposed-out.fiftiethFaulty)
 				}
@@ -306,8 +334,8 @@
 				sc := newScenario(885, 22, 22, 12*time.Second)
 				tc.change(&sc)
 				out := simulate(sc, seed)
-				if out.stage != StageCompleted || out.endedAt > sc.duration || out.interrupted > 0 {
-					t.Errorf("seed %d: stage %d at %v (%s), %d calls interrupted", seed, out.stage, out.endedAt, out.reason, out.interrupted)
+				if out.stage != StageCompleted || out.endedAt > sc.duration || out.interrupted > 0 || out.late > 0 {
+					t.Errorf("seed %d: stage %d at %v (%s), %d calls interrupted, %d after the end", seed, out.stage, out.endedAt, out.reason, out.interrupted, out.late)
 				}
 			}
 		})
--- a/internal/traffic/caller/overload_test.go
+++ b/internal/traffic/caller/overload_test.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"banyanlug.example/banyanlug/internal/config/snapshot"
 	"banyanlug.example/banyanlug/internal/policy/overload"
 	"banyanlug.example/banyanlug/internal/traffic/caller"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
@@ -69,3 +72,31 @@
 		t.Errorf("%+v with 5 s left", got)
 	}
 }
+
+// Guards against calls that wait at a target's node and run after the target's version was stopped.
+func TestCallsThatWaitDoNotRunOnceTheirTargetsVersionIsStopped(t *testing.T) {
+	t.Parallel()
+	var stopped atomic.Bool
+	admits := func() bool { return !stopped.Load() }
+	observe := func(string, time.Duration, bool) {}
+	h := newHarness(t, harnessOptions{
+		targets: 1,
+		target:  func(int) []target.Option { return []target.Option{target.WithRollout(admits, observe)} },
+	})
+	client, slots := h.newHTTPClient(), h.targets[0].slots
+	var calls sync.WaitGroup
+	for i := range 18 {
+		calls.Go(func() {
+			h.do(client, h.newRequest(http.MethodPost, "/bind?sleep=300ms", map[string]string{hop.KeyHeader: fmt.Sprint("k", i)}))
+		})
+	}
+	for slots.Load().Running(snapshot.Paying) < 12 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+	stopped.Store(true)
+	calls.Wait()
+	if n := len(h.targets[0].app.Runs()); n != 12 {
+		t.Errorf("%d calls ran, 12 were running when the version was stopped", n)
+	}
+}
--- a/internal/traffic/target/admit.go
+++ b/internal/traffic/target/admit.go
@@ -272,7 +272,14 @@
 	if err := c.refuseOverloaded(); err != nil {
 		return admission.Ticket{}, err
 	}
-	return c.h.slots.acquire(c.r.Context(), c.meta, c.deadline)
+	ticket, err := c.h.slots.acquire(c.r.Context(), c.meta, c.deadline)
+	if err == nil && !c.h.versionAdmitted() {
+		// It was stopped while the call waited. A node that refuses calls and counts none as
+		// running runs none from then on.
+		c.h.slots.release(ticket, admission.Cancelled)
+		return admission.Ticket{}, &RefusedError{Reason: hop.KindSuperseded}
+	}
+	return ticket, err
 }
 
 // refuseOverloaded refuses a call that this node is too short of processor time to serve.
