policy/poison, traffic/caller: a completed call is no longer suspected for earlier crashes

Callers of a service whose long uploads begin alike got 503 `held-back` for ten minutes after two crashes beside them.

Cause: which calls a target has completed is known to its own node alone, by the service that sent them. Uploads in flight at two targets that had completed none of this service were held back, though other targets completed them between the crashes and afterwards.

A poison call crashes each target that runs it, so one that a target has completed is none. The caller's node forgets the crashes of such a call. A call that no target completes is held back after as many crashes as before (TestUploadThatCrashesTargetsIsRefused, all of policy/poison).

--- a/internal/process/resident/crash.go
+++ b/internal/process/resident/crash.go
@@ -42,6 +42,13 @@
 	return r.register.Held(r.clk.Now(), c)
 }
 
+// Completed implements caller.CrashRegister.
+func (r *crashRegister) Completed(c poison.Call) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.register.Completed(c)
+}
+
 // Marked implements caller.CrashRegister.
 func (r *crashRegister) Marked(mark poison.Fingerprint) bool {
 	r.mu.Lock()
--- a/internal/traffic/caller/crash_test.go
+++ b/internal/traffic/caller/crash_test.go
@@ -31,6 +31,12 @@
 	return r.register.Held(time.Now(), c)
 }
 
+func (r *testRegister) Completed(c poison.Call) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.register.Completed(c)
+}
+
 func (r *testRegister) Marked(mark poison.Fingerprint) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/traffic/caller/handler.go
+++ b/internal/traffic/caller/handler.go
@@ -19,6 +19,7 @@
 	"banyanlug.example/banyanlug/internal/policy/limit"
 	"banyanlug.example/banyanlug/internal/policy/membership"
 	"banyanlug.example/banyanlug/internal/policy/overload"
+	"banyanlug.example/banyanlug/internal/policy/poison"
 	"banyanlug.example/banyanlug/internal/policy/retry"
 	"banyanlug.example/banyanlug/internal/traffic/hop"
 	"banyanlug.example/banyanlug/internal/traffic/http1"
@@ -248,7 +249,8 @@
 	meta              hop.Meta
 	callInfo          balance.CallInfo
 	body              hop.Body
-	examined          int // bytes that the body has taken; see examine
+	examined          int         // bytes that the body has taken; see examine
+	suspect           poison.Call // zero if not enough of the body is known
 	claim             Claim
 
 	attempts   retry.Call
@@ -296,7 +298,9 @@
 	if recorded != nil {
 		return c.replay(recorded)
 	}
-	res, err = c.send()
+	if res, err = c.send(); err == nil {
+		c.recordCompletion()
+	}
 	c.endClaim(res, err)
 	return res, err
 }
