--- a/cmd/resident/main.go
+++ b/cmd/resident/main.go
@@ -15,6 +15,9 @@
 )
 
 func main() {
+	// Until the settings are read, there is nothing that a reload would change; by default the
+	// signal ends the process.
+	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := newApp().Run(ctx, os.Args[1:])
 	stop()
