control/fleet: an answer without content is not that of a node

A program that answers an empty 200 at a node's address was taken for a parent with fresh data and no news. Its children got no versions, knew at once that there were no rollouts, and admitted calls to versions that were rolled back; a member there was kept as alive. Addresses are given to other programs again, so that it can come about.

Cause: absence read as a fact. An empty message is a valid one, in which all has its zero value. A list of all members of a failure domain with an entry that can't be decoded also dropped the member whose entry that was.

Answers to pulls and queries carry the number that each process draws at its start, never 0; one without it is an error, as silence is. Of nodes of an earlier version those without members need a version instead. A list with a refused entry drops nobody.

Evidence: the new row of TestAReaderThatFailsIsReplaced, red before (no version in 20 s), and FuzzPullResponse, red before for an empty answer.

--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -146,7 +146,7 @@
 	for _, opt := range opts {
 		opt(f)
 	}
-	f.epoch = f.rng.Uint64()
+	f.epoch = max(1, f.rng.Uint64())
 	f.rollouts.rng = rand.New(rand.NewPCG(f.rng.Uint64(), 3))
 	f.config.Store(&activeConfig{snap: snapshot.Empty(), since: clk.Now()})
 	return f
@@ -276,7 +276,7 @@
 // View implements fleetpb.Fleet.
 func (f *Fleet) View(_ context.Context, r *fleetpb.ViewRequest) (*fleetpb.ViewResponse, error) {
 	self, _ := f.ownRecord()
-	out := &fleetpb.ViewResponse{}
+	out := &fleetpb.ViewResponse{Epoch: f.epoch}
 	out.Rollouts, out.RolloutsUnknown = f.rollouts.answer(nil)
 	// Before that, an earlier process's entry may turn out to be right, with lower numbers.
 	if f.ownEntryRead.Load() {
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -53,6 +53,8 @@
 	stop func()
 	// stalled makes requests to the node hang.
 	stalled atomic.Bool
+	// answersNothing makes the node answer requests with an empty success.
+	answersNothing atomic.Bool
 	// closeListener stops accepting connections; open ones continue.
 	closeListener func()
 }
@@ -168,6 +170,10 @@
 			<-req.Context().Done()
 			return
 		}
+		if n.answersNothing.Load() {
+			w.Header().Set("Content-Type", "application/protobuf")
+			return
+		}
 		handler.ServeHTTP(w, req)
 	})}
 	served, ran := make(chan error, 1), make(chan error, 1)
--- a/internal/control/fleet/pull.go
+++ b/internal/control/fleet/pull.go
@@ -269,6 +269,9 @@
 		WaitMs: uint32(hold.Milliseconds()), Members: members, Peer: self.ControlAddress().String(),
 		Rollouts: f.rollouts.revisions(), Reports: reports, Domains: f.domainDigests(at, members), StoreSilent: at.storeSilent, To: from.Instance(),
 	})
+	if err == nil && isEmptyPull(resp, members) {
+		err = &EmptyAnswerError{Address: from.ControlAddress()}
+	}
 	if err == nil {
 		sent.markSent(from.Instance(), seqs)
 	}
@@ -277,6 +280,12 @@
 	return resp, err
 }
 
+// isEmptyPull reports whether a response to a pull is not that of a node: a 200 without content would
+// say that there is nothing. Nodes of an earlier version send no epoch without members.
+func isEmptyPull(resp *fleetpb.PullResponse, members bool) bool {
+	return resp.GetEpoch() == 0 && resp.GetStartingMs() == 0 && (members || resp.GetVersion() == 0)
+}
+
 // requestedWait returns how long a parent may hold a pull. It is shorter during a rollout,
 // as pulls also carry reports to the root.
 func (f *Fleet) requestedWait() time.Duration {
@@ -310,18 +319,20 @@
 			return err
 		}
 	}
-	members, present := make([]memberEntry, 0, len(received)), map[string]bool{}
+	members, present, refused := make([]memberEntry, 0, len(received)), map[string]bool{}, false
 	for _, m := range received {
 		r, err := decodePeerEntry(m.GetEntry())
 		if err != nil {
 			f.log.Emit(event.RecordRefused, event.F("error", err), event.F("from", from.Instance()))
+			refused = true
 			continue
 		}
 		present[r.Instance()] = true
 		members = append(members, memberEntry{r, m.GetRevision()})
 	}
 	f.applyMembers(members)
-	if whole := resp.GetWhole(); whole != nil && age < staleAfter {
+	// Whose entry was refused isn't known, so that it can't be told who is absent.
+	if whole := resp.GetWhole(); whole != nil && age < staleAfter && !refused {
 		self, _ := f.ownRecord()
 		present[self.Instance()] = true // other nodes' lists may lack this node
 		f.view.update(func(b *batch) {
--- a/internal/control/fleet/pullserver.go
+++ b/internal/control/fleet/pullserver.go
@@ -128,7 +128,7 @@
 // buildPullResponse returns the response to a pull and whether it contains any change.
 func (f *Fleet) buildPullResponse(r *fleetpb.PullRequest) (*fleetpb.PullResponse, bool) {
 	version, compressed := f.newest()
-	resp := &fleetpb.PullResponse{Version: version, AgeMs: uint32(f.DataAge().Milliseconds())}
+	resp := &fleetpb.PullResponse{Version: version, Epoch: f.epoch, AgeMs: uint32(f.DataAge().Milliseconds())}
 	resp.Rollouts, resp.RolloutsUnknown = f.rollouts.answer(r.GetRollouts())
 	if resp.Version > r.GetVersion() {
 		resp.VersionBytes = uint32(len(compressed()))
@@ -146,7 +146,7 @@
 		digests[d.GetDomain()] = d.GetDigest()
 	}
 	changes := f.view.changesSince(after, digests)
-	resp.Epoch, resp.Cursor = f.epoch, changes.until
+	resp.Cursor = changes.until
 	if changes.complete != nil {
 		resp.Whole = &fleetpb.WholeDomains{Domains: changes.complete, Compressed: f.wholeDomains.encode(changes)}
 	} else {
--- a/internal/control/fleet/query.go
+++ b/internal/control/fleet/query.go
@@ -246,5 +246,10 @@
 	ctx, cancel := f.clk.WithTimeout(ctx, timeout)
 	defer cancel()
 	client := fleetpb.NewFleetProtobufClient("http://"+peer.String(), httpClient)
-	return client.View(ctx, &fleetpb.ViewRequest{Version: version, Members: members})
+	resp, err := client.View(ctx, &fleetpb.ViewRequest{Version: version, Members: members})
+	if err == nil && resp.GetEpoch() == 0 && len(resp.GetEntry()) == 0 {
+		// Nodes of an earlier version send no epoch, and no entry while they start.
+		err = &EmptyAnswerError{Address: peer}
+	}
+	return resp, err
 }
--- a/internal/control/fleet/refute.go
+++ b/internal/control/fleet/refute.go
@@ -24,6 +24,11 @@
 	return "another instance than " + e.Instance + " answers at " + e.Address.String()
 }
 
+// EmptyAnswerError reports a success without the content of a node's answer.
+type EmptyAnswerError struct{ Address netip.AddrPort }
+
+func (e *EmptyAnswerError) Error() string { return "empty answer from " + e.Address.String() }
+
 // notThisInstance is the answer to a request that is for another instance.
 func notThisInstance() error {
 	return twirp.NewError(twirp.FailedPrecondition, "this is another instance")
--- a/internal/control/fleet/tree_test.go
+++ b/internal/control/fleet/tree_test.go
@@ -85,6 +85,10 @@
 			reader.stalled.Store(true)
 			store.unreachable.Store(true)
 		}},
+		{"another program answers at its address", func(_ *harness, reader *testNode, store *nodeStore) {
+			reader.answersNothing.Store(true)
+			store.unreachable.Store(true)
+		}},
 		{"only its access to the store fails", func(_ *harness, _ *testNode, store *nodeStore) { store.unreachable.Store(true) }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
