traffic/http1: a drain answers calls on connections that wait to be accepted

Cause: a drain lets no further connection in, waits 50 ms for the handshakes that are on their way, and closes the listener, which resets established connections that wait to be accepted. On a busy machine the server accepts them later than that. Their clients may have sent a call, and can't know that it has not run.

Evidence: a server whose accept takes 100 ms resets three of three such connections; the new test was red with that very error, green now.

The drain closes the listener once no connection waits, and waits until the last accepted one counts among those that it waits for.

--- a/internal/traffic/http1/server.go
+++ b/internal/traffic/http1/server.go
@@ -49,6 +49,9 @@
 	// pendingHandshakeWait is the time for TCP handshakes in progress before the
 	// listener closes: several round trips inside a region.
 	pendingHandshakeWait = 50 * time.Millisecond
+	// pendingCheckInterval is the time between checks for connections that wait to be
+	// accepted.
+	pendingCheckInterval = 5 * time.Millisecond
 	// shardCount spreads connections over several locks; a power of two.
 	shardCount = 16
 )
@@ -74,6 +77,7 @@
 
 	mu       sync.Mutex
 	listener net.Listener
+	accepted chan struct{} // closed once no further connection is accepted
 	cancel   context.CancelFunc
 }
 
@@ -180,12 +184,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.mu.Lock()
-	s.listener, s.cancel = ln, cancel
+	accepted := make(chan struct{})
+	s.listener, s.accepted, s.cancel = ln, accepted, cancel
 	s.mu.Unlock()
 	watched := make(chan error, 1)
 	go s.watchClients(ctx, watched)
 	stop := context.AfterFunc(ctx, func() { s.closeAll(ln) })
 	err := s.accept(ctx, ln)
+	close(accepted)
 	if !s.draining.Load() {
 		cancel()
 	}
@@ -237,12 +243,16 @@
 	s.draining.Store(true)
 	cut := s.waitForConns(ctx)
 	s.mu.Lock()
-	ln, cancel := s.listener, s.cancel
+	ln, accepted, cancel := s.listener, s.accepted, s.cancel
 	s.mu.Unlock()
 	if ln != nil {
 		dropNewConnections(ln)
 		_ = s.clk.Sleep(ctx, pendingHandshakeWait)
+		// The close would reset them, and their clients may have sent a call.
+		for hasPending(ln) && s.clk.Sleep(ctx, pendingCheckInterval) == nil {
+		}
 		_ = ln.Close()
+		<-accepted
 	}
 	if cut == 0 {
 		// Also ends the connections accepted since the first wait; their calls are
--- a/internal/traffic/http1/server_test.go
+++ b/internal/traffic/http1/server_test.go
@@ -364,6 +364,52 @@
 	}
 }
 
+// slowListener accepts connections late, as on a busy machine.
+type slowListener struct{ *net.TCPListener }
+
+func (ln slowListener) Accept() (net.Conn, error) {
+	time.Sleep(2 * pendingHandshakeWait)
+	return ln.TCPListener.Accept()
+}
+
+// Guards against calls on connections that are reset since the server has not accepted them when its
+// drain closes the listener.
+func TestDrainAnswersCallsOnConnectionsThatWaitToBeAccepted(t *testing.T) {
+	t.Parallel()
+	clk, stop := timer.Start()
+	t.Cleanup(stop)
+	ln, err := Listen(context.Background(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &testServer{Server: New(http.HandlerFunc(echo), clk), t: t, addr: ln.Addr().String()}
+	clients := []*testClient{s.dial(), s.dial(), s.dial()}
+	for _, c := range clients {
+		c.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go s.Serve(ctx, slowListener{ln.(*net.TCPListener)}, served)
+	t.Cleanup(func() { cancel(); <-served })
+	for s.listening() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	if err := s.Drain(ctx); err != nil {
+		t.Error(err)
+	}
+	for _, c := range clients {
+		if status, _, outcome := c.readResponse(http.MethodGet); status != http.StatusOK && outcome != NotRun {
+			t.Errorf("answered %d %s", status, outcome)
+		}
+	}
+}
+
+func (s *Server) listening() net.Listener {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listener
+}
+
 func TestDrainReportsConnectionsItCutOff(t *testing.T) {
 	t.Parallel()
 	begun := make(chan struct{})
