--- a/internal/control/fleet/pull.go
+++ b/internal/control/fleet/pull.go
@@ -319,12 +319,11 @@
 			return err
 		}
 	}
-	members, present, refused := make([]memberEntry, 0, len(received)), map[string]bool{}, false
+	members, present := make([]memberEntry, 0, len(received)), map[string]bool{}
 	for _, m := range received {
 		r, err := decodePeerEntry(m.GetEntry())
 		if err != nil {
 			f.log.Emit(event.RecordRefused, event.F("error", err), event.F("from", from.Instance()))
-			refused = true
 			continue
 		}
 		present[r.Instance()] = true
@@ -332,7 +331,7 @@
 	}
 	f.applyMembers(members)
 	// Whose entry was refused isn't known, so that it can't be told who is absent.
-	if whole := resp.GetWhole(); whole != nil && age < staleAfter && !refused {
+	if whole := resp.GetWhole(); whole != nil && age < staleAfter && len(members) == len(received) {
 		self, _ := f.ownRecord()
 		present[self.Instance()] = true // other nodes' lists may lack this node
 		f.view.update(func(b *batch) {
--- a/internal/policy/rollout/groups.go
+++ b/internal/policy/rollout/groups.go
@@ -45,10 +45,9 @@
 			g.current = filterByVersion(records, r.permits)
 		}
 	case StageRolledBack:
-		g.current = filterByVersion(records, func(v string) bool { return v != r.order.version && r.permits(v) })
+		_, g.current = r.ByVersion(records)
 	case StageCanary, StageShift:
-		g.current = filterByVersion(records, func(v string) bool { return v != r.order.version && r.permits(v) })
-		g.candidates = filterByVersion(records, func(v string) bool { return v == r.order.version })
+		g.candidates, g.current = r.ByVersion(records)
 		g.canaries = r.canaries(g, limit)
 	}
 	return g
