control/fleet: a declined write is an answer of the store

Versions could be late by 4 to 7 s on all nodes of a failure domain whose root the store turns away.

Cause: the next node by rank reads for such a root unless it takes the store for unreachable itself. A write of its own entry that was declined for a conflict counted as that. If the entry in the store was the right one, no further call showed otherwise, since only readers call the store regularly. Such conflicts happen at starts: the root writes the entry of a node that it knows from elsewhere.

Ruled out: a starved processor (orphaned after 0.8 s, not 7).

platform.Answered says which errors are answers.

--- a/internal/control/fleet/fetch.go
+++ b/internal/control/fleet/fetch.go
@@ -97,12 +97,11 @@
 			return
 		}
 		v, err := f.store.Get(ctx, f.configKey)
-		switch {
-		case ctx.Err() != nil:
-		case err != nil:
-			f.storeFailed(ctx, err)
-		default:
-			f.storeAnswered()
+		if ctx.Err() != nil {
+			return
+		}
+		f.storeReturned(ctx, err)
+		if err == nil {
 			f.applyConfig(version.Unknown, v.Data(), fromStore)
 		}
 		return
--- a/internal/control/fleet/ownentry.go
+++ b/internal/control/fleet/ownentry.go
@@ -137,6 +137,7 @@
 func (f *Fleet) readOwnEntry(ctx context.Context) error {
 	self, _ := f.ownRecord()
 	v, err := f.store.Get(ctx, entryKey(self.Domain(), self.Instance()))
+	f.storeReturned(ctx, err)
 	var missing *platform.NotFoundError
 	switch {
 	case err == nil:
@@ -206,7 +207,7 @@
 	retry := time.Duration(0)
 	for ctx.Err() == nil {
 		if err := w.reconcile(ctx); err != nil {
-			f.storeFailed(ctx, err)
+			f.storeReturned(ctx, err)
 			retry = min(max(minRetry, 2*retry), maxWriteRetry)
 			_ = f.clk.Sleep(ctx, f.jitter(retry))
 			continue
--- a/internal/control/fleet/syncstore.go
+++ b/internal/control/fleet/syncstore.go
@@ -296,6 +296,15 @@
 	}
 }
 
+// storeReturned records whether the store answered a call that returned err.
+func (f *Fleet) storeReturned(ctx context.Context, err error) {
+	if platform.Answered(err) {
+		f.storeAnswered()
+		return
+	}
+	f.storeFailed(ctx, err)
+}
+
 func (f *Fleet) storeAnswered() {
 	f.lastStoreAnswer.Store(f.clk.Now().UnixNano())
 	if !f.storeOK.Swap(true) {
--- a/internal/control/fleet/tree_test.go
+++ b/internal/control/fleet/tree_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -420,3 +421,30 @@
 	store.unreachable.Store(false)
 	h.eventually("the root alone reads the store", func() bool { return !next.readsStore() && root.storeOK.Load() })
 }
+
+// Guards against a node that takes a store for unreachable which declines a write of its entry,
+// as another node has written the same, and so never reads for a root that the store turns away.
+func TestADeclinedWriteIsAnAnswerOfTheStore(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t)
+	var decline, declined atomic.Bool
+	h.store.onSwap = func(key string, value []byte) {
+		if key == entryKey("a", "n2") && decline.Swap(false) {
+			h.store.put(key, value)
+			declined.Store(true)
+		}
+	}
+	h.startWithWideLink("a", "n1", 1, h.store)
+	n2 := h.start("n2", 2)
+	h.waitForStart("n1", "n2")
+	decline.Store(true)
+	n2.Announce(membership.Ready, "n2-target", 13, "")
+	h.eventually("the store has declined a write and n2 knows the entry", func() bool {
+		return declined.Load() && n2.AwaitStored(t.Context()) == nil
+	})
+	for until := h.clk.Now().Add(500 * time.Millisecond); h.clk.Now().Before(until); _ = h.clk.Sleep(t.Context(), 5*time.Millisecond) {
+		if !n2.storeOK.Load() {
+			t.Fatal("the store counts as unreachable")
+		}
+	}
+}
