traffic/hop, traffic/caller: completed long calls are known before any crash

After two crashes all uploads of a service that begin alike could be held back for ten minutes, though other targets had completed such uploads after each crash.

Cause: a caller's node knew which of its long calls were completed only if it had examined their bodies, which it does after a crash. Uploads in flight elsewhere at the first crash cleared nothing.

The caller's node computes the digest of each long body while it sends it. The other way weighed, a header of the target's node, misses targets that answer while they read.

--- a/internal/traffic/caller/crash_test.go
+++ b/internal/traffic/caller/crash_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"banyanlug.example/banyanlug/internal/policy/lifecycle"
 	"banyanlug.example/banyanlug/internal/policy/membership"
 	"banyanlug.example/banyanlug/internal/policy/poison"
@@ -133,6 +135,47 @@
 	}
 }
 
+// completions is a CrashRegister that keeps which calls were completed.
+type completions struct {
+	testRegister
+	marked bool
+	calls  chan poison.Call
+}
+
+func (c *completions) Marked(poison.Fingerprint) bool { return c.marked }
+
+func (c *completions) Completed(call poison.Call) { c.calls <- call }
+
+// Guards against long uploads that stay suspected though targets complete them, as the caller's node
+// has not examined those.
+func TestCompletedLongCallsAreKnownToTheCallersNode(t *testing.T) {
+	t.Parallel()
+	var got [2][]poison.Call
+	for i, marked := range []bool{false, true} {
+		register := &completions{testRegister{register: poison.NewRegister()}, marked, make(chan poison.Call, 1)}
+		h := newHarness(t, harnessOptions{targets: 1, caller: []caller.Option{caller.WithCrashRegister(register)}})
+		client := h.newHTTPClient()
+		for _, size := range []int{8 << 10, 48 << 10, 3 << 20} {
+			for _, length := range []int{size, -1} {
+				req := h.newRequest(http.MethodPost, "/bind", nil)
+				req.Body, req.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", size))), int64(length)
+				if answer, _, _ := h.do(client, req); answer.Status != http.StatusOK {
+					t.Errorf("%d bytes: answered %+v", size, answer)
+				}
+				select {
+				case call := <-register.calls:
+					got[i] = append(got[i], call)
+				case <-time.After(5 * time.Second):
+					t.Errorf("%d bytes: the call is not known as completed", size)
+				}
+			}
+		}
+	}
+	if diff := cmp.Diff(got[1], got[0], cmp.AllowUnexported(poison.Fingerprint{})); diff != "" {
+		t.Errorf("completed calls that were not examined: -want +got %s", diff)
+	}
+}
+
 func accepts(address netip.AddrPort) bool {
 	conn, err := (&net.Dialer{}).Dial("tcp", address.String())
 	if err != nil {
--- a/internal/traffic/hop/body.go
+++ b/internal/traffic/hop/body.go
@@ -64,8 +64,8 @@
 }
 
 // ReadBody reads the body of a caller's call: a short one completely, a long one as a stream, of
-// which it reads the first ReplayBytes. Reads fail after the call's deadline. The error is a
-// BodyError.
+// which it reads the first ReplayBytes and whose digest is computed on the way. Reads fail after
+// the call's deadline. The error is a BodyError.
 func ReadBody(w http.ResponseWriter, r *http.Request, deadline time.Time) (Body, error) {
 	if bodyless(r) {
 		return None{}, nil
@@ -84,7 +84,8 @@
 	case err != nil:
 		return nil, &BodyError{Err: err}
 	case len(b) > ReplayBytes:
-		s := NewStream(io.MultiReader(newReader(b), r.Body), r.ContentLength, interrupt)
+		s := NewStream(nil, r.ContentLength, interrupt)
+		s.r = &digestReader{r: io.MultiReader(newReader(b), r.Body), digest: &s.digest}
 		s.prefix = poison.Digest(b[:ReplayBytes])
 		return s, nil
 	case r.ContentLength > 0:
@@ -152,14 +153,13 @@
 // examinedStep is how much of a body Examine reads at once.
 const examinedStep = 64 << 10
 
-// Examine reads as much into memory of a body that is not sent yet as identifies it. For each part
-// it takes memory; if that returns false, the body stays without an identity. The error is a
-// BodyError.
+// Examine reads as much into memory of a caller's body that is not sent yet as identifies it. For
+// each part it takes memory; if that returns false, the body is known once it has been sent. The
+// error is a BodyError.
 func (s *Stream) Examine(take func(bytes int) bool) error {
 	var b bytes.Buffer
-	rest := &digestReader{r: s.r, digest: &s.digest}
 	for s.digest.Load() == nil && take(examinedStep) {
-		_, err := io.CopyN(&b, rest, examinedStep)
+		_, err := io.CopyN(&b, s.r, examinedStep)
 		switch {
 		case err == io.EOF && s.length >= 0 && s.length != int64(b.Len()):
 			return &BodyError{Err: io.ErrUnexpectedEOF}
