policy/tree, control/fleet: nodes whose parents are late ask other failure domains

Clients got 404 and 401 by an old version up to some 2.6 s after a change, at nodes below others that had fallen silent in sets, less than 2 s apart.

Cause: a node waits 1.6 s before it reads the store in place of its silent parents. One that is about to do so, or that passes on what it has read, may fall silent in turn, so that these times add up.

From 0.15 s after the answers of all its parents were due, a node asks two nodes of other domains for a newer version, again every 0.2 s, eight times until a parent answers. Other domains don't depend on the same readers. No messages at rest and at a start, no further calls of the store.

--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -54,6 +54,7 @@
 	standbyAnswered atomic.Bool  // the store has answered this node since it became a standby
 	lastStoreAnswer atomic.Int64 // Unix nanoseconds
 	hints           chan hint
+	parentsLate     chan struct{} // signals that nodes other than the parents have to be asked
 	bootstrapped    chan struct{} // closed once the node knows its position in the tree
 	readerChanged   chan struct{} // signals that orphaned or rootSilent has changed
 
@@ -132,7 +133,7 @@
 	f := &Fleet{
 		store: store, clk: clk, log: event.Discard(), configKey: configKey, decode: decode,
 		rng: rand.New(rand.NewPCG(1, 1)), view: newView(), own: ownEntry{base: self, self: self},
-		onCrash: func(string) {}, onDeparted: func(string) {}, onRestored: func() {}, entryStored: make(chan struct{}), hints: make(chan hint, 1), entryChanged: make(chan struct{}, 1),
+		onCrash: func(string) {}, onDeparted: func(string) {}, onRestored: func() {}, entryStored: make(chan struct{}), hints: make(chan hint, 1), parentsLate: make(chan struct{}, 1), entryChanged: make(chan struct{}, 1),
 		bootstrapped: make(chan struct{}), readerChanged: make(chan struct{}, 1), announced: make(chan struct{}), storeChanged: make(chan struct{}),
 		syncedChanged: make(chan struct{}), startedAt: clk.Now(),
 		rollouts: newRolloutSet(),
@@ -210,7 +211,7 @@
 func (f *Fleet) Run(ctx context.Context, done chan<- error) {
 	tasks := []func(context.Context, chan<- error){
 		f.bootstrap, f.afterBootstrap(f.syncStore), f.afterBootstrap(f.pull), f.afterBootstrap(f.pullFromDomains), f.afterBootstrap(f.controlRollouts),
-		f.afterBootstrap(f.maintainDomainKey), f.afterBootstrap(f.audit), f.restoreOwnEntry, f.maintainEntry, f.queryPeers, f.checkMissing,
+		f.afterBootstrap(f.maintainDomainKey), f.afterBootstrap(f.audit), f.restoreOwnEntry, f.maintainEntry, f.queryPeers, f.askOthers, f.checkMissing,
 	}
 	ended := make(chan error, len(tasks))
 	for _, task := range tasks {
--- a/internal/control/fleet/fleet_test.go
+++ b/internal/control/fleet/fleet_test.go
@@ -55,6 +55,8 @@
 	stalled atomic.Bool
 	// answersNothing makes the node answer requests with an empty success.
 	answersNothing atomic.Bool
+	// views counts the node's requests of the method View.
+	views atomic.Int64
 	// closeListener stops accepting connections; open ones continue.
 	closeListener func()
 }
@@ -165,6 +167,9 @@
 	n := &testNode{Fleet: f}
 	handler := f.Handler()
 	srv := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if strings.HasSuffix(req.URL.Path, "/View") {
+			n.views.Add(1)
+		}
 		if n.stalled.Load() {
 			_, _ = io.Copy(io.Discard, req.Body) // else the server doesn't detect that the client closes
 			<-req.Context().Done()
--- a/internal/control/fleet/pull.go
+++ b/internal/control/fleet/pull.go
@@ -215,6 +215,9 @@
 		if next, ok := round.Next(f.clk.Now()); ok {
 			ask(next, 0, 0, timing.nextSlack)
 		}
+		if round.AskOthers(f.clk.Now()) {
+			f.signal(f.parentsLate)
+		}
 		f.setOrphaned(p.selector.Orphaned(f.clk.Now()))
 	}
 }
--- a/internal/control/fleet/query.go
+++ b/internal/control/fleet/query.go
@@ -77,6 +77,39 @@
 	f.fetchVersion(ctx, slices.Insert(from, index, versionSource{peer: hinted.peer}), hinted.version)
 }
 
+// othersAsked is how many nodes are asked at the same time while the parents are late.
+const othersAsked = 2
+
+// askOthers asks nodes that are no parents for a newer version while the parents are late.
+func (f *Fleet) askOthers(ctx context.Context, done chan<- error) {
+	var queries sync.WaitGroup
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-f.parentsLate:
+			for _, r := range f.randomOthers(othersAsked) {
+				queries.Go(func() { f.queryPeer(ctx, r.ControlAddress(), false) })
+			}
+		}
+	}
+	queries.Wait()
+	done <- ctx.Err()
+}
+
+// randomOthers returns some nodes of other failure domains, which don't depend on the same readers,
+// or of this one if there are none.
+func (f *Fleet) randomOthers(n int) []membership.Record {
+	self, _ := f.ownRecord()
+	local, remote := byDomain(f.view.records(), self)
+	if len(remote) == 0 {
+		remote = local
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rng.Shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
+	return remote[:min(n, len(remote))]
+}
+
 // queryRandomPeer queries one other node, chosen at random.
 func (f *Fleet) queryRandomPeer(ctx context.Context) {
 	self, _ := f.ownRecord()
--- a/internal/control/fleet/tree_test.go
+++ b/internal/control/fleet/tree_test.go
@@ -448,3 +448,26 @@
 		}
 	}
 }
+
+// Guards against a node below silent readers that learns of a version only once it has become a reader
+// itself, which may fall silent in turn.
+func TestANodeWhoseParentsAreLateAsksAnotherFailureDomain(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, "n1", "n2", "n3")
+	other := h.startIn("b", "m1", 9, h.store)
+	h.waitForStart("m1", "n1", "n2", "n3")
+	var last *testNode
+	h.eventually("the third node by rank has parents", func() bool {
+		for _, n := range []string{"n1", "n2", "n3"} {
+			if h.nodes[n].position().Rank() == 2 {
+				last = h.nodes[n]
+			}
+		}
+		return last != nil && !last.orphaned.Load() && last.freshness.known()
+	})
+	for _, parent := range last.position().Parents() {
+		h.nodes[parent.Instance()].stalled.Store(true)
+	}
+	before := other.views.Load()
+	h.eventually("another failure domain is asked", func() bool { return other.views.Load() > before })
+}
--- a/internal/policy/tree/round.go
+++ b/internal/policy/tree/round.go
@@ -114,10 +114,48 @@
 // Over reports whether no parent can answer any more.
 func (r *Round) Over() bool { return len(r.pending) == 0 }
 
+const (
+	// othersAfter is by how much all answers have to be late before other nodes are asked, and
+	// othersInterval the time until that is repeated. It is done maxOthers times until a parent
+	// answers.
+	othersAfter    = 150 * time.Millisecond
+	othersInterval = 200 * time.Millisecond
+	maxOthers      = 8
+)
+
+// AskOthers reports whether nodes that are no parents have to be asked for a newer version now, as
+// all parents that were asked are late: which of them are silent shows only later, and those that
+// take their place may fall silent, too. It does so for nodes that a parent has answered before,
+// as nodes that start together are slow.
+func (r *Round) AskOthers(now time.Time) bool {
+	if at := r.othersAt(); at.IsZero() || now.Before(at) {
+		return false
+	}
+	r.s.othersAsked++
+	r.s.othersAskedAt = now
+	return true
+}
+
+// othersAt returns when others are asked next unless a parent answers; zero for never.
+func (r *Round) othersAt() (at time.Time) {
+	if !r.s.heard || r.s.othersAsked >= maxOthers {
+		return time.Time{}
+	}
+	for _, p := range r.pending {
+		if due := p.due.Add(othersAfter); !p.stale && due.After(at) {
+			at = due
+		}
+	}
+	if again := r.s.othersAskedAt.Add(othersInterval); !at.IsZero() && r.s.othersAsked > 0 && again.After(at) {
+		return again
+	}
+	return at
+}
+
 // minWake bounds how often a round is asked for its next step.
 const minWake = 10 * time.Millisecond
 
-// Wake returns the time until Next, or whether the node is orphaned, may change.
+// Wake returns the time until Next or AskOthers, or whether the node is orphaned, may change.
 func (r *Round) Wake(now time.Time) time.Duration {
 	wait := time.Duration(0)
 	soonest := func(at time.Time) {
@@ -129,6 +167,7 @@
 		soonest(p.late)
 	}
 	soonest(r.s.orphanedAt())
+	soonest(r.othersAt())
 	if wait == 0 {
 		wait = r.s.orphanedAfter
 	}
--- a/internal/policy/tree/round_test.go
+++ b/internal/policy/tree/round_test.go
@@ -21,22 +21,29 @@
 	pullHoldDown  = 3 * time.Second
 	orphanedPulls = 800 * time.Millisecond
 	parallelPulls = 3
-	// versionBound is the shortest time in which a version has to be in force everywhere.
+	// versionBound is the shortest time in which a version has to be in force everywhere, and
+	// seriesBound that for nodes that fall silent in series.
 	versionBound = 2 * time.Second
+	seriesBound  = 2500 * time.Millisecond
 	// hopTime and readTime are what a response of another node and a read of the store take.
 	hopTime, readTime = 30 * time.Millisecond, 150 * time.Millisecond
+	// othersKnow is when other failure domains have the version, othersAnswer the share of their
+	// nodes that answer, and othersTime what a query of one takes.
+	othersKnow, othersAnswer, othersTime = 300 * time.Millisecond, 0.7, 60 * time.Millisecond
 )
 
 // puller is a node of a simulated failure domain, in which some stand still.
 type puller struct {
 	name     string
-	silent   bool
+	still    bool
+	stillAt  time.Time
 	position Position
 	selector *Selector
 	round    *Round
 	pulls    map[string]pull
-	version  time.Time // from when the node has the version; zero if it has not
-	readsAt  time.Time // when it has read the store; zero if it does not
+	others   *rand.Rand // draws which nodes of other failure domains answer; nil if there are none
+	version  time.Time  // from when the node has the version; zero if it has not
+	readsAt  time.Time  // when it has read the store; zero if it does not
 }
 
 type pull struct {
@@ -44,6 +51,8 @@
 	hold time.Duration
 }
 
+func (p *puller) silent(now time.Time) bool { return p.still && !now.Before(p.stillAt) }
+
 func (p *puller) has(now time.Time) bool { return !p.version.IsZero() && !now.Before(p.version) }
 
 func (p *puller) ask(now time.Time, parent string, hold, slack time.Duration) {
@@ -83,10 +92,10 @@
 	for parent, asked := range p.pulls {
 		from := others[parent]
 		switch {
-		case from.silent && now.Sub(asked.at) >= pullTimeout:
+		case from.silent(now) && now.Sub(asked.at) >= pullTimeout:
 			p.round.Failed(now, parent)
 			delete(p.pulls, parent)
-		case from.silent:
+		case from.silent(now):
 		case from.has(now.Add(-hopTime)) && !p.has(now), now.Sub(asked.at) >= asked.hold+hopTime:
 			if from.has(now.Add(-hopTime)) && p.version.IsZero() {
 				p.version = now.Add(hopTime)
@@ -103,6 +112,13 @@
 	if next, ok := p.round.Next(now); ok {
 		p.ask(now, next.Instance(), 0, furtherSlack)
 	}
+	if p.others != nil && p.round.AskOthers(now) {
+		for range 2 {
+			if p.version.IsZero() && now.Sub(start) >= othersKnow && p.others.Float64() < othersAnswer {
+				p.version = now.Add(othersTime)
+			}
+		}
+	}
 }
 
 // avoidParents has the node avoid some of its first parents, as after earlier failures, while a
@@ -120,9 +136,9 @@
 	p.selector.Answered(start.Add(-pullHold), parents[n].Instance(), 0)
 }
 
-// timeToAll returns how long a version that is written just after some nodes of a failure domain
-// stood still takes to all others.
-func timeToAll(t *testing.T, rng *rand.Rand, nodes int, stillRanks []int) time.Duration {
+// timeToAll returns how long a version that is written at the start takes to all nodes of a failure
+// domain that don't stand still; stillAt holds when others begin to, by rank.
+func timeToAll(t *testing.T, rng, others *rand.Rand, nodes int, stillAt map[int]time.Duration) time.Duration {
 	t.Helper()
 	var records []membership.Record
 	for i := range nodes {
@@ -130,12 +146,12 @@
 	}
 	byName := map[string]*puller{}
 	for _, r := range records {
-		p := &puller{name: r.Instance(), position: PositionOf(r.Instance(), "d", records)}
+		p := &puller{name: r.Instance(), others: others, position: PositionOf(r.Instance(), "d", records)}
 		p.selector = NewSelector(rng, StaleAfter(pullStale), HoldDown(pullHoldDown), OrphanedAfter(orphanedPulls))
 		p.selector.Update(p.position)
-		for _, rank := range stillRanks {
-			p.silent = p.silent || p.position.Rank() == rank
-		}
+		var after time.Duration
+		after, p.still = stillAt[p.position.Rank()]
+		p.stillAt = start.Add(after)
 		p.avoidParents(rng)
 		byName[p.name] = p
 	}
@@ -146,21 +162,36 @@
 	for now := start; now.Before(start.Add(20 * time.Second)); now = now.Add(5 * time.Millisecond) {
 		left := 0
 		for _, r := range records {
-			if p := byName[r.Instance()]; !p.silent {
+			p := byName[r.Instance()]
+			if !p.silent(now) {
 				p.step(now, byName)
-				if !p.has(now) {
-					left++
-				}
+			}
+			if !p.still && !p.has(now) {
+				left++
 			}
 		}
 		if left == 0 {
 			return now.Sub(start)
 		}
 	}
-	t.Fatalf("no end with %d nodes, of which ranks %v stand still", nodes, stillRanks)
+	t.Fatalf("no end with %d nodes, of which ranks %v stand still", nodes, stillAt)
 	return 0
 }
 
+// drawStill draws which ranks stand still from the start: some of the first and a share of the others.
+func drawStill(rng *rand.Rand, nodes int) map[int]time.Duration {
+	still := map[int]time.Duration{}
+	for rank := range rng.IntN(min(6, nodes)) {
+		still[rank] = 0
+	}
+	for rank := len(still); rank < nodes; rank++ {
+		if rng.Float64() < 0.3 {
+			still[rank] = 0
+		}
+	}
+	return still
+}
+
 // Guards against a version that is late in a whole failure domain because the nodes that read
 // the store, or pass it on, have become silent together.
 func TestAVersionIsInTimeWhicheverNodesAreSilent(t *testing.T) {
@@ -168,21 +199,69 @@
 	for seed := range uint64(200) {
 		rng := rand.New(rand.NewPCG(seed, 3))
 		nodes := 2 + rng.IntN(60)
-		var still []int
-		for rank := range rng.IntN(min(6, nodes)) { // the first ranks
-			still = append(still, rank)
+		still := drawStill(rng, nodes)
+		if took := timeToAll(t, rng, nil, nodes, still); took > versionBound {
+			t.Errorf("seed %d: %v with %d nodes, of which ranks %v stand still", seed, took, nodes, still)
 		}
-		for rank := len(still); rank < nodes; rank++ {
-			if rng.Float64() < 0.3 {
-				still = append(still, rank)
+	}
+}
+
+// Guards against a version that is late because nodes that take the place of silent ones, or pass on
+// what those read, fall silent before they have done so.
+func TestAVersionIsInTimeWhenNodesFallSilentInSeries(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		nodes := 2 + rng.IntN(60)
+		still := drawStill(rng, nodes)
+		at := time.Duration(0)
+		for range 2 {
+			at += time.Duration(rng.Int64N(int64(2 * time.Second)))
+			for rank := range nodes {
+				if _, drawn := still[rank]; !drawn && rng.Float64() < 0.15 {
+					still[rank] = at
+				}
 			}
 		}
-		if took := timeToAll(t, rng, nodes, still); took > versionBound {
-			t.Errorf("seed %d: %v with %d nodes, of which ranks %v stand still", seed, took, nodes, still)
+		if took := timeToAll(t, rng, rand.New(rand.NewPCG(seed, 4)), nodes, still); took > seriesBound {
+			t.Errorf("seed %d: %v with %d nodes, of which ranks stand still from %v on", seed, took, nodes, still)
 		}
 	}
 }
 
+// Guards against nodes of other failure domains that are asked at a start, when all answers are slow,
+// while parents answer in time, or without end while none does.
+func TestOthersAreAskedWhileAllParentsAreLate(t *testing.T) {
+	t.Parallel()
+	asked := func(s *Selector, until time.Duration) (times []time.Duration) {
+		r := NewRound(s, parallelPulls)
+		r.Ask(start, "p0", pullHold, firstSlack)
+		for d := time.Duration(0); d < until; d += r.Wake(at(d)) {
+			if next, ok := r.Next(at(d)); ok {
+				r.Ask(at(d), next.Instance(), 0, furtherSlack)
+			}
+			if r.AskOthers(at(d)) {
+				times = append(times, d)
+			}
+		}
+		return times
+	}
+	s := selectorWithParents(5)
+	if got := asked(s, 5*time.Second); got != nil {
+		t.Errorf("asked at a start after %v", got)
+	}
+	s.Answered(start, "p0", 0)
+	if got := asked(s, 940*time.Millisecond); got != nil {
+		t.Errorf("asked while the parent is not late after %v", got)
+	}
+	if got := asked(s, 10*time.Second); len(got) != maxOthers || got[0] != 950*time.Millisecond || got[maxOthers-1] > 3500*time.Millisecond {
+		t.Errorf("asked while no parent answers after %v", got)
+	}
+	if got := asked(s, 10*time.Second); got != nil {
+		t.Errorf("asked again, though no parent has answered, after %v", got)
+	}
+}
+
 // Guards against parents that are asked one after the other, each for a full timeout, and
 // against an orphan that goes on waiting for them.
 func TestASilentRoundAsksFurtherParentsAndEndsWithAnOrphan(t *testing.T) {
--- a/internal/policy/tree/selector.go
+++ b/internal/policy/tree/selector.go
@@ -38,8 +38,13 @@
 	// staleSince that of the first stale answer since the last one that was not
 	// stale; each is zero if there was none.
 	failingSince, staleSince time.Time
-	// answered is the parent that answered last; empty once it has failed.
+	// answered is the parent that answered last; empty once it has failed. heard is set once any
+	// has answered.
 	answered string
+	heard    bool
+	// othersAsked is how often other nodes were asked since then, othersAskedAt when last.
+	othersAsked   int
+	othersAskedAt time.Time
 	// maxStale is how long all parents may be stale before the node acts as a
 	// root.
 	maxStale time.Duration
@@ -218,7 +223,8 @@
 // Answered records a parent's answer and the age of its last report from the
 // domain's root.
 func (s *Selector) Answered(now time.Time, instance string, age time.Duration) {
-	s.failingSince, s.answered = time.Time{}, instance
+	s.failingSince, s.answered, s.heard = time.Time{}, instance, true
+	s.othersAsked = 0
 	ps := s.state(instance)
 	ps.backoff.Reset()
 	ps.retryAt, ps.avoidUntil = time.Time{}, time.Time{}
