traffic/http1, platform: clients leave descriptors to the node

Cause: connections of clients were accepted until no descriptor was left.

Clients get three quarters of the descriptors at most, by the smaller of the process's limit and what the platform's settings say. One more takes the place of the connection that has been idle longest, or its first request is refused at once; far beyond the bound it is reset. Metric banyanlug_client_connections.

--- a/internal/process/node/wire.go
+++ b/internal/process/node/wire.go
@@ -124,7 +124,7 @@
 		opts = append(opts, caller.WithLimits(n.limits))
 	}
 	calls := caller.New(n.gate, directory{n.view}, n.hop, sealer, n.clock, opts...)
-	n.callers = caller.NewServer(calls, n.clock, n.log)
+	n.callers = caller.NewServer(calls, n.clock, n.log, http1.WithMaxConns(http1.MaxClientConns(0)))
 	if n.cfg.pool == "" {
 		return
 	}
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -209,7 +209,7 @@
 		caller.WithRefusalRetries(refusedRetries), caller.WithCallLog(n.log), caller.WithCrashRegister(n.crashes),
 		caller.WithBudgets(n.budgets), caller.WithLimits(n.tokens), caller.WithOverload(n.overload),
 		caller.WithDrain(n.drainGate), caller.WithNestedDeadline(n.madeByTarget),
-	), n.clk, n.log, http1.WithLimits(n.clientLimits))
+	), n.clk, n.log, http1.WithLimits(n.clientLimits), http1.WithMaxConns(http1.MaxClientConns(n.cfg.Sockets)))
 	n.slots = target.NewSlots(n.fleet, n.cfg.Pool, n.clk, target.WithOverload(n.overload))
 	n.slots.SetProcess(n.tracker.Target())
 	n.targetHandler = target.New(n.slots, n.targetAddress, n.targetClient, nil, nil, n.clk,
@@ -453,6 +453,14 @@
 	gauge("banyanlug_limit_tokens_issued_total", func() float64 { return float64(n.tokens.Issued()) })
 	n.metrics.RegisterMetricsWriter(n.tokens.WriteMetrics)
 	gauge("banyanlug_store_silent_seconds", func() float64 { return n.fleet.StoreAge().Seconds() })
+	for state, value := range map[string]func(http1.ConnStats) float64{
+		"open":    func(s http1.ConnStats) float64 { return float64(s.Open) },
+		"max":     func(s http1.ConnStats) float64 { return float64(s.Max) },
+		"closed":  func(s http1.ConnStats) float64 { return float64(s.Closed) },
+		"refused": func(s http1.ConnStats) float64 { return float64(s.Refused) },
+	} {
+		gauge(fmt.Sprintf("banyanlug_client_connections{of=%q}", state), func() float64 { return value(n.callerServer.ConnStats()) })
+	}
 	gauge("banyanlug_log_dropped_lines", func() float64 { return float64(n.out.Dropped()) })
 	gauge("banyanlug_scheduling_delay_seconds", func() float64 { return n.overload.Delay().Seconds() })
 	gauge("banyanlug_overloaded", func() float64 {
--- a/internal/process/resident/settings.go
+++ b/internal/process/resident/settings.go
@@ -22,6 +22,7 @@
 	Peers    string // IP:port of the control server for other nodes
 	Admin    string // IP:port of the metrics server, or "" for none
 	Link     int    // bandwidth of the instance's network link in Mbit/s, 0 if unknown
+	Sockets  int    // how many sockets the process may open, 0 if unknown
 	Reloadable
 }
 
--- a/internal/traffic/caller/server.go
+++ b/internal/traffic/caller/server.go
@@ -31,6 +31,9 @@
 	s.http.Serve(ctx, ln, done)
 }
 
+// ConnStats returns the counts of the connections.
+func (s *Server) ConnStats() http1.ConnStats { return s.http.ConnStats() }
+
 // DisableKeepAlive closes each connection after its next response. Calls are still
 // served.
 func (s *Server) DisableKeepAlive() { s.http.DisableKeepAlive() }
--- a/internal/traffic/http1/conn.go
+++ b/internal/traffic/http1/conn.go
@@ -27,8 +27,13 @@
 	done      chan struct{}
 	callStart time.Time // guarded by shard.mu
 
+	// refused is set if the connection is one too many: its first call is refused.
+	refused bool
+
 	mu        sync.Mutex
 	idle      bool
+	idleFrom  time.Time
+	ending    bool // an idle connection is closed for a new one
 	noCallYet bool
 	cancel    context.CancelCauseFunc
 }
@@ -79,11 +84,11 @@
 // awaitCall waits for the first byte of a call and reports whether one arrived.
 func (c *conn) awaitCall() bool {
 	c.mu.Lock()
-	c.idle = true
+	c.idle, c.idleFrom, c.ending = true, c.s.clk.Now(), false
 	// Drain sets draining before setDrainDeadlineIfIdle takes c.mu, so either this load
 	// sees draining or that method sees idle.
 	until := c.s.idleDeadline()
-	if c.s.draining.Load() {
+	if c.s.draining.Load() || c.refused {
 		until = c.drainDeadline()
 	}
 	_ = c.rwc.SetReadDeadline(until)
@@ -158,6 +163,10 @@
 		c.refuse(c.s.drainRefusal)
 		return false
 	}
+	if c.refused {
+		c.refuse(tooManyConns)
+		return false
+	}
 	if limit := c.s.bodyBytes(); r.ContentLength > limit {
 		c.refuse(bodyTooLarge(limit))
 		return false
@@ -316,6 +325,7 @@
 	c.shard.mu.Lock()
 	delete(c.shard.conns, c)
 	c.shard.mu.Unlock()
+	c.s.stats.open.Add(-1)
 }
 
 // deadlineWriter sets a deadline of writeTimeout for each write.
--- a/internal/traffic/http1/server.go
+++ b/internal/traffic/http1/server.go
@@ -69,6 +69,8 @@
 	bodyTimeout  time.Duration
 	maxBody      int64
 	limits       func() Limits
+	maxConns     int // 0 for any number
+	stats        connStats
 
 	keepAliveOff atomic.Bool
 	draining     atomic.Bool
@@ -129,6 +131,10 @@
 // WithMaxBody sets the size limit of a request body in bytes.
 func WithMaxBody(n int64) Option { return func(s *Server) { s.maxBody = n } }
 
+// WithMaxConns bounds the connections, so that clients leave file descriptors to the rest of the
+// process.
+func WithMaxConns(n int) Option { return func(s *Server) { s.maxConns = n } }
+
 // WithFaultHandler sets a function that receives a PanicError for a handler that panics
 // and a LengthError for a response whose body does not match its Content-Length.
 // The connection is closed in both cases.
@@ -227,6 +233,10 @@
 
 func (s *Server) start(ctx context.Context, rwc net.Conn) {
 	c := newConn(s, &s.shards[s.nextShard.Add(1)%shardCount], WithRawSyscalls(rwc))
+	if !s.admitConn(c) {
+		c.abort()
+		return
+	}
 	c.shard.mu.Lock()
 	c.shard.conns[c] = struct{}{}
 	c.shard.mu.Unlock()
