control/fleet: one piece records what the store returned, one draws nodes

Behaviour as before. Two places drew random nodes, one of them by shuffling all of them for two.

Left as they are: the callers that except a conflict alone (restored and removed entries, rollouts), as for them an expired lease is a failure to repeat.

Tests of the package green with the race detector.

--- a/internal/control/fleet/domainkey.go
+++ b/internal/control/fleet/domainkey.go
@@ -137,12 +137,10 @@
 		expired  *platform.LeaseExpiredError
 		conflict *platform.ConflictError
 	)
+	f.storeReturned(ctx, err)
 	switch {
-	case err == nil:
-		f.storeAnswered()
 	case errors.As(err, &expired):
 		// The store has removed the key with the lease.
-		f.storeAnswered()
 		f.log.Emit(event.LeaseLost)
 		f.domainKey.mu.Lock()
 		f.domainKey.revision, f.domainKey.lease = 0, 0
@@ -152,10 +150,7 @@
 		}
 		f.noteUnseenKey(conflict)
 	case errors.As(err, &conflict):
-		f.storeAnswered()
 		f.noteUnseenKey(conflict)
-	default:
-		f.storeFailed(ctx, err)
 	}
 }
 
@@ -199,12 +194,11 @@
 // that needs it, as its parents don't answer.
 func (f *Fleet) checkStore(ctx context.Context) {
 	self, _ := f.ownRecord()
-	if _, _, err := f.store.Range(ctx, domainsPrefix+self.Domain(), platform.AllowStale()); err != nil {
-		f.storeFailed(ctx, err)
-		return
+	_, _, err := f.store.Range(ctx, domainsPrefix+self.Domain(), platform.AllowStale())
+	f.storeReturned(ctx, err)
+	if err == nil {
+		f.signal(f.readerChanged)
 	}
-	f.storeAnswered()
-	f.signal(f.readerChanged)
 }
 
 // domainUnreachable marks the ready members of a failure domain as missing, so that they are
--- a/internal/control/fleet/position.go
+++ b/internal/control/fleet/position.go
@@ -132,8 +132,8 @@
 	began, backoff := f.clk.Now(), minRetry
 	for ctx.Err() == nil {
 		ownEntry, err := f.readDomain(ctx)
+		f.storeReturned(ctx, err)
 		if err != nil {
-			f.storeFailed(ctx, err)
 			// Other nodes have reported these members, which can be pulled from during the
 			// outage.
 			if f.hasOtherMembers() {
@@ -143,7 +143,6 @@
 			backoff = min(2*backoff, maxStartRetry)
 			continue
 		}
-		f.storeAnswered()
 		// A copy that has the node's own entry has those that were written before it.
 		if f.hasOtherMembers() || ownEntry || f.clk.Since(began) >= aloneAfter {
 			break
--- a/internal/control/fleet/query.go
+++ b/internal/control/fleet/query.go
@@ -104,10 +104,19 @@
 	if len(remote) == 0 {
 		remote = local
 	}
+	return f.pickRandom(remote, n)
+}
+
+// pickRandom returns some records, chosen at random, and reorders the given ones.
+func (f *Fleet) pickRandom(records []membership.Record, n int) []membership.Record {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.rng.Shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
-	return remote[:min(n, len(remote))]
+	n = min(n, len(records))
+	for i := range n {
+		j := i + f.rng.IntN(len(records)-i)
+		records[i], records[j] = records[j], records[i]
+	}
+	return records[:n]
 }
 
 // queryRandomPeer queries one other node, chosen at random.
@@ -121,13 +130,9 @@
 		peers = append(peers, remote...)
 	}
 	f.queries++
-	if len(peers) == 0 {
-		return
+	for _, peer := range f.pickRandom(peers, 1) {
+		f.queryPeer(ctx, peer.ControlAddress(), true)
 	}
-	f.mu.Lock()
-	peer := peers[f.rng.IntN(len(peers))]
-	f.mu.Unlock()
-	f.queryPeer(ctx, peer.ControlAddress(), true)
 }
 
 // queryPeer requests a node's newer configuration and its rollouts, and all of its
--- a/internal/control/fleet/syncstore.go
+++ b/internal/control/fleet/syncstore.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -49,15 +48,13 @@
 		}
 		began := f.clk.Now()
 		changes, result := f.syncOnce(ctx, m, &after)
-		var compacted *platform.CompactedError
-		if result.err == nil || errors.As(result.err, &compacted) {
-			f.storeAnswered()
+		f.storeReturned(ctx, result.err)
+		if platform.Answered(result.err) {
 			f.standbyAnswered.Store(true)
 			f.freshness.update(f.clk.Now(), 0)
 			backoff = minRetry
 			_ = f.clk.Sleep(ctx, m.pause(changes, result))
 		} else {
-			f.storeFailed(ctx, result.err)
 			_ = f.clk.Sleep(ctx, f.jitter(backoff))
 			backoff = min(2*backoff, maxRetry)
 		}
