--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -453,14 +453,10 @@
 	gauge("banyanlug_limit_tokens_issued_total", func() float64 { return float64(n.tokens.Issued()) })
 	n.metrics.RegisterMetricsWriter(n.tokens.WriteMetrics)
 	gauge("banyanlug_store_silent_seconds", func() float64 { return n.fleet.StoreAge().Seconds() })
-	for state, value := range map[string]func(http1.ConnStats) float64{
-		"open":    func(s http1.ConnStats) float64 { return float64(s.Open) },
-		"max":     func(s http1.ConnStats) float64 { return float64(s.Max) },
-		"closed":  func(s http1.ConnStats) float64 { return float64(s.Closed) },
-		"refused": func(s http1.ConnStats) float64 { return float64(s.Refused) },
-	} {
-		gauge(fmt.Sprintf("banyanlug_client_connections{of=%q}", state), func() float64 { return value(n.callerServer.ConnStats()) })
-	}
+	gauge(`banyanlug_client_connections{of="open"}`, func() float64 { return float64(n.callerServer.ConnStats().Open) })
+	gauge(`banyanlug_client_connections{of="max"}`, func() float64 { return float64(n.callerServer.ConnStats().Max) })
+	gauge(`banyanlug_client_connections{of="closed"}`, func() float64 { return float64(n.callerServer.ConnStats().Closed) })
+	gauge(`banyanlug_client_connections{of="refused"}`, func() float64 { return float64(n.callerServer.ConnStats().Refused) })
 	gauge("banyanlug_log_dropped_lines", func() float64 { return float64(n.out.Dropped()) })
 	gauge("banyanlug_scheduling_delay_seconds", func() float64 { return n.overload.Delay().Seconds() })
 	gauge("banyanlug_overloaded", func() float64 {
--- a/internal/traffic/hop/body.go
+++ b/internal/traffic/hop/body.go
@@ -84,8 +84,8 @@
 	case err != nil:
 		return nil, &BodyError{Err: err}
 	case len(b) > ReplayBytes:
-		s := NewStream(nil, r.ContentLength, interrupt)
-		s.r = &digestReader{r: io.MultiReader(newReader(b), r.Body), digest: &s.digest}
+		s := NewStream(io.MultiReader(newReader(b), r.Body), r.ContentLength, interrupt)
+		s.computeDigest()
 		s.prefix = poison.Digest(b[:ReplayBytes])
 		return s, nil
 	case r.ContentLength > 0:
@@ -109,7 +109,7 @@
 		digest := m.bodyDigest // so that m stays on the stack
 		s.digest.Store(&digest)
 	case long:
-		s.r = &digestReader{r: r.Body, digest: &s.digest}
+		s.computeDigest()
 	}
 	return s, nil
 }
@@ -125,6 +125,9 @@
 	return func() { _ = control.SetReadDeadline(pastDeadline) }
 }
 
+// computeDigest has the digest computed of what is read from now on.
+func (s *Stream) computeDigest() { s.r = &digestReader{r: s.r, digest: &s.digest} }
+
 // digestReader computes the digest of a body that is read from it.
 type digestReader struct {
 	r      io.Reader
--- a/internal/traffic/http1/conn.go
+++ b/internal/traffic/http1/conn.go
@@ -88,7 +88,7 @@
 	// Drain sets draining before setDrainDeadlineIfIdle takes c.mu, so either this load
 	// sees draining or that method sees idle.
 	until := c.s.idleDeadline()
-	if c.s.draining.Load() || c.refused {
+	if c.refusal() != nil {
 		until = c.drainDeadline()
 	}
 	_ = c.rwc.SetReadDeadline(until)
@@ -105,6 +105,18 @@
 	return err == nil
 }
 
+// refusal returns what calls on the connection are refused with now, or nil.
+func (c *conn) refusal() *Refusal {
+	switch {
+	case c.s.draining.Load():
+		return c.s.drainRefusal
+	case c.refused:
+		return tooManyConns
+	default:
+		return nil
+	}
+}
+
 var pastDeadline = time.Unix(1, 0)
 
 // firstCallTimeout is how long a draining server waits for the first call on a
@@ -159,12 +171,8 @@
 		c.refuseHead(err)
 		return false
 	}
-	if c.s.draining.Load() {
-		c.refuse(c.s.drainRefusal)
-		return false
-	}
-	if c.refused {
-		c.refuse(tooManyConns)
+	if refusal := c.refusal(); refusal != nil {
+		c.refuse(refusal)
 		return false
 	}
 	if limit := c.s.bodyBytes(); r.ContentLength > limit {
--- a/internal/traffic/http1/maxconns.go
+++ b/internal/traffic/http1/maxconns.go
@@ -25,8 +25,8 @@
 	maxReserved   = 4096
 )
 
-// MaxClientConns returns how many connections clients may have in a process that may open some
-// number of sockets, 0 if that is known from its limit of file descriptors alone.
+// MaxClientConns returns how many connections clients may have, by the process's limit of file
+// descriptors and by how many sockets it may open, 0 if unknown.
 func MaxClientConns(sockets int) int {
 	var limit syscall.Rlimit
 	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) == nil && (sockets <= 0 || limit.Cur < uint64(sockets)) {
@@ -82,7 +82,7 @@
 	latest, sampled := s.clk.Now().Add(-minIdle), 0
 	var idlest *conn
 	first := s.nextShard.Load()
-	for i := range uint32(shardCount) {
+	for i := uint32(0); i < shardCount && sampled < maxSampled; i++ {
 		sh := &s.shards[(first+i)%shardCount]
 		sh.mu.Lock()
 		for c := range sh.conns {
@@ -94,9 +94,6 @@
 			}
 		}
 		sh.mu.Unlock()
-		if sampled >= maxSampled {
-			break
-		}
 	}
 	return idlest != nil && idlest.endIdle()
 }
