policy/tree: the tests of silent nodes share their play

The same seeds, draws, bounds and assertions: the two tests of the time to all nodes differ by their sets and whether there are other failure domains, the two of a silent round by when it stops.

--- a/internal/policy/tree/round_test.go
+++ b/internal/policy/tree/round_test.go
@@ -192,30 +192,16 @@
 	return still
 }
 
-// Guards against a version that is late in a whole failure domain because the nodes that read
-// the store, or pass it on, have become silent together.
-func TestAVersionIsInTimeWhicheverNodesAreSilent(t *testing.T) {
-	t.Parallel()
-	for seed := range uint64(200) {
-		rng := rand.New(rand.NewPCG(seed, 3))
-		nodes := 2 + rng.IntN(60)
-		still := drawStill(rng, nodes)
-		if took := timeToAll(t, rng, nil, nodes, still); took > versionBound {
-			t.Errorf("seed %d: %v with %d nodes, of which ranks %v stand still", seed, took, nodes, still)
-		}
-	}
-}
-
-// Guards against a version that is late because nodes that take the place of silent ones, or pass on
-// what those read, fall silent before they have done so.
-func TestAVersionIsInTimeWhenNodesFallSilentInSeries(t *testing.T) {
-	t.Parallel()
+// checkTimeToAll plays failure domains in which some nodes stand still from the start and further
+// sets of them, up to 2 s apart, later, and checks how long a version takes to all others.
+func checkTimeToAll(t *testing.T, furtherSets int, otherDomains bool, bound time.Duration) {
+	t.Helper()
 	for seed := range uint64(200) {
 		rng := rand.New(rand.NewPCG(seed, 3))
 		nodes := 2 + rng.IntN(60)
 		still := drawStill(rng, nodes)
 		at := time.Duration(0)
-		for range 2 {
+		for range furtherSets {
 			at += time.Duration(rng.Int64N(int64(2 * time.Second)))
 			for rank := range nodes {
 				if _, drawn := still[rank]; !drawn && rng.Float64() < 0.15 {
@@ -223,28 +209,54 @@
 				}
 			}
 		}
-		if took := timeToAll(t, rng, rand.New(rand.NewPCG(seed, 4)), nodes, still); took > seriesBound {
+		var others *rand.Rand
+		if otherDomains {
+			others = rand.New(rand.NewPCG(seed, 4))
+		}
+		if took := timeToAll(t, rng, others, nodes, still); took > bound {
 			t.Errorf("seed %d: %v with %d nodes, of which ranks stand still from %v on", seed, took, nodes, still)
 		}
 	}
 }
 
+// Guards against a version that is late in a whole failure domain because the nodes that read
+// the store, or pass it on, have become silent together.
+func TestAVersionIsInTimeWhicheverNodesAreSilent(t *testing.T) {
+	t.Parallel()
+	checkTimeToAll(t, 0, false, versionBound)
+}
+
+// Guards against a version that is late because nodes that take the place of silent ones, or pass on
+// what those read, fall silent before they have done so.
+func TestAVersionIsInTimeWhenNodesFallSilentInSeries(t *testing.T) {
+	t.Parallel()
+	checkTimeToAll(t, 2, true, seriesBound)
+}
+
+// playSilentRound plays a round in which no parent answers until it is stopped. It returns the
+// further parents that are asked and when, and when other nodes are.
+func playSilentRound(r *Round, stop func(time.Duration) bool) (parents []string, others []time.Duration) {
+	for d := time.Duration(0); !stop(d); d += r.Wake(at(d)) {
+		if next, ok := r.Next(at(d)); ok {
+			parents = append(parents, fmt.Sprintf("%s after %v", next.Instance(), d))
+			r.Ask(at(d), next.Instance(), 0, furtherSlack)
+		}
+		if r.AskOthers(at(d)) {
+			others = append(others, d)
+		}
+	}
+	return parents, others
+}
+
 // Guards against nodes of other failure domains that are asked at a start, when all answers are slow,
 // while parents answer in time, or without end while none does.
 func TestOthersAreAskedWhileAllParentsAreLate(t *testing.T) {
 	t.Parallel()
-	asked := func(s *Selector, until time.Duration) (times []time.Duration) {
+	asked := func(s *Selector, until time.Duration) []time.Duration {
 		r := NewRound(s, parallelPulls)
 		r.Ask(start, "p0", pullHold, firstSlack)
-		for d := time.Duration(0); d < until; d += r.Wake(at(d)) {
-			if next, ok := r.Next(at(d)); ok {
-				r.Ask(at(d), next.Instance(), 0, furtherSlack)
-			}
-			if r.AskOthers(at(d)) {
-				times = append(times, d)
-			}
-		}
-		return times
+		_, others := playSilentRound(r, func(d time.Duration) bool { return d >= until })
+		return others
 	}
 	s := selectorWithParents(5)
 	if got := asked(s, 5*time.Second); got != nil {
@@ -278,13 +290,7 @@
 // asked and when the node becomes an orphan.
 func checkSilentRound(t *testing.T, r *Round, orphaned time.Duration, want ...string) {
 	t.Helper()
-	asked := []string{}
-	for d := time.Duration(0); d < 3*time.Second && !r.s.Orphaned(at(d)); d += r.Wake(at(d)) {
-		if next, ok := r.Next(at(d)); ok {
-			asked = append(asked, fmt.Sprintf("%s after %v", next.Instance(), d))
-			r.Ask(at(d), next.Instance(), 0, furtherSlack)
-		}
-	}
+	asked, _ := playSilentRound(r, func(d time.Duration) bool { return d >= 3*time.Second || r.s.Orphaned(at(d)) })
 	if diff := cmp.Diff(want, asked); diff != "" {
 		t.Errorf("parents asked (-want +got):\n%s", diff)
 	}
