policy/rollout: a replaced version takes no calls after completed while a new target is ready

Operators stop the old targets at that moment without a drain, so such calls are lost.

Cause: an old target's node refuses calls during the shift, by Rollout.CurrentClosed, which holds in that stage alone. Once the node knew the status completed it admitted calls again, as old targets may be needed if no new one is left. The call of a sender that is late ran there.

In a test of six nodes all three old nodes admitted calls.

Why this works: after completed the node admits a call to a replaced target only while its own view has no ready target of the new version, the rule by which senders choose (Groups). Refusing always would leave a failure domain that is cut off with old targets alone without any; refusing for a time would need to know how late a sender can be.

--- a/internal/control/fleet/rollout_test.go
+++ b/internal/control/fleet/rollout_test.go
@@ -211,6 +211,31 @@
 	}
 }
 
+// Guards against a replaced version that takes calls again once its nodes know that the rollout has
+// completed, and against one that takes none though no target of the new version is left.
+func TestAReplacedVersionTakesCallsOnlyOnceItsSuccessorIsGone(t *testing.T) {
+	t.Parallel()
+	h := newRolloutHarness(t)
+	old := []string{"n1", "n2", "n3"}
+	h.order("v2", 4*time.Second)
+	h.eventually("the rollout completes", func() bool { h.observeCalls(false); return h.status().State == rollout.Completed })
+	h.waitForTargetsOn(old, "n4", "n5", "n6")
+	for _, n := range old {
+		if h.nodes[n].Admits() {
+			t.Errorf("%s admits a call to a replaced version", n)
+		}
+	}
+	for _, n := range []string{"n4", "n5", "n6"} {
+		h.nodes[n].Announce(membership.Draining, n+"-target", 12, "", membership.Version(versionsOf[n]))
+	}
+	h.waitForTargetsOn(old, old...)
+	for _, n := range old {
+		if !h.nodes[n].Admits() {
+			t.Errorf("%s admits no call, though no other target is left", n)
+		}
+	}
+}
+
 // Guards against a node that says that it knows all rollouts and leaves out those that it learns of
 // while it answers: the receiver admits calls to a version that was rolled back.
 func TestAnAnswerThatIsCompleteHasAllRollouts(t *testing.T) {
--- a/internal/control/fleet/rollouts.go
+++ b/internal/control/fleet/rollouts.go
@@ -354,7 +354,7 @@
 		return true
 	}
 	_, shift := pr.elapsed(now)
-	return pr.known.Admits(self.Version(), limit, shift)
+	return pr.known.Admits(self.Version(), limit, shift, f.view.hasTarget(self.Pool(), pr.known.Order().Version()))
 }
 
 // Observe records a response of the target beside this node for the rollout's statistics.
--- a/internal/control/fleet/view.go
+++ b/internal/control/fleet/view.go
@@ -478,6 +478,18 @@
 // rolloutGroups returns a pool's groups, empty if it has no candidates.
 func (v *view) rolloutGroups(pool string) rollout.Groups { return (*v.grouped.Load())[pool] }
 
+// hasTarget reports whether calls of a pool may go to a target of the version that the
+// pool's last order names.
+func (v *view) hasTarget(pool, version string) bool {
+	// Either all targets of a group have that version or none has.
+	for _, group := range [][]membership.Record{v.targets(pool), v.rolloutGroups(pool).Candidates()} {
+		if len(group) > 0 && group[0].Version() == version {
+			return true
+		}
+	}
+	return false
+}
+
 // ready returns all ready targets of a pool, whether or not they may get calls.
 func (v *view) ready(pool string) []membership.Record {
 	v.mu.Lock()
--- a/internal/policy/rollout/groups.go
+++ b/internal/policy/rollout/groups.go
@@ -114,8 +114,9 @@
 func AllCurrent(records []membership.Record) Groups { return Groups{current: records} }
 
 // Admits reports whether a target of a version accepts calls, whatever state of the
-// rollout the senders have. sinceShift is the time since the shift began.
-func (r Rollout) Admits(version string, limit float64, sinceShift time.Duration) bool {
+// rollout the senders have. sinceShift is the time since the shift began; replaced says
+// that targets of the order's version are ready, as Groups falls back to others if none is.
+func (r Rollout) Admits(version string, limit float64, sinceShift time.Duration, replaced bool) bool {
 	switch {
 	case version == "":
 		return true
@@ -123,6 +124,8 @@
 		return false
 	case version == r.order.version:
 		return r.Stage() != StageRolledBack
+	case r.Stage() == StageCompleted:
+		return !replaced
 	default:
 		return !r.CurrentClosed(limit, sinceShift)
 	}
--- a/internal/policy/rollout/simulation_test.go
+++ b/internal/policy/rollout/simulation_test.go
@@ -119,13 +119,18 @@
 	var inFlight []runningCall
 	out := outcome{}
 	shiftAt, halted, faultyAnswers := time.Duration(0), time.Duration(0), 0
+	afterEnd := r.WithStatus(NewStatus(Completed, "v2", 30))
 	rates := make([]float64, len(records))
 	// closed reports whether a target's node has heard that it takes no more calls.
 	closed := func(target int, at time.Duration) bool {
 		if target >= sc.oldTargets {
 			return halted > 0 && at >= halted+propagationDelay
 		}
-		return shiftAt > 0 && at >= shiftAt+propagationDelay && r.CurrentClosed(exposureLimit, at-shiftAt)
+		known := r
+		if out.stage == StageCompleted && at >= out.endedAt+propagationDelay {
+			known = afterEnd
+		}
+		return shiftAt > 0 && at >= shiftAt+propagationDelay && !known.Admits("v1", exposureLimit, at-shiftAt, sc.newTargets > 0)
 	}
 	running := func(at time.Duration, among func(target int) bool) (n int) {
 		for _, call := range inFlight {
@@ -327,6 +332,9 @@
 		{"the pool is large", func(sc *scenario) { sc.oldTargets, sc.newTargets, sc.rate = 41, 41, 2800 }},
 		{"there is more time", func(sc *scenario) { sc.duration = 30 * time.Second }},
 		{"fewer new targets than old ones", func(sc *scenario) { sc.newTargets = 8 }},
+		{"a quarter of the senders is cut off until after the end", func(sc *scenario) {
+			sc.cutOff, sc.cutFrom, sc.cutUntil = sc.senders/4, time.Second, sc.duration+5*time.Second
+		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
