control/ledger: replicas are compared with members only after a change

What operators saw: nothing yet; a node of a fleet with idempotency claims that reads the store spends its processor on the comparison of replicas and members, twice a second. It ranked all members anew for each of the 256 partitions, with a formatted string for each weight in the sort's comparisons.

Now a plan that changes nothing holds until the table or a member changes, and each weight is computed once. The weights are the same, so nodes of both versions place replicas alike.

The tests' nodes speak HTTP/2 with each other, as real nodes do; they opened a connection for each of up to 256 requests at once.

--- a/internal/control/ledger/manage.go
+++ b/internal/control/ledger/manage.go
@@ -4,8 +4,8 @@
 	"cmp"
 	"context"
 	"errors"
-	"fmt"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -47,6 +47,16 @@
 	// table is the node's table after the last read of the store, at readAt.
 	table  *ledgerpb.Table
 	readAt time.Time
+	// settledTable needs no change as long as the members are settledMembers.
+	settledTable   *ledgerpb.Table
+	settledMembers []knownMember
+}
+
+// knownMember is what a plan depends on of a member.
+type knownMember struct {
+	member    idempotency.Member
+	domain    string
+	candidate bool
 }
 
 func (m *manager) run(ctx context.Context, done chan<- error) {
@@ -150,10 +160,14 @@
 	if t.GetVersion() == 0 && len(live) < 3 && m.n.clock.Since(m.started) < firstTableDelay {
 		return next
 	}
+	members := m.knownMembers(live)
+	if t == m.settledTable && slices.Equal(members, m.settledMembers) {
+		return next
+	}
 	own := m.n.mesh.Self().Domain()
 	domains := map[string]string{}
-	for _, r := range m.n.mesh.Records() {
-		domains[r.Instance()] = r.Domain()
+	for _, k := range members {
+		domains[k.member.Instance()] = k.domain
 	}
 	moves := 0
 	current := make([]entry, idempotency.Partitions)
@@ -179,9 +193,27 @@
 			next.Rows = append(next.Rows, entryToProto(partition, entry{a, next.GetVersion()}))
 		}
 	}
+	if len(next.GetRows()) == 0 {
+		m.settledTable, m.settledMembers = t, members
+	}
 	return next
 }
 
+// knownMembers returns all members in the order of their names.
+func (m *manager) knownMembers(candidates []membership.Record) []knownMember {
+	live := make(map[string]bool, len(candidates))
+	for _, r := range candidates {
+		live[r.Instance()] = true
+	}
+	records := m.n.mesh.Records()
+	out := make([]knownMember, len(records))
+	for i, r := range records {
+		out[i] = knownMember{memberOf(r), r.Domain(), live[r.Instance()]}
+	}
+	slices.SortFunc(out, func(a, b knownMember) int { return cmp.Compare(a.member.Instance(), b.member.Instance()) })
+	return out
+}
+
 // candidates returns the members that may be replicas. Draining members are not
 // among them, so that they hand over while they still respond.
 func (m *manager) candidates() []membership.Record {
@@ -228,25 +260,34 @@
 // byPreference orders members: those of the preferred failure domain first, then by
 // rendezvous hashing, so that partitions spread over the members.
 func byPreference(partition int, preferred string, live []membership.Record) []idempotency.Member {
-	sorted := slices.Clone(live)
-	slices.SortFunc(sorted, func(a, b membership.Record) int {
-		if (a.Domain() == preferred) != (b.Domain() == preferred) {
-			if a.Domain() == preferred {
+	type ranked struct {
+		record membership.Record
+		weight uint64
+	}
+	sorted := make([]ranked, len(live))
+	for i, r := range live {
+		sorted[i] = ranked{r, rendezvousWeight(partition, r.Instance())}
+	}
+	slices.SortFunc(sorted, func(a, b ranked) int {
+		if inA := a.record.Domain() == preferred; inA != (b.record.Domain() == preferred) {
+			if inA {
 				return -1
 			}
 			return 1
 		}
-		return cmp.Compare(rendezvousWeight(partition, b.Instance()), rendezvousWeight(partition, a.Instance()))
+		return cmp.Compare(b.weight, a.weight)
 	})
 	out := make([]idempotency.Member, len(sorted))
 	for i, r := range sorted {
-		out[i] = memberOf(r)
+		out[i] = memberOf(r.record)
 	}
 	return out
 }
 
 func rendezvousWeight(partition int, name string) uint64 {
-	return xxh3.HashString(fmt.Sprintf("%d %s", partition, name))
+	var room [64]byte
+	key := append(strconv.AppendInt(room[:0], int64(partition), 10), ' ')
+	return xxh3.Hash(append(key, name...))
 }
 
 func withChanges(t, next *ledgerpb.Table) *ledgerpb.Table {
--- a/internal/control/ledger/node_test.go
+++ b/internal/control/ledger/node_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/goleak"
 
 	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/control/ledger/ledgerpb"
 	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/policy/idempotency"
 	"banyanlug.example/banyanlug/internal/policy/membership"
@@ -107,19 +108,26 @@
 	}
 	self := membership.NewSelf(h.clock.Now(), rand.New(rand.NewPCG(1, 2)), name, membership.Domain("d"),
 		membership.InState(membership.Ready), membership.ControlAddress(ln.Addr().(*net.TCPAddr).AddrPort()))
-	p := &process{harness: h, name: name, client: &http.Client{Transport: &http.Transport{}}, done: make(chan error, 1)}
+	p := &process{harness: h, name: name, client: &http.Client{Transport: &http.Transport{Protocols: h2c()}}, done: make(chan error, 1)}
 	h.mu.Lock()
 	h.members[name] = self.Record()
 	h.nodes[name] = p
 	h.mu.Unlock()
 	p.Node = New(h.clock, event.Discard(), p, WithStore(h.store))
-	p.srv = &http.Server{Handler: p.Service()}
+	p.srv = &http.Server{Handler: p.Service(), Protocols: h2c()}
 	ctx, cancel := context.WithCancel(h.ctx)
 	p.cancel = cancel
 	go func() { _ = p.srv.Serve(ln) }()
 	go p.Run(ctx, p.done)
 }
 
+// h2c returns the protocol that nodes speak with each other.
+func h2c() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
 // kill ends a process without notice to others, as a crash does.
 func (p *process) kill() {
 	if p.cancel == nil {
@@ -329,6 +337,36 @@
 	}
 }
 
+// fleetView is the view of a node of a fleet whose members don't change.
+type fleetView struct {
+	Mesh
+	records []membership.Record
+}
+
+func (v fleetView) Self() membership.Record      { return v.records[0] }
+func (v fleetView) Records() []membership.Record { return v.records }
+
+// BenchmarkPlan measures the regular comparison of replicas and members at rest.
+func BenchmarkPlan(b *testing.B) {
+	v := fleetView{}
+	for i := range 985 {
+		addr := netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i+1))
+		v.records = append(v.records, membership.NewRecord(fmt.Sprint("node", i), membership.Domain(fmt.Sprint("d", i%6)),
+			membership.InState(membership.Ready), membership.ControlAddress(addr)))
+	}
+	m := New(timer.New(), event.Discard(), v).manager
+	table := &ledgerpb.Table{}
+	for next := m.plannedChanges(table); len(next.GetRows()) > 0; next = m.plannedChanges(table) {
+		table = withChanges(table, next)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if len(m.plannedChanges(table).GetRows()) > 0 {
+			b.Fatal("a change is planned")
+		}
+	}
+}
+
 // BenchmarkCall measures the latency of a claim over loopback at a rate without
 // queueing, and the record memory per call.
 func BenchmarkCall(b *testing.B) {
