policy/idempotency: late records of a silent replica end the refusal of keys

What callers saw: after a replica of a partition had restarted while another one was silent for 3 s, keys without a time of their own were refused as unknown for five minutes, though the silent one answered a moment later with all its records.

Cause: once the partition was served, Merge took no more records, and nobody asked for them. And a replica that refused keys for that reason passed the refusal on with its own records, which were complete.

Why this works: a claim that a majority of the previous epoch granted is among the records of any majority of its replicas, whenever they come; the late one is sealed by the same request.

--- a/internal/control/ledger/node.go
+++ b/internal/control/ledger/node.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -84,10 +85,11 @@
 const (
 	// upkeepInterval is how often a new replica requests the records that it lacks.
 	upkeepInterval = 200 * time.Millisecond
-	// sweepTicks and refreshTicks are the numbers of upkeep intervals between removals
-	// of expired records and between refreshes of the table.
-	sweepTicks   = 50
-	refreshTicks = 50
+	// sweepTicks, refreshTicks and lateSealTicks are the numbers of upkeep intervals between
+	// removals of expired records, refreshes of the table, and requests for late records.
+	sweepTicks    = 50
+	refreshTicks  = 50
+	lateSealTicks = 5
 	// requestTimeout bounds a request to another node, so that a paused one does not
 	// delay the others.
 	requestTimeout = time.Second
@@ -127,7 +129,12 @@
 	}
 	blank := n.ledger.ServeOverdue(n.clock.Now())
 	pending, noTable := n.ledger.PendingSeals(), n.version == 0
+	var late []idempotency.PendingSeal
+	if tick%lateSealTicks == 0 {
+		late = n.ledger.LateSeals(n.clock.Now())
+	}
 	n.mu.Unlock()
+	n.sealLate(ctx, late)
 	if len(blank) > 0 {
 		n.log.Emit(event.PartitionLost, event.F("rows", len(blank)))
 	}
@@ -151,6 +158,26 @@
 	}
 }
 
+// sealLate requests late records in the background, from members alone: others don't answer.
+func (n *Node) sealLate(ctx context.Context, late []idempotency.PendingSeal) {
+	if len(late) == 0 {
+		return
+	}
+	var members []idempotency.Member
+	for _, r := range n.mesh.Records() {
+		if r.State() != membership.Gone && r.State() != membership.Suspect {
+			members = append(members, memberOf(r))
+		}
+	}
+	for _, p := range late {
+		for _, m := range p.From {
+			if slices.ContainsFunc(members, func(o idempotency.Member) bool { return o.Instance() == m.Instance() }) {
+				n.background.Go(func() { n.seal(ctx, p, m) })
+			}
+		}
+	}
+}
+
 // excludeStall reports to the ledger a time in which this process did not run: the
 // part of a wait beyond its maximum.
 func (n *Node) excludeStall(stall time.Duration) {
--- a/internal/policy/idempotency/claim.go
+++ b/internal/policy/idempotency/claim.go
@@ -83,7 +83,7 @@
 // one. A key without an embedded time counts as new unless records were lost, since
 // callers must not reuse such a key after Retention.
 func (rep *replica) provenNew(now time.Time, key string) bool {
-	recordsLost := !rep.blankSince.IsZero() && now.Before(rep.blankSince.Add(Retention+clockSkew))
+	recordsLost := rep.recordsLost(now)
 	created, ok := KeyTime(key)
 	if !ok {
 		return !recordsLost
@@ -91,7 +91,13 @@
 	if created.After(now.Add(clockSkew)) || created.Before(now.Add(clockSkew-Retention)) {
 		return false
 	}
-	return !recordsLost || created.After(rep.blankSince.Add(2*clockSkew))
+	return !recordsLost || created.After(rep.blankSince().Add(2*clockSkew))
+}
+
+// recordsLost reports whether records that would be valid now may be missing.
+func (rep *replica) recordsLost(now time.Time) bool {
+	blankSince := rep.blankSince()
+	return !blankSince.IsZero() && now.Before(blankSince.Add(Retention+clockSkew))
 }
 
 // KeyTime returns the creation time in a key whose last NUL-separated part is a
--- a/internal/policy/idempotency/ledger.go
+++ b/internal/policy/idempotency/ledger.go
@@ -107,8 +107,9 @@
 	carriedOver, serving bool
 	// sealed: nothing more is granted in this epoch, as the next one has begun.
 	sealed bool
-	// blankSince is when the partition became blank; zero if it is not.
-	blankSince time.Time
+	// inheritedBlank is when the partition became blank in an earlier epoch, blankHere when it
+	// did in this one; zero if it did not.
+	inheritedBlank, blankHere time.Time
 	// blankReported: ServeOverdue has returned the blank partition.
 	blankReported bool
 	adoptedAt     time.Time
@@ -173,6 +174,7 @@
 	if !carriedOver {
 		l.dropRecords(rep)
 	}
+	rep.inheritedBlank, rep.blankHere = rep.blankSince(), time.Time{}
 	rep.assignment, rep.next, rep.carriedOver, rep.sealed = a, Assignment{}, carriedOver, false
 	rep.resolved, rep.transferred, rep.serving, rep.adoptedAt = map[string]bool{}, 0, false, now
 	if !assigned {
@@ -198,18 +200,36 @@
 	for _, r := range rep.records {
 		l.bytes -= r.bytes()
 	}
-	rep.records, rep.blankSince, rep.blankReported = map[string]*Record{}, time.Time{}, false
+	rep.records, rep.inheritedBlank, rep.blankHere, rep.blankReported = map[string]*Record{}, time.Time{}, time.Time{}, false
+}
+
+// blankSince returns when the partition became blank, zero if it is not.
+func (rep *replica) blankSince() time.Time {
+	if rep.blankHere.After(rep.inheritedBlank) {
+		return rep.blankHere
+	}
+	return rep.inheritedBlank
+}
+
+// awaitsLateRecords reports whether the partition is served while a previous replica that is neither
+// sealed nor ended may still have records.
+func (rep *replica) awaitsLateRecords() bool {
+	return !rep.blankHere.IsZero() && len(rep.resolved) < len(rep.assignment.previous)
 }
 
 // resolve marks a previous replica as sealed, with its records, or as ended.
 func (l *Ledger) resolve(now time.Time, rep *replica, m Member, withRecords bool) {
-	if rep.resolved[m.instance] || rep.serving {
+	if rep.resolved[m.instance] || rep.serving && !rep.awaitsLateRecords() {
 		return
 	}
 	rep.resolved[m.instance] = true
 	if withRecords {
 		rep.transferred++
 	}
+	if rep.transferred >= majority(len(rep.assignment.previous)) {
+		// Each claim that a majority of the previous epoch granted is among the records.
+		rep.blankHere = time.Time{}
+	}
 	l.tryServe(now, rep)
 }
 
@@ -224,8 +244,8 @@
 	case len(rep.resolved) == len(rep.assignment.previous),
 		len(rep.resolved) >= quorum && now.Sub(rep.adoptedAt) >= blankTimeout:
 		// A majority of the previous epoch can grant nothing from now on, so lost
-		// records are older than blankSince.
-		rep.blankSince = now
+		// records are older than blankHere.
+		rep.blankHere = now
 	default:
 		return
 	}
@@ -241,7 +261,7 @@
 		if len(rep.resolved) > 0 {
 			l.tryServe(now, rep)
 		}
-		if rep.serving && !rep.blankSince.IsZero() && !rep.blankReported {
+		if rep.serving && !rep.blankSince().IsZero() && !rep.blankReported {
 			rep.blankReported = true
 			blank = append(blank, partition)
 		}
@@ -278,20 +298,35 @@
 func (l *Ledger) PendingSeals() []PendingSeal {
 	var out []PendingSeal
 	for partition, rep := range l.partitions {
-		if rep.serving || !slices.ContainsFunc(rep.assignment.replicas, l.isSelf) {
-			continue
+		if !rep.serving && slices.ContainsFunc(rep.assignment.replicas, l.isSelf) {
+			out = append(out, l.unresolved(partition, rep))
 		}
-		pending := PendingSeal{Partition: partition, Epoch: rep.assignment.epoch}
-		for _, p := range rep.assignment.previous {
-			if !rep.resolved[p.instance] && !l.isSelf(p) {
-				pending.From = append(pending.From, p)
-			}
+	}
+	return out
+}
+
+// LateSeals returns the partitions that refuse keys though previous replicas that may have
+// the missing records have not been sealed.
+func (l *Ledger) LateSeals(now time.Time) []PendingSeal {
+	var out []PendingSeal
+	for partition, rep := range l.partitions {
+		if rep.awaitsLateRecords() && rep.recordsLost(now) {
+			out = append(out, l.unresolved(partition, rep))
 		}
-		out = append(out, pending)
 	}
 	return out
 }
 
+func (l *Ledger) unresolved(partition int, rep *replica) PendingSeal {
+	pending := PendingSeal{Partition: partition, Epoch: rep.assignment.epoch}
+	for _, p := range rep.assignment.previous {
+		if !rep.resolved[p.instance] && !l.isSelf(p) {
+			pending.From = append(pending.From, p)
+		}
+	}
+	return pending
+}
+
 // SealResult is a process's response to the request to seal a partition.
 type SealResult struct {
 	// Ended: the process to be sealed has ended.
@@ -310,16 +345,19 @@
 		return SealResult{Ended: true}, l.supersedes(recipient)
 	}
 	rep := l.partitions[partition]
+	var s SealResult
 	switch {
 	case rep == nil:
 		return SealResult{}, false
 	case rep.assignment.epoch == epoch-1 && rep.serving:
 		rep.sealed = true
+		s.BlankSince = rep.blankSince()
 	case rep.assignment.epoch == epoch && rep.carriedOver:
+		// What others lost since doesn't make this process's records incomplete.
+		s.BlankSince = rep.inheritedBlank
 	default:
 		return SealResult{}, false
 	}
-	s := SealResult{BlankSince: rep.blankSince}
 	for _, r := range rep.records {
 		s.Records = append(s.Records, *r)
 	}
@@ -329,7 +367,7 @@
 // Merge adds the records that a previous replica returned for an epoch.
 func (l *Ledger) Merge(now time.Time, partition int, epoch uint64, from Member, s SealResult) {
 	rep := l.partitions[partition]
-	if rep == nil || rep.assignment.epoch != epoch || rep.serving || !slices.ContainsFunc(rep.assignment.previous, from.sameProcess) {
+	if rep == nil || rep.assignment.epoch != epoch || rep.serving && !rep.awaitsLateRecords() || !slices.ContainsFunc(rep.assignment.previous, from.sameProcess) {
 		return
 	}
 	for _, r := range s.Records {
@@ -350,8 +388,8 @@
 		}
 		l.put(rep, r)
 	}
-	if s.BlankSince.After(rep.blankSince) {
-		rep.blankSince = s.BlankSince
+	if s.BlankSince.After(rep.inheritedBlank) {
+		rep.inheritedBlank = s.BlankSince
 	}
 	l.resolve(now, rep, from, !s.Ended)
 	l.adoptNext(now, partition, rep)
--- a/internal/policy/idempotency/ledger_test.go
+++ b/internal/policy/idempotency/ledger_test.go
@@ -81,6 +81,51 @@
 	}
 }
 
+// A previous replica that was silent for longer than blankTimeout still has its records. Once it has
+// transferred them, nothing is lost, so keys without a time must be granted again.
+func TestRecordsOfALateReplicaEndTheRefusalOfKeys(t *testing.T) {
+	t.Parallel()
+	a, b, c, d, next := threeReplicasAndSuccessor()
+	claim(a, "k", 1, 1)
+	claim(b, "k", 1, 1)
+	a.Complete(start, 0, "k", Token{Boot: 1}, []byte("answer"))
+	b2 := NewLedger(member("b", 2))
+	for _, l := range []*Ledger{a, d} {
+		l.Adopt(start, 0, next)
+		transfer(t, l, b2)
+	}
+	transfer(t, d, c)
+	for _, l := range []*Ledger{a, d} {
+		if l.ServeOverdue(start.Add(blankTimeout)); claim(l, "l", 2, 2) == Granted {
+			t.Errorf("%s: granted while records are missing", l.self().instance)
+		}
+	}
+	transfer(t, d, a)
+	transfer(t, a, c)
+	for _, l := range []*Ledger{a, d} {
+		if got := []Verdict{claim(l, "k", 2, 2), claim(l, "l", 2, 2)}; got[0] != Done || got[1] != Granted {
+			t.Errorf("%s: verdicts %d, want %d for the key in the late records and %d for a new one", l.self().instance, got, Done, Granted)
+		}
+	}
+}
+
+// The records of a previous replica that has ended stay lost, whatever arrives later.
+func TestAnEndedReplicaDoesNotEndTheRefusalOfKeys(t *testing.T) {
+	t.Parallel()
+	a, _, c, d, next := threeReplicasAndSuccessor()
+	claim(a, "k", 1, 1)
+	d.Adopt(start, 0, next)
+	transfer(t, d, NewLedger(member("b", 2)), c)
+	d.ServeOverdue(start.Add(blankTimeout))
+	transfer(t, d, NewLedger(member("a", 2)))
+	if got := claim(d, "k", 2, 2); got != NotProvenNew {
+		t.Errorf("verdict %d, want %d", got, NotProvenNew)
+	}
+	if late := d.LateSeals(start.Add(blankTimeout)); len(late) > 0 {
+		t.Errorf("still waits for %v", late)
+	}
+}
+
 // A pause of the new replica d must not count as time in which the previous replica a
 // failed to respond.
 func TestAStalledReplicaStillWaitsForRecords(t *testing.T) {
@@ -245,7 +290,7 @@
 	for name, tc := range tests {
 		a, _, _, _, _ := threeReplicasAndSuccessor()
 		if tc.blankSince > 0 {
-			a.partitions[0].blankSince = start.Add(tc.blankSince)
+			a.partitions[0].inheritedBlank = start.Add(tc.blankSince)
 		}
 		v, _ := a.Claim(start.Add(tc.now), 0, Claim{Key: tc.key, Epoch: 1})
 		if v != tc.want {
--- a/internal/policy/idempotency/stateful_test.go
+++ b/internal/policy/idempotency/stateful_test.go
@@ -143,15 +143,15 @@
 	}
 }
 
-// seal lets processes seal their previous replicas; responses may be lost or
-// delayed.
-func (sim *simulation) seal(t *rapid.T) {
+// seal lets processes seal their previous replicas except the silent one; responses
+// may be lost or delayed.
+func (sim *simulation) seal(t *rapid.T, silent string) {
 	for _, m := range sim.runningMembers() {
 		l := sim.running[m.instance]
-		for _, pending := range l.PendingSeals() {
+		for _, pending := range append(l.PendingSeals(), l.LateSeals(sim.now)...) {
 			for _, from := range pending.From {
 				previous := sim.running[from.instance]
-				if previous == nil {
+				if previous == nil || from.instance == silent {
 					continue
 				}
 				fate := rapid.IntRange(0, 5).Draw(t, "fate")
@@ -170,6 +170,14 @@
 	}
 }
 
+// timeOut passes the time after which processes serve without missing records.
+func (sim *simulation) timeOut() {
+	sim.now = sim.now.Add(blankTimeout)
+	for _, m := range sim.runningMembers() {
+		sim.running[m.instance].ServeOverdue(sim.now)
+	}
+}
+
 // Despite restarts without records, new assignments and unreliable messages, no call runs
 // twice or is reported as not run though it ran, and all its answers are the first one.
 func TestStatefulCallsRunAtMostOnce(t *testing.T) {
@@ -240,16 +248,24 @@
 				out := rapid.SampledFrom(sim.assignment.replicas).Draw(t, "out")
 				sim.assignment, _ = Repair(sim.assignment, slices.DeleteFunc(sim.runningMembers(), out.sameProcess))
 				sim.adopt(t)
-				sim.seal(t)
+				sim.seal(t, "")
 			},
-			"hand-over times out": func(t *rapid.T) {
-				sim.now = sim.now.Add(blankTimeout)
+			"hand-over times out": func(*rapid.T) { sim.timeOut() },
+			"one replica restarts while another is silent": func(t *rapid.T) {
+				replicas := rapid.Permutation(sim.assignment.replicas).Draw(t, "replicas")
+				if len(replicas) < replicasPerPartition {
+					t.Skip("too few replicas")
+				}
+				sim.startProcess(replicas[0].instance)
+				sim.assignment, _ = Repair(sim.assignment, sim.runningMembers())
 				for _, m := range sim.runningMembers() {
-					sim.running[m.instance].ServeOverdue(sim.now)
+					sim.running[m.instance].Adopt(sim.now, testPartition, sim.assignment)
 				}
+				sim.seal(t, replicas[1].instance)
+				sim.timeOut()
 			},
 			"adopt": sim.adopt,
-			"seal":  sim.seal,
+			"seal":  func(t *rapid.T) { sim.seal(t, "") },
 			"late response": func(t *rapid.T) {
 				if len(sim.delayed) == 0 {
 					t.Skip("no delayed response")
