--- /dev/null
+++ b/internal/clock/bucket/doc.go
@@ -0,0 +1,2 @@
+// Package bucket is a token bucket whose rate and capacity may change at any time.
+package bucket
--- a/internal/log/event/ratelimiter.go
+++ b/internal/log/event/ratelimiter.go
@@ -2,8 +2,8 @@
 
 import (
 	"sync"
-	"time"
 
+	"banyanlug.example/banyanlug/internal/clock/bucket"
 	"banyanlug.example/banyanlug/internal/clock/timer"
 )
 
@@ -32,18 +32,18 @@
 	clk *timer.Service
 
 	mu      sync.Mutex
-	buckets map[Code]*bucket
+	buckets map[Code]*counted
 }
 
-type bucket struct {
-	tokens     float64
-	refilledAt time.Time
-	omitted    uint64
+// counted is the bucket of an event code, and how many lines were omitted for lack of tokens.
+type counted struct {
+	bucket.Bucket
+	omitted uint64
 }
 
 // NewRateLimiter returns a rate limiter with full buckets.
 func NewRateLimiter(clk *timer.Service) *RateLimiter {
-	return &RateLimiter{clk: clk, buckets: map[Code]*bucket{}}
+	return &RateLimiter{clk: clk, buckets: map[Code]*counted{}}
 }
 
 // allow reports whether an event may be written, and how many of its code were omitted
@@ -58,16 +58,14 @@
 	perSecond, burst := limits(c)
 	bkt := r.buckets[c]
 	if bkt == nil {
-		bkt = &bucket{tokens: burst, refilledAt: now}
+		bkt = &counted{}
 		r.buckets[c] = bkt
 	}
-	bkt.tokens = min(burst, bkt.tokens+perSecond*now.Sub(bkt.refilledAt).Seconds())
-	bkt.refilledAt = now
-	if bkt.tokens < 1 {
+	bkt.Refill(now, perSecond, burst)
+	if !bkt.Take() {
 		bkt.omitted++
 		return 0, false
 	}
-	bkt.tokens--
 	omitted, bkt.omitted = bkt.omitted, 0
 	return omitted, true
 }
--- a/internal/policy/limit/limiter.go
+++ b/internal/policy/limit/limiter.go
@@ -8,6 +8,7 @@
 
 	"github.com/zeebo/xxh3"
 
+	"banyanlug.example/banyanlug/internal/clock/bucket"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
 )
 
@@ -137,12 +138,11 @@
 
 // account is the state of one organisation at one node.
 type account struct {
-	createdAt  time.Time
-	share      share
-	limit      Amounts
-	tokens     float64
-	refilledAt time.Time
-	running    int
+	createdAt time.Time
+	share     share
+	limit     Amounts
+	rate      bucket.Bucket
+	running   int
 
 	// Counted since the last report:
 	periodStart time.Time
@@ -185,7 +185,7 @@
 	defer s.mu.Unlock()
 	a := s.orgs[limit.Organisation()]
 	if a == nil {
-		a = &account{createdAt: now, periodStart: now, runningTimeUntil: now, refilledAt: now, tokens: 1}
+		a = &account{createdAt: now, periodStart: now, runningTimeUntil: now, rate: bucket.New(1, now)}
 		s.orgs[limit.Organisation()] = a
 	}
 	a.limit = AmountsOf(limit)
@@ -195,16 +195,16 @@
 	if float64(a.running) >= allowed.concurrency {
 		return Refused{Concurrency, a.spread(concurrencyRetryAfter)}, hasShare
 	}
-	a.refill(now, allowed.rate)
-	if a.tokens < 1 && !hasShare {
+	a.rate.Refill(now, allowed.rate, max(1, allowed.rate*burstSeconds))
+	switch {
+	case a.rate.Take():
+	case !hasShare:
 		// The first grant will replace the initial share, so the present rate doesn't
 		// determine when a retry succeeds.
 		return Refused{Rate, a.spread(firstShareRetryAfter)}, hasShare
-	}
-	if a.tokens < 1 {
+	default:
 		return Refused{Rate, a.rateRetryAfter(now, allowed.rate)}, hasShare
 	}
-	a.tokens--
 	a.addRunning(now, 1)
 	a.allowed++
 	return Allowed{}, hasShare
@@ -333,20 +333,6 @@
 	return a.share.amountAt(now).min(a.limit)
 }
 
-// refill adds the tokens for the time since the last refill.
-func (a *account) refill(now time.Time, rate float64) {
-	capacity := max(1, rate*burstSeconds)
-	if math.IsInf(rate, 1) {
-		a.tokens, a.refilledAt = capacity, now
-		return
-	}
-	if d := now.Sub(a.refilledAt); d > 0 {
-		a.tokens += rate * d.Seconds()
-		a.refilledAt = now
-	}
-	a.tokens = min(a.tokens, capacity)
-}
-
 // rateRetryAfter gives successive refused calls retry times that are as far apart
 // as the rate allows calls, so that they don't all retry at the same time.
 func (a *account) rateRetryAfter(now time.Time, rate float64) time.Duration {
@@ -354,7 +340,7 @@
 	if rate > 0 {
 		step = min(maxRetryAfter, time.Duration(float64(time.Second)/rate))
 	}
-	retryAt := now.Add(time.Duration((1 - a.tokens) * float64(step)))
+	retryAt := now.Add(time.Duration(a.rate.Missing() * float64(step)))
 	a.lastRetryAt = a.lastRetryAt.Add(step)
 	if a.lastRetryAt.Before(retryAt) {
 		a.lastRetryAt = retryAt
--- a/internal/policy/token/cache.go
+++ b/internal/policy/token/cache.go
@@ -6,6 +6,7 @@
 
 	"github.com/zeebo/xxh3"
 
+	"banyanlug.example/banyanlug/internal/clock/bucket"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
 )
 
@@ -58,7 +59,9 @@
 
 	level nodeLevel
 
-	fallback bucket // tokens of the node's own, while no issuer answers
+	// fallback has tokens of the node's own from fallbackFrom on, while no issuer answers.
+	fallback     bucket.Bucket
+	fallbackFrom time.Time
 }
 
 // NewCache returns a cache without tokens.
@@ -105,7 +108,7 @@
 // Fetched records the issuer's answer to a request sent at sentAt.
 func (c *Cache) Fetched(sentAt, now time.Time, l snapshot.Limit, tokens int, retryAfter time.Duration) {
 	c.with(now, l, func(o *cached) {
-		o.fallback = bucket{}
+		o.fallbackFrom = time.Time{}
 		if !now.Before(o.expires) {
 			o.tokens = 0
 		}
@@ -134,17 +137,18 @@
 			d = Refused{RetryAfter: o.retries.next(now, withoutIssuerRetry, time.Millisecond)}
 			return
 		}
-		if o.fallback.refilledAt.IsZero() {
-			o.fallback.refilledAt = now.Add(cacheTime) // tokens of issuers have expired then
+		if o.fallbackFrom.IsZero() {
+			o.fallbackFrom = now.Add(cacheTime) // tokens of issuers have expired then
+			o.fallback = bucket.New(0, o.fallbackFrom)
 		}
-		if now.After(o.fallback.refilledAt) {
-			o.fallback.refill(now, rate, 1)
+		if now.After(o.fallbackFrom) {
+			o.fallback.Refill(now, rate, 1)
 		}
-		if o.fallback.take(1, 0) == 1 {
+		if o.fallback.Take() {
 			d = Granted{}
 			return
 		}
-		until := time.Duration((1 - o.fallback.tokens) / rate * float64(time.Second))
+		until := time.Duration(o.fallback.Missing() / rate * float64(time.Second))
 		d = Refused{RetryAfter: o.retries.next(now, min(until, maxRetryAfter), time.Duration(float64(time.Second)/rate))}
 	})
 	return d
--- a/internal/policy/token/issuer.go
+++ b/internal/policy/token/issuer.go
@@ -8,6 +8,7 @@
 
 	"github.com/zeebo/xxh3"
 
+	"banyanlug.example/banyanlug/internal/clock/bucket"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
 )
 
@@ -46,7 +47,7 @@
 
 // issued is the bucket of one organisation and the demand for its tokens.
 type issued struct {
-	bucket
+	bucket.Bucket
 	demand      demand // for tokens
 	usage       usage
 	noLendersAt time.Time
@@ -77,14 +78,14 @@
 func (s *Issuer) Take(now time.Time, l snapshot.Limit, p Plan, n int) Issue {
 	return s.withBucket(now, l, p, func(b *issued) Issue {
 		b.demand.add(now, n)
-		out := Issue{Tokens: b.take(n, 0)}
+		out := Issue{Tokens: b.TakeUpTo(n, 0)}
 		if out.Tokens < n {
 			// Each token has several takers if the demand exceeds the rate.
-			next := max(0, b.readyAt.Sub(now).Seconds()) + (1-b.tokens)/p.rate*max(1, b.demand.rate/p.rate)
+			next := max(0, b.readyAt.Sub(now).Seconds()) + b.Missing()/p.rate*max(1, b.demand.rate/p.rate)
 			out.RetryAfter = time.Duration(min(maxRetryAfter.Seconds(), next) * float64(time.Second))
 			if p.issuers > 1 && now.Sub(b.noLendersAt) >= borrowPause {
 				missing := float64(n-out.Tokens) + max(0, b.demand.rate-p.rate)*reserveTime.Seconds()
-				out.Borrow = int(math.Ceil(min(missing, p.capacity-b.tokens)))
+				out.Borrow = int(math.Ceil(min(missing, p.capacity-b.Tokens())))
 			}
 		}
 		return out
@@ -96,7 +97,7 @@
 func (s *Issuer) Lend(now time.Time, l snapshot.Limit, p Plan, n int) Issue {
 	return s.withBucket(now, l, p, func(b *issued) Issue {
 		b.demand.add(now, 0)
-		return Issue{Tokens: b.take(n, b.demand.rate*reserveTime.Seconds())}
+		return Issue{Tokens: b.TakeUpTo(n, b.demand.rate*reserveTime.Seconds())}
 	})
 }
 
@@ -107,7 +108,7 @@
 		if n == 0 {
 			b.noLendersAt = now
 		}
-		b.tokens = min(b.tokens+float64(n), p.capacity)
+		b.Add(float64(n), p.capacity)
 		return Issue{}
 	})
 }
@@ -119,10 +120,8 @@
 	b := shard.bucketOf(now, l.Organisation())
 	s.begin(b, now, p.turn)
 	b.askedAt = now
-	if now.Before(b.readyAt) {
-		b.refilledAt = b.readyAt
-	} else {
-		b.refill(now, p.rate, p.capacity)
+	if !now.Before(b.readyAt) {
+		b.Refill(now, p.rate, p.capacity)
 	}
 	return f(b)
 }
@@ -153,6 +152,6 @@
 	default:
 		return
 	}
-	b.tokens, b.readyAt = 0, since.Add(silentTime)
-	b.refilledAt = b.readyAt
+	b.readyAt = since.Add(silentTime)
+	b.Bucket = bucket.New(0, b.readyAt)
 }
--- a/internal/policy/token/plan.go
+++ b/internal/policy/token/plan.go
@@ -1,7 +1,6 @@
 package token
 
 import (
-	"math"
 	"time"
 
 	"banyanlug.example/banyanlug/internal/config/snapshot"
@@ -119,32 +118,6 @@
 // Capacity returns the number of whole tokens that each issuer can hold.
 func (p Plan) Capacity() int { return int(p.capacity) }
 
-// bucket is a token bucket.
-type bucket struct {
-	tokens     float64
-	refilledAt time.Time
-}
-
-// refill adds the tokens for the time since the last refill.
-func (b *bucket) refill(now time.Time, rate, capacity float64) {
-	if d := now.Sub(b.refilledAt); d > 0 {
-		b.tokens += rate * d.Seconds()
-	}
-	// Set even if the clock moved back: otherwise nothing would be added until it had
-	// caught up.
-	b.refilledAt = now
-	b.tokens = min(b.tokens, capacity)
-}
-
-// take takes up to n whole tokens and leaves reserve.
-func (b *bucket) take(n int, reserve float64) int {
-	// The tolerance is far above the rounding errors of refills.
-	const tolerance = 1e-9
-	taken := min(n, max(0, int(math.Floor(b.tokens-reserve+tolerance))))
-	b.tokens -= float64(taken)
-	return taken
-}
-
 // retryTimes spreads the retries of refused calls, as many a second as there are tokens.
 type retryTimes struct{ last time.Time }
 
--- a/internal/standin/store/fault.go
+++ b/internal/standin/store/fault.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"banyanlug.example/banyanlug/internal/clock/bucket"
 	"banyanlug.example/banyanlug/internal/control/platform"
 )
 
@@ -49,8 +50,8 @@
 	loseFraction    float64
 	rand            *rand.Rand
 	delayed         []func() error
-	writes          bucket
-	reads           bucket
+	writes          limited
+	reads           limited
 }
 
 // SetDown starts or ends an outage: the store fails every call, pending watches
@@ -114,8 +115,8 @@
 	s.faults.mu.Lock()
 	defer s.faults.mu.Unlock()
 	now := s.clock.Now()
-	s.faults.writes = newBucket(writes, now)
-	s.faults.reads = newBucket(reads, now)
+	s.faults.writes = newLimited(writes, now)
+	s.faults.reads = newLimited(reads, now)
 }
 
 // ApplyDelayed applies the writes delayed by DelayWrite, in order, and returns
@@ -207,29 +208,22 @@
 	return f.down
 }
 
-// bucket is a token bucket; the zero value has no limit. Its rate is in tokens
-// per second.
-type bucket struct {
-	rate       float64
-	tokens     float64
-	refilledAt time.Time
+// limited is a limit in calls per second; the zero value is none.
+type limited struct {
+	bucket.Bucket
+	rate float64
 }
 
-func newBucket(rate float64, now time.Time) bucket {
-	return bucket{rate: rate, tokens: burst(rate), refilledAt: now}
+func newLimited(rate float64, now time.Time) limited {
+	return limited{bucket.New(burst(rate), now), rate}
 }
 
 func burst(rate float64) float64 { return max(1, rate/10) }
 
-func (b *bucket) take(now time.Time) bool {
-	if b.rate == 0 {
+func (l *limited) take(now time.Time) bool {
+	if l.rate == 0 {
 		return true
 	}
-	b.tokens = min(burst(b.rate), b.tokens+b.rate*now.Sub(b.refilledAt).Seconds())
-	b.refilledAt = now
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
+	l.Refill(now, l.rate, burst(l.rate))
+	return l.Take()
 }
