control/bounded: bodies between nodes are bounded

What callers saw: nothing yet. A process at a node's address that answers without end would use up the memory of each node that asks it, within the time of one request; a client at a node's control address that of the node.

Cause: the generated clients and servers read a whole body before they decode it, and nothing bounded it. Only the members' readiness checks, the store and operators' calls did.

Evidence: TestAnAnswerWithoutEndIsCutOff, red before: all 64 MiB that the test has were taken, by both of a node's clients.

--- a/internal/control/fleet/fetch_test.go
+++ b/internal/control/fleet/fetch_test.go
@@ -1,12 +1,16 @@
 package fleet
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"banyanlug.example/banyanlug/internal/control/bounded"
 	"banyanlug.example/banyanlug/internal/policy/membership"
 )
 
@@ -63,3 +67,34 @@
 		})
 	}
 }
+
+// Guards against a process at a node's address that answers without end and uses up the memory of
+// the nodes that ask it.
+func TestAnAnswerWithoutEndIsCutOff(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t)
+	f := New(h.store, h.clk, membership.NewRecord("self"), configKey, decodeNumber)
+	defer f.pooledHTTP.CloseIdleConnections()
+	const whole = 64 << 20
+	var sent atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		for part := make([]byte, 64<<10); sent.Load() < whole; {
+			n, err := w.Write(part)
+			if sent.Add(int64(n)); err != nil {
+				return
+			}
+		}
+		<-r.Context().Done()
+	}))
+	defer srv.Close()
+	address := netip.MustParseAddrPort(srv.Listener.Addr().String())
+	for _, c := range []*http.Client{f.pooledHTTP, f.oneShotHTTP} {
+		sent.Store(0)
+		_, err := f.requestView(t.Context(), c, address, 0, true, 5*time.Second)
+		var tooLong *bounded.TooLongError
+		if !errors.As(err, &tooLong) || sent.Load() >= whole {
+			t.Errorf("%d bytes were sent, error %v", sent.Load(), err)
+		}
+	}
+}
--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -14,6 +14,7 @@
 
 	"banyanlug.example/banyanlug/internal/clock/timer"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/control/bounded"
 	"banyanlug.example/banyanlug/internal/control/fleet/fleetpb"
 	"banyanlug.example/banyanlug/internal/control/platform"
 	"banyanlug.example/banyanlug/internal/log/event"
@@ -142,8 +143,8 @@
 	f.view.group = f.rollouts.groups
 	f.rankedNodes.byDomain = map[string]rankedDomain{}
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
-	f.oneShotHTTP = &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
-	f.pooledHTTP = &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1}}
+	f.oneShotHTTP = &http.Client{Transport: bounded.Transport(&http.Transport{DialContext: dial, DisableKeepAlives: true})}
+	f.pooledHTTP = &http.Client{Transport: bounded.Transport(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1})}
 	for _, opt := range opts {
 		opt(f)
 	}
@@ -315,4 +316,4 @@
 }
 
 // Handler returns the HTTP handler of the fleet service for other nodes.
-func (f *Fleet) Handler() http.Handler { return fleetpb.NewFleetServer(f) }
+func (f *Fleet) Handler() http.Handler { return bounded.Handler(fleetpb.NewFleetServer(f)) }
--- a/internal/control/issuer/agent.go
+++ b/internal/control/issuer/agent.go
@@ -17,6 +17,7 @@
 
 	"banyanlug.example/banyanlug/internal/clock/timer"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/control/bounded"
 	"banyanlug.example/banyanlug/internal/control/issuer/issuerpb"
 	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/policy/limit"
@@ -131,7 +132,7 @@
 		fetches: map[string]*fetch{}, loans: map[string]*fetch{}, avoid: map[string]avoided{}, levelLog: map[string]time.Time{},
 	}
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
-	a.http = &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: connIdleTimeout}}
+	a.http = &http.Client{Transport: bounded.Transport(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: connIdleTimeout})}
 	for _, opt := range opts {
 		opt(a)
 	}
--- a/internal/control/peer/node.go
+++ b/internal/control/peer/node.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/control/bounded"
 	"banyanlug.example/banyanlug/internal/control/peer/peerpb"
 	"banyanlug.example/banyanlug/internal/control/platform"
 	"banyanlug.example/banyanlug/internal/control/publish"
@@ -254,7 +255,7 @@
 	for _, s := range append(n.services, peerpb.NewPeerServer(server{n}, pathOption)) {
 		mux.Handle(s.PathPrefix(), s)
 	}
-	srv := newServer(RequireFleetKey(n.key, readSessionHeader(mux)), n.serverTLS)
+	srv := newServer(RequireFleetKey(n.key, readSessionHeader(bounded.Handler(mux))), n.serverTLS)
 	srv.ErrorLog = event.StdLogger(n.log, event.ServerFault)
 	ln = countedListener{ln, &n.bytes}
 	ended := make(chan error, 1)
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -17,6 +17,7 @@
 
 	"banyanlug.example/banyanlug/internal/clock/timer"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/control/bounded"
 	"banyanlug.example/banyanlug/internal/control/fleet"
 	"banyanlug.example/banyanlug/internal/control/issuer"
 	"banyanlug.example/banyanlug/internal/control/platform"
@@ -476,7 +477,7 @@
 // peersHandler serves the requests of other nodes.
 func (n *Node) peersHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(n.tokens.Service().PathPrefix(), n.tokens.Service())
+	mux.Handle(n.tokens.Service().PathPrefix(), bounded.Handler(n.tokens.Service()))
 	mux.Handle("/", n.fleet.Handler())
 	return mux
 }
