control/issuer: a response counts only if an issuer may have given it

What callers saw: nothing yet; found by FuzzTakeResponse. With a process that answers 200 without a body at the address of an issuer that has ended, an organisation's calls were refused as over its limit. With more tokens than requested, calls ran beyond the limit; with a time of the next token in a week, refused callers were told to return then.

Cause: the response was believed whatever it held; an absent field was read as "no token".

Evidence: FuzzTakeResponse, red before by each of the three: an empty body counts as an issuer's answer, 3 calls are allowed after 1 request for one token, refused for 152h42m38s.

Why this works: an issuer gives no more than requested, tells when the next token comes if it gives none, and that is 5 s away at most. Anything else counts as no answer: another failure domain is asked, or the node takes its own part of the limit, as with an issuer that is silent.

--- a/internal/control/issuer/agent.go
+++ b/internal/control/issuer/agent.go
@@ -270,6 +270,9 @@
 			a.requests.Add(1)
 			resp, err := issuerpb.NewIssuerProtobufClient("http://"+r.ControlAddress().String(), a.http).Take(cctx, req)
 			cancel()
+			if err == nil && !valid(req, resp) {
+				err = errNotAnIssuer
+			}
 			if err == nil {
 				return resp, true
 			}
@@ -289,6 +292,17 @@
 	return nil, false
 }
 
+// errNotAnIssuer means that whatever answers at an issuer's address is none, or is broken.
+var errNotAnIssuer = errors.New("the response is not one of an issuer")
+
+// valid reports whether an issuer may have given a response. It issues no more tokens than
+// requested, and says when a node may get the next one if it issues none.
+func valid(req *issuerpb.TakeRequest, resp *issuerpb.TakeResponse) bool {
+	next := resp.GetRetryAfterUs()
+	return resp.GetTokens() <= req.GetTokens() && next <= uint64(token.MaxRetryAfter.Microseconds()) &&
+		(req.GetLend() || resp.GetUnlimited() || resp.GetTokens() > 0 || next > 0)
+}
+
 // avoided returns what is known of an issuer that has failed to answer a short time ago.
 func (a *Agent) avoided(instance string) (avoided, bool) {
 	a.mu.Lock()
@@ -343,7 +357,7 @@
 	}
 	p, n := a.ownPlan(l), int(min(req.GetTokens(), maxTokens))
 	if req.GetLend() {
-		resp := a.respond(a.issuer.Lend(a.clk.Now(), l, p, n))
+		resp := a.respond(a.issuer.Lend(a.clk.Now(), l, p, n), 0)
 		resp.Usage = uint32(a.issuer.Part(a.clk.Now(), l) * usageUnits)
 		return resp, nil
 	}
@@ -352,14 +366,18 @@
 		more := a.issuer.Take(a.clk.Now(), l, p, n-got.Tokens)
 		got.Tokens, got.RetryAfter = got.Tokens+more.Tokens, more.RetryAfter
 	}
-	resp := a.respond(got)
+	wait := got.RetryAfter
+	if got.Tokens < n {
+		wait = max(wait, time.Microsecond)
+	}
+	resp := a.respond(got, wait)
 	resp.Usage = uint32(a.observe(l, p, n, n-got.Tokens))
 	return resp, nil
 }
 
-func (a *Agent) respond(got token.Issue) *issuerpb.TakeResponse {
+func (a *Agent) respond(got token.Issue, wait time.Duration) *issuerpb.TakeResponse {
 	a.issued.Add(uint64(got.Tokens))
-	return &issuerpb.TakeResponse{Tokens: uint32(got.Tokens), RetryAfterUs: uint64(max(0, got.RetryAfter.Microseconds()))}
+	return &issuerpb.TakeResponse{Tokens: uint32(got.Tokens), RetryAfterUs: uint64(max(0, wait.Microseconds()))}
 }
 
 // borrow takes tokens from the issuers of other failure domains and reports whether it got
--- a/internal/policy/token/cache.go
+++ b/internal/policy/token/cache.go
@@ -149,7 +149,7 @@
 			return
 		}
 		until := time.Duration(o.fallback.Missing() / rate * float64(time.Second))
-		d = Refused{RetryAfter: o.retries.next(now, min(until, maxRetryAfter), time.Duration(float64(time.Second)/rate))}
+		d = Refused{RetryAfter: o.retries.next(now, min(until, MaxRetryAfter), time.Duration(float64(time.Second)/rate))}
 	})
 	return d
 }
--- a/internal/policy/token/issuer.go
+++ b/internal/policy/token/issuer.go
@@ -82,7 +82,7 @@
 		if out.Tokens < n {
 			// Each token has several takers if the demand exceeds the rate.
 			next := max(0, b.readyAt.Sub(now).Seconds()) + b.Missing()/p.rate*max(1, b.demand.rate/p.rate)
-			out.RetryAfter = time.Duration(min(maxRetryAfter.Seconds(), next) * float64(time.Second))
+			out.RetryAfter = time.Duration(min(MaxRetryAfter.Seconds(), next) * float64(time.Second))
 			if p.issuers > 1 && now.Sub(b.noLendersAt) >= borrowPause {
 				missing := float64(n-out.Tokens) + max(0, b.demand.rate-p.rate)*reserveTime.Seconds()
 				out.Borrow = int(math.Ceil(min(missing, p.capacity-b.Tokens())))
--- a/internal/policy/token/plan.go
+++ b/internal/policy/token/plan.go
@@ -121,8 +121,8 @@
 // retryTimes spreads the retries of refused calls, as many a second as there are tokens.
 type retryTimes struct{ last time.Time }
 
-// maxRetryAfter bounds the delay before a retry; the demand may have changed by then.
-const maxRetryAfter = 5 * time.Second
+// MaxRetryAfter bounds the delay before a retry; the demand may have changed by then.
+const MaxRetryAfter = 5 * time.Second
 
 // next returns the delay before the retry of the next refused call, given the time until
 // the next token and between two tokens.
@@ -131,8 +131,8 @@
 	if earliest := now.Add(first); t.last.Before(earliest) {
 		t.last = earliest
 	}
-	if latest := now.Add(maxRetryAfter); t.last.After(latest) {
-		t.last = now.Add(first + (maxRetryAfter-first)/2)
+	if latest := now.Add(MaxRetryAfter); t.last.After(latest) {
+		t.last = now.Add(first + (MaxRetryAfter-first)/2)
 	}
 	return max(time.Millisecond, t.last.Sub(now))
 }
