control/issuer: tests hold the addresses of stopped issuers

TestANodeWithoutIssuersUsesItsOwnPart was red once beside other packages' tests: 5 calls allowed at once by a node whose issuers had all stopped. Supposed: another test's issuer had got the address of a stopped one. Now the address stays bound, and connections to it are refused.

--- a/internal/control/issuer/agent_test.go
+++ b/internal/control/issuer/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -9,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -99,12 +101,29 @@
 	m.stop[name] = sync.OnceFunc(func() {
 		_ = srv.Close()
 		<-served
+		m.hold(peer)
 		cancel()
 		<-ran
 	})
 	m.t.Cleanup(m.stop[name])
 }
 
+// hold binds the address of a stopped issuer without listening on it: connections are refused, and
+// no issuer of another test gets the address.
+func (m *mesh) hold(address netip.AddrPort) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		m.t.Error(err)
+		return
+	}
+	m.t.Cleanup(func() { _ = syscall.Close(fd) })
+	err = errors.Join(syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1),
+		syscall.Bind(fd, &syscall.SockaddrInet4{Port: int(address.Port()), Addr: address.Addr().As4()}))
+	if err != nil {
+		m.t.Error(err)
+	}
+}
+
 // allowed returns how many of n calls at a node are allowed.
 func (m *mesh) allowed(node string, n int) int {
 	count := 0
