--- a/internal/control/issuer/agent.go
+++ b/internal/control/issuer/agent.go
@@ -4,8 +4,10 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -271,7 +273,7 @@
 			resp, err := issuerpb.NewIssuerProtobufClient("http://"+r.ControlAddress().String(), a.http).Take(cctx, req)
 			cancel()
 			if err == nil && !valid(req, resp) {
-				err = errNotAnIssuer
+				err = &ResponseError{Address: r.ControlAddress()}
 			}
 			if err == nil {
 				return resp, true
@@ -292,8 +294,13 @@
 	return nil, false
 }
 
-// errNotAnIssuer means that whatever answers at an issuer's address is none, or is broken.
-var errNotAnIssuer = errors.New("the response is not one of an issuer")
+// ResponseError means that whatever answers at an issuer's address is none, or is broken.
+type ResponseError struct{ Address netip.AddrPort }
+
+// Error implements error.
+func (e *ResponseError) Error() string {
+	return fmt.Sprintf("the response of %v is not one of an issuer", e.Address)
+}
 
 // valid reports whether an issuer may have given a response. It issues no more tokens than
 // requested, and says when a node may get the next one if it issues none.
--- a/internal/log/event/ratelimiter.go
+++ b/internal/log/event/ratelimiter.go
@@ -3,8 +3,8 @@
 import (
 	"sync"
 
-	"banyanlug.example/banyanlug/internal/clock/bucket"
 	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/policy/bucket"
 )
 
 const (
--- a/internal/policy/limit/limiter.go
+++ b/internal/policy/limit/limiter.go
@@ -8,8 +8,8 @@
 
 	"github.com/zeebo/xxh3"
 
-	"banyanlug.example/banyanlug/internal/clock/bucket"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
+	"banyanlug.example/banyanlug/internal/policy/bucket"
 )
 
 const (
--- a/internal/standin/store/fault.go
+++ b/internal/standin/store/fault.go
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"banyanlug.example/banyanlug/internal/clock/bucket"
 	"banyanlug.example/banyanlug/internal/control/platform"
+	"banyanlug.example/banyanlug/internal/policy/bucket"
 )
 
 // Fault is the failure injected into one call.
