--- a/internal/control/issuer/agent.go
+++ b/internal/control/issuer/agent.go
@@ -364,7 +364,7 @@
 	}
 	p, n := a.ownPlan(l), int(min(req.GetTokens(), maxTokens))
 	if req.GetLend() {
-		resp := a.respond(a.issuer.Lend(a.clk.Now(), l, p, n), 0)
+		resp := a.respond(a.issuer.Lend(a.clk.Now(), l, p, n))
 		resp.Usage = uint32(a.issuer.Part(a.clk.Now(), l) * usageUnits)
 		return resp, nil
 	}
@@ -373,18 +373,18 @@
 		more := a.issuer.Take(a.clk.Now(), l, p, n-got.Tokens)
 		got.Tokens, got.RetryAfter = got.Tokens+more.Tokens, more.RetryAfter
 	}
-	wait := got.RetryAfter
 	if got.Tokens < n {
-		wait = max(wait, time.Microsecond)
+		// Rounded to 0 it would say nothing.
+		got.RetryAfter = max(got.RetryAfter, time.Microsecond)
 	}
-	resp := a.respond(got, wait)
+	resp := a.respond(got)
 	resp.Usage = uint32(a.observe(l, p, n, n-got.Tokens))
 	return resp, nil
 }
 
-func (a *Agent) respond(got token.Issue, wait time.Duration) *issuerpb.TakeResponse {
+func (a *Agent) respond(got token.Issue) *issuerpb.TakeResponse {
 	a.issued.Add(uint64(got.Tokens))
-	return &issuerpb.TakeResponse{Tokens: uint32(got.Tokens), RetryAfterUs: uint64(max(0, wait.Microseconds()))}
+	return &issuerpb.TakeResponse{Tokens: uint32(got.Tokens), RetryAfterUs: uint64(max(0, got.RetryAfter.Microseconds()))}
 }
 
 // borrow takes tokens from the issuers of other failure domains and reports whether it got
--- a/internal/control/ledger/node.go
+++ b/internal/control/ledger/node.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -163,15 +162,13 @@
 	if len(late) == 0 {
 		return
 	}
-	var members []idempotency.Member
+	live := map[string]bool{}
 	for _, r := range n.mesh.Records() {
-		if r.State() != membership.Gone && r.State() != membership.Suspect {
-			members = append(members, memberOf(r))
-		}
+		live[r.Instance()] = r.State() != membership.Gone && r.State() != membership.Suspect
 	}
 	for _, p := range late {
 		for _, m := range p.From {
-			if slices.ContainsFunc(members, func(o idempotency.Member) bool { return o.Instance() == m.Instance() }) {
+			if live[m.Instance()] {
 				n.background.Go(func() { n.seal(ctx, p, m) })
 			}
 		}
