control/ledger, policy/idempotency: conditions that stood twice have names

Read once more, no change of behaviour. Which members may answer stood in refresh and in the request for late records: reachable serves both. Until when a partition takes records of previous replicas stood in resolve and in Merge: needsRecords.

--- a/internal/control/ledger/node.go
+++ b/internal/control/ledger/node.go
@@ -157,18 +157,18 @@
 	}
 }
 
-// sealLate requests late records in the background, from members alone: others don't answer.
+// sealLate requests late records in the background.
 func (n *Node) sealLate(ctx context.Context, late []idempotency.PendingSeal) {
 	if len(late) == 0 {
 		return
 	}
-	live := map[string]bool{}
-	for _, r := range n.mesh.Records() {
-		live[r.Instance()] = r.State() != membership.Gone && r.State() != membership.Suspect
+	reachable := map[string]bool{}
+	for _, r := range n.reachable() {
+		reachable[r.Instance()] = true
 	}
 	for _, p := range late {
 		for _, m := range p.From {
-			if live[m.Instance()] {
+			if reachable[m.Instance()] {
 				n.background.Go(func() { n.seal(ctx, p, m) })
 			}
 		}
--- a/internal/policy/idempotency/ledger.go
+++ b/internal/policy/idempotency/ledger.go
@@ -217,9 +217,12 @@
 	return !rep.blankHere.IsZero() && len(rep.resolved) < len(rep.assignment.previous)
 }
 
+// needsRecords reports whether records of previous replicas are still taken.
+func (rep *replica) needsRecords() bool { return !rep.serving || rep.awaitsLateRecords() }
+
 // resolve marks a previous replica as sealed, with its records, or as ended.
 func (l *Ledger) resolve(now time.Time, rep *replica, m Member, withRecords bool) {
-	if rep.resolved[m.instance] || rep.serving && !rep.awaitsLateRecords() {
+	if rep.resolved[m.instance] || !rep.needsRecords() {
 		return
 	}
 	rep.resolved[m.instance] = true
@@ -367,7 +370,7 @@
 // Merge adds the records that a previous replica returned for an epoch.
 func (l *Ledger) Merge(now time.Time, partition int, epoch uint64, from Member, s SealResult) {
 	rep := l.partitions[partition]
-	if rep == nil || rep.assignment.epoch != epoch || rep.serving && !rep.awaitsLateRecords() || !slices.ContainsFunc(rep.assignment.previous, from.sameProcess) {
+	if rep == nil || rep.assignment.epoch != epoch || !rep.needsRecords() || !slices.ContainsFunc(rep.assignment.previous, from.sameProcess) {
 		return
 	}
 	for _, r := range s.Records {
