process/resident: requests of other nodes are bounded in one place

Read once more, no change of behaviour: the fleet bounded its own handler, and the issuer's was bounded where both are mounted.

--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -316,4 +316,4 @@
 }
 
 // Handler returns the HTTP handler of the fleet service for other nodes.
-func (f *Fleet) Handler() http.Handler { return bounded.Handler(fleetpb.NewFleetServer(f)) }
+func (f *Fleet) Handler() http.Handler { return fleetpb.NewFleetServer(f) }
--- a/internal/process/resident/node.go
+++ b/internal/process/resident/node.go
@@ -477,9 +477,9 @@
 // peersHandler serves the requests of other nodes.
 func (n *Node) peersHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(n.tokens.Service().PathPrefix(), bounded.Handler(n.tokens.Service()))
+	mux.Handle(n.tokens.Service().PathPrefix(), n.tokens.Service())
 	mux.Handle("/", n.fleet.Handler())
-	return mux
+	return bounded.Handler(mux)
 }
 
 func (n *Node) adminHandler() http.Handler {
