--- a/internal/control/issuer/agent_test.go
+++ b/internal/control/issuer/agent_test.go
@@ -55,15 +55,25 @@
 
 var acme = snapshot.NewLimit("acme", 60, 0).WithBurst(60)
 
-func newMesh(t *testing.T) *mesh {
+func margin() token.Margin { return token.Margin{Window: 5 * time.Second, Ratio: 0.1, Calls: 20} }
+
+// newClock returns a clock that stands still.
+func newClock() *timer.Service { return timer.NewManual(time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)) }
+
+// acmeSnapshot returns a configuration with the organisation acme and its limit.
+func acmeSnapshot(t testing.TB) *snapshot.Snapshot {
 	t.Helper()
-	clk := timer.NewManual(time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC))
-	m := &mesh{t: t, clk: clk, agents: map[string]*Agent{}, stop: map[string]func(){}, records: map[string][]membership.Record{}}
 	snap, err := snapshot.Assemble(1, []snapshot.Object{snapshot.NewOrganisation("acme", snapshot.Paying), acme})
 	if err != nil {
 		t.Fatal(err)
 	}
-	m.snap = snap
+	return snap
+}
+
+func newMesh(t *testing.T) *mesh {
+	t.Helper()
+	clk := newClock()
+	m := &mesh{t: t, clk: clk, agents: map[string]*Agent{}, stop: map[string]func(){}, records: map[string][]membership.Record{}, snap: acmeSnapshot(t)}
 	for _, n := range []struct{ domain, name string }{{"a", "n1"}, {"a", "n2"}, {"a", "n3"}, {"b", "n4"}, {"b", "n5"}, {"b", "n6"}} {
 		m.start(n.domain, n.name)
 	}
@@ -84,7 +94,6 @@
 	m.mu.Lock()
 	m.records[domain] = append(m.records[domain], membership.NewRecord(name, membership.Domain(domain), membership.ControlAddress(peer)))
 	m.mu.Unlock()
-	margin := func() token.Margin { return token.Margin{Window: 5 * time.Second, Ratio: 0.1, Calls: 20} }
 	a := New(m.clk, m, m, name, domain, []string{"a", "b"}, WithMargin(margin))
 	m.agents[name] = a
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -137,7 +146,7 @@
 
 // total is the number of tokens that the buckets of both domains hold.
 func (m *mesh) total() int {
-	p := token.NewPlan(acme, token.Margin{Window: 5 * time.Second, Ratio: 0.1, Calls: 20}, 2)
+	p := token.NewPlan(acme, margin(), 2)
 	return 2 * p.Capacity()
 }
 
--- a/internal/control/issuer/fuzz_test.go
+++ b/internal/control/issuer/fuzz_test.go
@@ -9,7 +9,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"banyanlug.example/banyanlug/internal/clock/timer"
 	"banyanlug.example/banyanlug/internal/config/snapshot"
 	"banyanlug.example/banyanlug/internal/control/issuer/issuerpb"
 	"banyanlug.example/banyanlug/internal/policy/limit"
@@ -29,6 +28,15 @@
 func (o oneIssuer) Size() int                   { return 2 }
 func (o oneIssuer) Current() *snapshot.Snapshot { return o.snap }
 
+func encode(t testing.TB, r *issuerpb.TakeResponse) []byte {
+	t.Helper()
+	b, err := proto.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
 // Guards against whatever answers at an issuer's address: more calls than the node asked tokens for, a
 // limit that refuses calls as used up though no issuer said so, long waits, and true answers of
 // later that don't count.
@@ -36,28 +44,21 @@
 	for _, r := range []*issuerpb.TakeResponse{
 		{}, {Tokens: 1}, {Tokens: 1 << 31}, {RetryAfterUs: 1000}, {RetryAfterUs: 1 << 63}, {RetryAfterUs: 1 << 40}, {Usage: 3}, {Usage: 1 << 31}, {Unlimited: true},
 	} {
-		b, err := proto.Marshal(r)
-		if err != nil {
-			f.Fatal(err)
-		}
+		b := encode(f, r)
 		f.Add(b)
 		f.Add(append(b, b...))
 		f.Add(b[:len(b)/2])
 	}
-	clk := timer.NewManual(time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC))
-	snap, err := snapshot.Assemble(1, []snapshot.Object{snapshot.NewOrganisation("acme", snapshot.Paying), acme})
-	if err != nil {
-		f.Fatal(err)
-	}
+	clk := newClock()
 	var answer []byte
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/protobuf")
 		_, _ = w.Write(answer)
 	}))
 	f.Cleanup(srv.Close)
-	view := oneIssuer{membership.NewRecord("n1", membership.Domain("a"), membership.ControlAddress(netip.MustParseAddrPort(srv.Listener.Addr().String()))), snap}
+	view := oneIssuer{membership.NewRecord("n1", membership.Domain("a"), membership.ControlAddress(netip.MustParseAddrPort(srv.Listener.Addr().String()))), acmeSnapshot(f)}
 	f.Fuzz(func(t *testing.T, b []byte) {
-		a := New(clk, view, view, "self", "a", []string{"a"}, WithMargin(func() token.Margin { return token.Margin{Window: 5 * time.Second, Ratio: 0.1, Calls: 20} }))
+		a := New(clk, view, view, "self", "a", []string{"a"}, WithMargin(margin))
 		defer a.http.CloseIdleConnections()
 		var resp issuerpb.TakeResponse
 		readable := proto.Unmarshal(b, &resp) == nil
@@ -82,9 +83,7 @@
 			}
 		}
 		clk.Advance(10 * time.Second)
-		if answer, err = proto.Marshal(&issuerpb.TakeResponse{Tokens: 1}); err != nil {
-			t.Fatal(err)
-		}
+		answer = encode(t, &issuerpb.TakeResponse{Tokens: 1})
 		if d, ok := a.Allow(clk.Now(), acme).(limit.Allowed); !ok {
 			t.Errorf("%x: after an issuer's answer the decision is %+v", b, d)
 		}
