wire/message: a reset that a write has seen is not a response's end

Callers that uploaded 4 MiB got part of an early answer as a whole one, if it had no length and the target reset the connection while the upload was still being written.

Cause: the kernel reports a reset once, to a read or a write. The goroutine that writes the upload got ECONNRESET; the read beside it then saw the end of the stream, which ends a response without a length. A response whose connection is reset has no known end.

Why the fix works: Conn remembers the first error of a write. At the end of a stream a read stops a pending write, waits for it, and returns its error if that came from the connection. Which of the two goroutines returns first doesn't matter. The upload is not consulted for responses with a length or in chunks: their end is known.

--- a/internal/traffic/hop/pool.go
+++ b/internal/traffic/hop/pool.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"banyanlug.example/banyanlug/internal/traffic/http1"
+	"banyanlug.example/banyanlug/internal/wire/message"
 )
 
 const (
@@ -65,7 +66,7 @@
 // countingConn counts the bytes of a request that the kernel accepted, and limits the
 // length of a response head.
 type countingConn struct {
-	conn      net.Conn
+	conn      *message.Conn
 	written   int64
 	readLimit int64
 }
@@ -88,7 +89,7 @@
 }
 
 func (c *Client) newPeerConn(to netip.AddrPort, conn net.Conn) *peerConn {
-	counted := &countingConn{conn: conn, readLimit: math.MaxInt64}
+	counted := &countingConn{conn: message.NewConn(conn), readLimit: math.MaxInt64}
 	return &peerConn{to: to, conn: conn, counted: counted, idleTimeout: c.idleTimeout}
 }
 
