wire/message: a response that the protocol doesn't have is an error at once

Callers got responses whose status was 000 or whose fields had a blank in the name as answers, with that line passed on, with a body that was not the target's (Content-Length and a blank: all bytes until the close; Transfer-Encoding and a blank: the chunk sizes too), or got a 504 at their deadline, since a status below 100 counted as that of an interim head.

Cause: net/http parses responses leniently, and what it accepted was taken for the protocol's. Class: a part of a response counts before it was checked. Each part is now checked before any of it counts, and a response is complete only if its end is known.

The check follows the bytes in message.Conn, below net/http's parser, which stays the one that reads what a response says. So it covers all parts: the status line, interim heads, the head, what states the length, chunks and trailers. It is the grammar of RFC 9112, no list of names or statuses. The first byte that breaks it ends the call as bad-answer, with the reason in the log (1802 at the caller's node, "detail" at the target's). Whole responses before that byte count.

Evidence: TestAnInvalidResponseIsAnErrorAtOnce sends 37 responses byte by byte, with the connection left open and closed.

Also refused now, as by the server for requests: folded lines, lines that end with a bare LF, equal lengths stated twice, a length beside chunks, a status line without the blank after the status, statuses above 599.

--- a/internal/traffic/hop/client.go
+++ b/internal/traffic/hop/client.go
@@ -1,7 +1,6 @@
 package hop
 
 import (
-	"bufio"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -15,6 +14,7 @@
 	"time"
 
 	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/wire/message"
 )
 
 // Client sends calls to peers over pooled connections.
@@ -150,6 +150,7 @@
 	pc := res.pc
 	pc.counted.written, pc.counted.readLimit = 0, math.MaxInt64
 	pc.onPooledClose = r.onPooledClose
+	pc.checked.Expect(r.method)
 	token := ""
 	if res.client.credential != nil && !pc.authenticated {
 		token = res.client.credential.token
@@ -238,16 +239,19 @@
 	pc := res.pc
 	pc.counted.readLimit = maxHeadBytes
 	if _, err := pc.br.Peek(1); err != nil {
+		if invalid := res.invalid(); invalid != nil {
+			return nil, invalid
+		}
 		if berr := res.bodyError(); berr != nil {
 			return nil, berr
 		}
 		return nil, &NoResponseError{To: pc.to, Err: err}
 	}
-	if !beginsAsHead(pc.br) {
-		return nil, &BadResponseError{To: pc.to, Reason: "it is not HTTP"}
-	}
 	resp, err := http.ReadResponse(pc.br, req)
 	if err != nil {
+		if invalid := res.invalid(); invalid != nil {
+			return nil, invalid
+		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
 		}
@@ -257,19 +261,13 @@
 	return resp, nil
 }
 
-// beginsAsHead reports whether the next bytes may be a response head. It decides at the first byte
-// that can't be one: http.ReadResponse waits for the end of the line, which may never come.
-func beginsAsHead(br *bufio.Reader) bool {
-	const version = "HTTP/1."
-	for n := min(max(1, br.Buffered()), len(version)); ; n++ {
-		b, err := br.Peek(n)
-		if string(b) != version[:len(b)] {
-			return false
-		}
-		if err != nil || n == len(version) {
-			return true // http.ReadResponse returns the error
-		}
+// invalid returns the failure of a response that isn't one of the protocol, or nil.
+func (res *Response) invalid() error {
+	var invalid *message.InvalidError
+	if errors.As(res.pc.checked.Err(), &invalid) {
+		return &BadResponseError{To: res.pc.to, Reason: invalid.Reason}
 	}
+	return nil
 }
 
 // accept takes the final response. A response that ends with the connection is
--- a/internal/traffic/hop/pool.go
+++ b/internal/traffic/hop/pool.go
@@ -45,7 +45,8 @@
 	to            netip.AddrPort
 	conn          net.Conn
 	*buffers      // nil while the connection is idle
-	counted       *countingConn
+	checked       *message.Conn
+	counted       *countingConn // of checked
 	authenticated bool
 	idleSince     time.Time
 	idleTimeout   time.Duration
@@ -89,8 +90,9 @@
 }
 
 func (c *Client) newPeerConn(to netip.AddrPort, conn net.Conn) *peerConn {
-	counted := &countingConn{conn: message.NewConn(conn), readLimit: math.MaxInt64}
-	return &peerConn{to: to, conn: conn, counted: counted, idleTimeout: c.idleTimeout}
+	checked := message.NewConn(conn)
+	counted := &countingConn{conn: checked, readLimit: math.MaxInt64}
+	return &peerConn{to: to, conn: conn, checked: checked, counted: counted, idleTimeout: c.idleTimeout}
 }
 
 // buffers are the buffers of one call. They are pooled, so that a connection has them
--- a/internal/traffic/hop/response.go
+++ b/internal/traffic/hop/response.go
@@ -100,7 +100,9 @@
 		res.finish()
 		return n, io.EOF
 	}
-	res.err = res.client.classify(res.ctx, &CutOffError{To: res.pc.to, Err: err}, res.pc.to, true)
+	if res.err = res.invalid(); res.err == nil {
+		res.err = res.client.classify(res.ctx, &CutOffError{To: res.pc.to, Err: err}, res.pc.to, true)
+	}
 	return n, res.err
 }
 
@@ -116,7 +118,7 @@
 func (res *Response) finish() {
 	res.finished = true
 	pc := res.pc
-	clean := !res.resp.Close && !res.sawStale && !res.closeDelimited && pc.br.Buffered() == 0
+	clean := !res.resp.Close && !res.sawStale && !res.closeDelimited && pc.br.Buffered() == 0 && pc.checked.Err() == nil
 	if res.bodySent != nil {
 		// The peer may respond before it has read the whole request. It would then parse
 		// the rest of the body as the next request.
--- a/internal/traffic/http1/head.go
+++ b/internal/traffic/http1/head.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"strings"
+
+	"banyanlug.example/banyanlug/internal/wire/message"
 )
 
 // readHead waits for a complete request head, checks its framing and parses it.
@@ -101,7 +103,7 @@
 // or before the colon, makes it invalid.
 func isToken(b []byte) bool {
 	for _, c := range b {
-		if !tokenBytes[c] {
+		if !message.IsTokenByte(c) {
 			return false
 		}
 	}
@@ -112,20 +114,13 @@
 // its end.
 func isFieldValue(b []byte) bool {
 	for i, c := range b {
-		if c < ' ' && c != '\t' && (c != '\r' || i != len(b)-1) || c == 0x7f {
+		if !message.IsFieldByte(c) && (c != '\r' || i != len(b)-1) {
 			return false
 		}
 	}
 	return true
 }
 
-var tokenBytes = func() (t [256]bool) {
-	for _, c := range "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz" {
-		t[c] = true
-	}
-	return t
-}()
-
 func checkRequest(r *http.Request) error {
 	switch {
 	case r.ProtoMajor != 1:
--- a/internal/wire/message/conn.go
+++ b/internal/wire/message/conn.go
@@ -4,14 +4,19 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
 )
 
-// Conn is a client's connection. At most one goroutine may read and one may write at a time.
+// Conn is a client's connection that checks the responses which are read from it. At most one
+// goroutine may read and one may write at a time.
 type Conn struct {
 	net.Conn
+	check check
+	err   error // of the reads, once one has failed for good
 
 	writing  sync.Mutex
 	writeErr error // of the first write that failed
@@ -20,12 +25,33 @@
 // NewConn returns a connection that reads and writes c.
 func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
 
-// Read implements net.Conn. It returns io.EOF only if the peer has closed its side.
+// Expect states the method of the request that is sent next. Without it, no request may be HEAD.
+func (c *Conn) Expect(method string) { c.check.headOnly = method == http.MethodHead }
+
+// Err returns the error that ends all reads, or nil. Only the goroutine that reads may call it.
+func (c *Conn) Err() error { return c.err }
+
+// Read implements net.Conn. It returns an InvalidError for a response that is not one of the
+// protocol, and io.EOF only if the peer has closed its side. Of a block with invalid bytes it
+// returns what belongs to whole responses before them.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.err != nil {
+		return 0, c.err
+	}
 	n, err := c.Conn.Read(p)
+	if ended, invalid := c.check.next(p[:n]); invalid != nil {
+		c.err = invalid
+		if ended > 0 {
+			return ended, nil
+		}
+		return 0, invalid
+	}
 	if err == io.EOF {
 		err = c.endError()
 	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.err = err
+	}
 	return n, err
 }
 
