control, platform, process/node: the other clients check responses too

The clients of the store, of issuers, of other nodes (pulls, probes), the readiness check of the local target and the operators' commands took responses that the protocol doesn't have for whole ones: among others any with a blank in the name of a field, in an interim head, a trailer or a chunk's size, and status 000. Some waited until their timeout (Content-Length and a blank).

Fix: message.Transport puts message.Conn under the connections of a transport, so that there is one check. The readiness check logs the reason (1416); the others log the error of their call.

Cut-off bodies were errors before.

Calls between nodes of the peer protocol (also the ledger's and the quota's) are HTTP/2, whose frames state each end; unchanged.

--- a/internal/control/fleet/fleet.go
+++ b/internal/control/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"banyanlug.example/banyanlug/internal/control/platform"
 	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/wire/message"
 )
 
 // Decoder parses a configuration in the format of the store.
@@ -143,8 +144,8 @@
 	f.view.group = f.rollouts.groups
 	f.rankedNodes.byDomain = map[string]rankedDomain{}
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
-	f.oneShotHTTP = &http.Client{Transport: bounded.Transport(&http.Transport{DialContext: dial, DisableKeepAlives: true})}
-	f.pooledHTTP = &http.Client{Transport: bounded.Transport(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1})}
+	f.oneShotHTTP = &http.Client{Transport: bounded.Transport(message.Transport(&http.Transport{DialContext: dial, DisableKeepAlives: true}))}
+	f.pooledHTTP = &http.Client{Transport: bounded.Transport(message.Transport(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1}))}
 	for _, opt := range opts {
 		opt(f)
 	}
--- a/internal/control/issuer/agent.go
+++ b/internal/control/issuer/agent.go
@@ -25,6 +25,7 @@
 	"banyanlug.example/banyanlug/internal/policy/limit"
 	"banyanlug.example/banyanlug/internal/policy/membership"
 	"banyanlug.example/banyanlug/internal/policy/token"
+	"banyanlug.example/banyanlug/internal/wire/message"
 )
 
 const (
@@ -134,7 +135,7 @@
 		fetches: map[string]*fetch{}, loans: map[string]*fetch{}, avoid: map[string]avoided{}, levelLog: map[string]time.Time{},
 	}
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
-	a.http = &http.Client{Transport: bounded.Transport(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: connIdleTimeout})}
+	a.http = &http.Client{Transport: bounded.Transport(message.Transport(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: connIdleTimeout}))}
 	for _, opt := range opts {
 		opt(a)
 	}
--- a/internal/control/platform/client.go
+++ b/internal/control/platform/client.go
@@ -16,6 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/wire/message"
 )
 
 // Paths and headers of the HTTP interface, shared with servers of it.
@@ -84,13 +85,13 @@
 	}
 	c.base = scheme + "://" + addr
 	c.http = &http.Client{
-		Transport: &http.Transport{
+		Transport: message.Transport(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: c.timeout}).DialContext,
 			TLSClientConfig:     c.tls,
 			TLSHandshakeTimeout: c.timeout,
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     time.Minute,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return c, nil
--- a/internal/log/event/calls.go
+++ b/internal/log/event/calls.go
@@ -17,6 +17,7 @@
 	HeartbeatRefused       Code = 1413
 	TargetDoubted          Code = 1414
 	TargetIdentified       Code = 1415
+	TargetCheckInvalid     Code = 1416
 )
 
 var callsEvents = map[Code]Entry{
@@ -34,5 +35,6 @@
 	HeartbeatRefused:       {Warn, "a heartbeat that is incomplete, or not of the target at this node's address, was answered with 400 and changed nothing", "look at the error for the field; find out who sends it if it is not the target"},
 	TargetDoubted:          {Info, "another process than the target that reported last answers at its address; the next heartbeat of any that has not left counts", "nothing after a restart of the target; if it repeats, find out who sends heartbeats under that id"},
 	TargetIdentified:       {Info, "a report contradicts what is known of the target, so the process at its address was asked under that id; it answered with the id in process, or not at all", "if it repeats, find out who sends heartbeats or deregistrations under that id"},
+	TargetCheckInvalid:     {Warn, "the local target's response to a readiness check was not one of HTTP; the check counts as unanswered", "look at what the target answers at /readyz"},
 	UnauthenticatedRefused: {Warn, "unauthenticated connection refused; at most one line per second", "look at the address: a node with another fleet key, or a client that is not a node"},
 }
--- a/internal/process/node/watch_test.go
+++ b/internal/process/node/watch_test.go
@@ -10,7 +10,9 @@
 	"testing"
 
 	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/log/event"
 	"banyanlug.example/banyanlug/internal/policy/membership"
+	"banyanlug.example/banyanlug/internal/standin/responder"
 )
 
 // Guards against a check that reads the bytes of a faulty target for as long as they come, and
@@ -61,7 +63,7 @@
 			}()
 			clk, stop := timer.Start()
 			defer stop()
-			n := &Node{clock: clk, targetAddr: netip.MustParseAddrPort(ln.Addr().String())}
+			n := &Node{clock: clk, log: event.Discard(), targetAddr: netip.MustParseAddrPort(ln.Addr().String())}
 			client := newCheckClient()
 			if got := n.checkTarget(t.Context(), client); got != tc.want {
 				t.Errorf("the target counts as %v, want %v", got, tc.want)
@@ -73,3 +75,9 @@
 		})
 	}
 }
+
+// Guards against a state of the target that is taken from a response which isn't one of the protocol.
+func TestInvalidResponsesToReadinessChecksAreErrors(t *testing.T) {
+	t.Parallel()
+	responder.CheckRefused(t, newCheckClient())
+}
