control: a message of a node, or a value of the store, has a known end

A response without a length ends with its connection, and a process that dies closes its connections: part of a message of another node (views, pulls, tokens), cut off between two fields, could be decoded as a whole one, and part of a value of the product's store was returned as the value.

Cause: the clients took the end of the connection for that of the body. Nodes and the store state a length or send chunks, so nothing sound is lost. message.KnownEnd refuses the others; for a write to the store the outcome is unknown, as after any lost response.

That a node was harmed by it was not seen.

Responses of JSON (the users' store, the operators' API) keep ending with their connection: part of an object can't be decoded.

--- a/internal/control/bounded/body.go
+++ b/internal/control/bounded/body.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"net/http"
+
+	"banyanlug.example/banyanlug/internal/wire/message"
 )
 
 const (
@@ -16,7 +18,8 @@
 // Handler refuses longer requests.
 func Handler(h http.Handler) http.Handler { return http.MaxBytesHandler(h, maxRequestBytes) }
 
-// Transport ends longer responses with a TooLongError.
+// Transport ends longer responses with a TooLongError, and those without a stated end with a
+// message.NoEndError.
 func Transport(next http.RoundTripper) http.RoundTripper { return transport{next} }
 
 // TooLongError means that a response is longer than any that a node sends.
@@ -35,6 +38,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := message.KnownEnd(resp); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
 	resp.Body = &body{ReadCloser: resp.Body, left: maxResponseBytes + 1}
 	return resp, nil
 }
--- a/internal/control/bounded/body_test.go
+++ b/internal/control/bounded/body_test.go
@@ -7,6 +7,9 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+
+	"banyanlug.example/banyanlug/internal/standin/responder"
+	"banyanlug.example/banyanlug/internal/wire/message"
 )
 
 // zeros is a body of n bytes that counts those read.
@@ -42,6 +45,30 @@
 	}
 }
 
+// Guards against a message of another node that was cut off between two of its fields, so that the
+// rest can be decoded.
+func TestAResponseWhoseEndIsNotKnownIsAnError(t *testing.T) {
+	t.Parallel()
+	client := http.Client{Transport: Transport(&http.Transport{DisableKeepAlives: true})}
+	for head, known := range map[string]bool{
+		"HTTP/1.1 200 OK\r\n\r\npart":                                                      false,
+		"HTTP/1.0 200 OK\r\nConnection: close\r\n\r\npart":                                 false,
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart":                                 true,
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n":                                     true,
+		"HTTP/1.1 204 No Content\r\n\r\n":                                                  true,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + "\r\n4\r\npart\r\n0\r\n\r\n": true,
+	} {
+		resp, err := client.Get("http://" + responder.Serve(t, head, true))
+		if err == nil {
+			resp.Body.Close()
+		}
+		var noEnd *message.NoEndError
+		if known && err != nil || !known && !errors.As(err, &noEnd) {
+			t.Errorf("%q: %v", head, err)
+		}
+	}
+}
+
 type roundTrip func(*http.Request) (*http.Response, error)
 
 func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
--- a/internal/control/platform/client.go
+++ b/internal/control/platform/client.go
@@ -239,6 +239,9 @@
 		return nil, transportError(kind, err)
 	}
 	defer res.Body.Close()
+	if err := message.KnownEnd(res); err != nil {
+		return nil, transportError(kind, err)
+	}
 	data, err := io.ReadAll(io.LimitReader(res.Body, MaxValueBytes+1))
 	if err != nil {
 		return nil, transportError(kind, err)
--- a/internal/wire/message/transport.go
+++ b/internal/wire/message/transport.go
@@ -56,3 +56,18 @@
 	}
 	return NewConn(secure), nil
 }
+
+// NoEndError reports a response that ends with its connection, so that a part of it can't be told
+// from the whole.
+type NoEndError struct{}
+
+func (*NoEndError) Error() string { return "the response has neither a length nor chunks" }
+
+// KnownEnd returns a NoEndError for a response that ends with its connection. Those of HTTP/2 and
+// compressed ones state their end otherwise.
+func KnownEnd(resp *http.Response) error {
+	if resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed {
+		return &NoEndError{}
+	}
+	return nil
+}
