wire/message: http.Transport sends no request again after an invalid response

A GET on a connection that had been used before was sent again, to a new connection, if its response was invalid from the first block on: the second response was served, and the reason of the first never seen.

Cause: http.Transport takes an error before the first byte for a connection that the peer closed while it was idle. Conn now returns one byte of such a response before the error; that byte can't complete a response, since all reads after it fail. http.Transport then hides the reason ("malformed HTTP response "H""), so the transport takes it from the connection, also for a body's errors, which trailers hid.

Each reason is checked by responder.CheckRefused and TestAnInvalidResponseNamesItsFault, in blocks of one byte too.

Calls of hop were never sent again by it.

--- a/internal/traffic/hop/client.go
+++ b/internal/traffic/hop/client.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"banyanlug.example/banyanlug/internal/clock/timer"
-	"banyanlug.example/banyanlug/internal/wire/message"
 )
 
 // Client sends calls to peers over pooled connections.
@@ -263,8 +262,7 @@
 
 // invalid returns the failure of a response that isn't one of the protocol, or nil.
 func (res *Response) invalid() error {
-	var invalid *message.InvalidError
-	if errors.As(res.pc.checked.Err(), &invalid) {
+	if invalid := res.pc.checked.Invalid(); invalid != nil {
 		return &BadResponseError{To: res.pc.to, Reason: invalid.Reason}
 	}
 	return nil
--- a/internal/traffic/hop/response.go
+++ b/internal/traffic/hop/response.go
@@ -118,7 +118,7 @@
 func (res *Response) finish() {
 	res.finished = true
 	pc := res.pc
-	clean := !res.resp.Close && !res.sawStale && !res.closeDelimited && pc.br.Buffered() == 0 && pc.checked.Err() == nil
+	clean := !res.resp.Close && !res.sawStale && !res.closeDelimited && pc.br.Buffered() == 0 && pc.checked.Invalid() == nil
 	if res.bodySent != nil {
 		// The peer may respond before it has read the whole request. It would then parse
 		// the rest of the body as the next request.
--- a/internal/wire/message/check.go
+++ b/internal/wire/message/check.go
@@ -16,7 +16,7 @@
 
 const (
 	statusLine state = iota
-	reason
+	reasonPhrase
 	lineStart // of a line of a head or of trailers
 	fieldName
 	fieldValue
@@ -72,7 +72,7 @@
 
 // next follows p. It returns the offset in p after the last response, or interim head, that ends
 // there, or 0 if none does.
-func (c *check) next(p []byte) (ended int, err error) {
+func (c *check) next(p []byte) (ended int, invalid *InvalidError) {
 	for i := 0; i < len(p); {
 		switch c.state {
 		case endless:
@@ -94,11 +94,11 @@
 				i += n
 				continue
 			}
-			if invalid := c.step(p[i]); invalid != "" {
-				return ended, &InvalidError{Reason: invalid}
+			if reason := c.step(p[i]); reason != "" {
+				return ended, &InvalidError{Reason: reason}
 			}
 			i++
-			if c.state == statusLine && c.pos == 0 {
+			if c.begins() {
 				ended = i
 			}
 		}
@@ -106,6 +106,9 @@
 	return ended, nil
 }
 
+// begins reports whether the next byte is the first of a response.
+func (c *check) begins() bool { return c.state == statusLine && c.pos == 0 }
+
 // begin prepares for the next response.
 func (c *check) begin() { *c = check{headOnly: c.headOnly} }
 
@@ -121,7 +124,7 @@
 			copy(c.name[c.pos:], p[:n])
 		}
 		c.pos += n
-	case c.state == reason, c.state == fieldValue && c.field == otherField:
+	case c.state == reasonPhrase, c.state == fieldValue && c.field == otherField:
 		for n < len(p) && IsFieldByte(p[n]) {
 			n++
 		}
@@ -134,7 +137,7 @@
 	switch c.state {
 	case statusLine:
 		return c.inStatusLine(b)
-	case reason:
+	case reasonPhrase:
 		if b == '\r' {
 			c.state = lineFeed
 		} else if !IsFieldByte(b) {
@@ -201,7 +204,7 @@
 	if c.status < 100 || c.status > 599 {
 		return "the status is outside 100 to 599"
 	}
-	c.state = reason
+	c.state = reasonPhrase
 	return ""
 }
 
--- a/internal/wire/message/conn.go
+++ b/internal/wire/message/conn.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -15,8 +16,9 @@
 // goroutine may read and one may write at a time.
 type Conn struct {
 	net.Conn
-	check check
-	err   error // of the reads, once one has failed for good
+	check   check
+	err     error // of the reads, once one has failed for good
+	invalid atomic.Pointer[InvalidError]
 
 	writing  sync.Mutex
 	writeErr error // of the first write that failed
@@ -28,23 +30,33 @@
 // Expect states the method of the request that is sent next. Without it, no request may be HEAD.
 func (c *Conn) Expect(method string) { c.check.headOnly = method == http.MethodHead }
 
-// Err returns the error that ends all reads, or nil. Only the goroutine that reads may call it.
-func (c *Conn) Err() error { return c.err }
+// Invalid returns the error of a response that is not one of the protocol, or nil.
+func (c *Conn) Invalid() *InvalidError { return c.invalid.Load() }
 
 // Read implements net.Conn. It returns an InvalidError for a response that is not one of the
 // protocol, and io.EOF only if the peer has closed its side. Of a block with invalid bytes it
 // returns what belongs to whole responses before them.
+//
+// Of a block that begins an invalid response it returns one byte before the error. http.Transport
+// takes an error before the first byte for a connection that was closed while idle, and sends the
+// request again.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.err != nil {
 		return 0, c.err
 	}
 	n, err := c.Conn.Read(p)
+	begins := c.check.begins()
 	if ended, invalid := c.check.next(p[:n]); invalid != nil {
 		c.err = invalid
-		if ended > 0 {
+		c.invalid.Store(invalid)
+		switch {
+		case ended > 0:
 			return ended, nil
+		case begins:
+			return 1, nil
+		default:
+			return 0, invalid
 		}
-		return 0, invalid
 	}
 	if err == io.EOF {
 		err = c.endError()
--- a/internal/wire/message/transport.go
+++ b/internal/wire/message/transport.go
@@ -3,13 +3,15 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
-// Transport makes t check the responses on the connections that it opens, and returns it. t must
-// speak HTTP/1.1 and send no HEAD requests.
-func Transport(t *http.Transport) *http.Transport {
+// Transport makes t check the responses on the connections that it opens. t must speak HTTP/1.1 and
+// send no HEAD requests. The error of a response that is not one of the protocol is an InvalidError.
+func Transport(t *http.Transport) http.RoundTripper {
 	dial := t.DialContext
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
@@ -28,7 +30,51 @@
 		}
 		return handshake(ctx, c, t, addr)
 	}
-	return t
+	return transport{t}
+}
+
+// transport returns the reason for which a response was refused. The errors of http.Transport hide
+// it in some cases.
+type transport struct{ next *http.Transport }
+
+// CloseIdleConnections closes those of the next transport, for http.Client.
+func (t transport) CloseIdleConnections() { t.next.CloseIdleConnections() }
+
+// RoundTrip implements http.RoundTripper.
+func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var conn *Conn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn, _ = info.Conn.(*Conn) }}
+	resp, err := t.next.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil {
+		return nil, reasonOf(err, conn)
+	}
+	if resp.Body != http.NoBody {
+		resp.Body = body{resp.Body, conn}
+	}
+	return resp, nil
+}
+
+// reasonOf returns the InvalidError of a connection that has one, or else err.
+func reasonOf(err error, c *Conn) error {
+	if c != nil && c.Invalid() != nil {
+		return c.Invalid()
+	}
+	return err
+}
+
+// body is the body of a response on a connection.
+type body struct {
+	io.ReadCloser
+	conn *Conn
+}
+
+// Read implements io.Reader.
+func (b body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && err != io.EOF {
+		err = reasonOf(err, b.conn)
+	}
+	return n, err
 }
 
 // handshake begins TLS on a connection of a transport to addr.
