--- a/internal/control/bounded/body.go
+++ b/internal/control/bounded/body.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := message.KnownEnd(resp); err != nil {
+	if err := message.CheckEnd(resp); err != nil {
 		resp.Body.Close()
 		return nil, err
 	}
--- a/internal/control/platform/client.go
+++ b/internal/control/platform/client.go
@@ -239,7 +239,7 @@
 		return nil, transportError(kind, err)
 	}
 	defer res.Body.Close()
-	if err := message.KnownEnd(res); err != nil {
+	if err := message.CheckEnd(res); err != nil {
 		return nil, transportError(kind, err)
 	}
 	data, err := io.ReadAll(io.LimitReader(res.Body, MaxValueBytes+1))
--- a/internal/wire/message/check.go
+++ b/internal/wire/message/check.go
@@ -50,8 +50,8 @@
 // statusTemplate is the fixed part of a status line: d is a digit, s one of a status.
 const statusTemplate = "HTTP/1.d sss "
 
-// check follows the bytes of consecutive responses on a connection. It keeps none of them, so
-// that it needs no memory for a head.
+// check follows the bytes of consecutive responses on a connection. It keeps none but the start of a
+// field's name, so that it needs no memory for a head.
 type check struct {
 	state     state
 	headOnly  bool // the response is one to HEAD
@@ -61,7 +61,7 @@
 	pos    int // in the status line, a name, a value or a chunk's size
 	status int
 
-	name     [len(transferEncodingName)]byte // begin of the field's name
+	name     [len(transferEncodingName)]byte // start of the field's name
 	field    field
 	valueEnd bool // only blanks may follow in the value
 
--- a/internal/wire/message/transport.go
+++ b/internal/wire/message/transport.go
@@ -109,9 +109,9 @@
 
 func (*NoEndError) Error() string { return "the response has neither a length nor chunks" }
 
-// KnownEnd returns a NoEndError for a response that ends with its connection. Those of HTTP/2 and
+// CheckEnd returns a NoEndError for a response that ends with its connection. Those of HTTP/2 and
 // compressed ones state their end otherwise.
-func KnownEnd(resp *http.Response) error {
+func CheckEnd(resp *http.Response) error {
 	if resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed {
 		return &NoEndError{}
 	}
