--- a/internal/wire/message/check.go
+++ b/internal/wire/message/check.go
@@ -53,21 +53,21 @@
 // check follows the bytes of consecutive responses on a connection. It keeps none but the start of a
 // field's name, so that it needs no memory for a head.
 type check struct {
+	length int64 // stated length of the body
+	left   int64 // of the body or the chunk
+	pos    int32 // in the status line, a name, a value or a chunk's size
+	status int16
+
+	lengths, encodings uint8 // statements of the body's length
+
 	state     state
+	field     field
+	minor     byte // of the version, as a digit
 	headOnly  bool // the response is one to HEAD
 	inTrailer bool
-	minor     byte // of the version, as a digit
-
-	pos    int // in the status line, a name, a value or a chunk's size
-	status int
-
-	name     [len(transferEncodingName)]byte // start of the field's name
-	field    field
-	valueEnd bool // only blanks may follow in the value
+	valueEnd  bool // only blanks may follow in the value
 
-	lengths, encodings int
-	length             int64 // stated length of the body
-	left               int64 // of the body or the chunk
+	name [len(transferEncodingName)]byte // start of the field's name
 }
 
 // next follows p. It returns the offset in p after the last response, or interim head, that ends
@@ -120,10 +120,10 @@
 		for n < len(p) && tokenBytes[p[n]] {
 			n++
 		}
-		if c.pos < len(c.name) {
+		if int(c.pos) < len(c.name) {
 			copy(c.name[c.pos:], p[:n])
 		}
-		c.pos += n
+		c.pos += int32(n)
 	case c.state == reasonPhrase, c.state == fieldValue && c.field == otherField:
 		for n < len(p) && IsFieldByte(p[n]) {
 			n++
@@ -194,11 +194,11 @@
 	case want == 'd' && isDigit(b):
 		c.minor = b
 	case want == 's' && isDigit(b):
-		c.status = 10*c.status + int(b-'0')
+		c.status = 10*c.status + int16(b-'0')
 	case want != b || want == 'd' || want == 's':
 		return "it doesn't begin with a status line"
 	}
-	if c.pos++; c.pos < len(statusTemplate) {
+	if c.pos++; int(c.pos) < len(statusTemplate) {
 		return ""
 	}
 	if c.status < 100 || c.status > 599 {
@@ -214,9 +214,9 @@
 	switch {
 	case c.inTrailer:
 		return otherField
-	case c.pos == len(contentLengthName) && strings.EqualFold(string(c.name[:c.pos]), contentLengthName):
+	case int(c.pos) == len(contentLengthName) && strings.EqualFold(string(c.name[:c.pos]), contentLengthName):
 		return contentLength
-	case c.pos == len(transferEncodingName) && strings.EqualFold(string(c.name[:c.pos]), transferEncodingName):
+	case int(c.pos) == len(transferEncodingName) && strings.EqualFold(string(c.name[:c.pos]), transferEncodingName):
 		return transferEncoding
 	default:
 		return otherField
@@ -262,7 +262,7 @@
 // whether it may be there.
 func (c *check) inFraming(b byte) bool {
 	if c.field == transferEncoding {
-		return c.pos < len(chunkedCoding) && b|0x20 == chunkedCoding[c.pos]
+		return int(c.pos) < len(chunkedCoding) && b|0x20 == chunkedCoding[c.pos]
 	}
 	if !isDigit(b) || c.length > (math.MaxInt64-int64(b-'0'))/10 {
 		return false
@@ -272,7 +272,7 @@
 }
 
 func (c *check) endValue() (invalid string) {
-	if c.field == contentLength && c.pos == 0 || c.field == transferEncoding && c.pos < len(chunkedCoding) {
+	if c.field == contentLength && c.pos == 0 || c.field == transferEncoding && int(c.pos) < len(chunkedCoding) {
 		return "the length of the body can't be told"
 	}
 	return ""
