standin/responder: one table of odd responses for all clients' tests

hop's tests and responder.CheckRefused had tables of their own, and each a sender that writes byte by byte. There is one of each now, in responder; each client is tested with all rows (12 and two sound ones before).

--- a/internal/traffic/hop/reset_test.go
+++ b/internal/traffic/hop/reset_test.go
@@ -49,24 +49,30 @@
 // and that is read as a whole one.
 func TestAnEarlyResponseThatIsResetIsNeverWhole(t *testing.T) {
 	t.Parallel()
-	for _, pause := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond, 300 * time.Millisecond} {
-		t.Run(pause.String(), func(t *testing.T) {
-			t.Parallel()
-			for range repeats {
-				body, err := uploadTo(t, func(c *net.TCPConn) {
-					_, _ = io.WriteString(c, closeDelimitedResponse)
-					time.Sleep(pause)
-					reset(c)
-				})
-				if err == nil {
-					t.Errorf("%q is a whole response", body)
-				}
-				var failure Failure
-				if err != nil && !errors.As(err, &failure) {
-					t.Errorf("failed with %T %v", err, err)
+	for framing, text := range map[string]string{
+		"without a length": closeDelimitedResponse,
+		"with a length":    "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\npart of the answer",
+		"in chunks":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n12\r\npart of the answer\r\n",
+	} {
+		for _, pause := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond, 300 * time.Millisecond} {
+			t.Run(framing+" "+pause.String(), func(t *testing.T) {
+				t.Parallel()
+				for range repeats {
+					body, err := uploadTo(t, func(c *net.TCPConn) {
+						_, _ = io.WriteString(c, text)
+						time.Sleep(pause)
+						reset(c)
+					})
+					if err == nil {
+						t.Errorf("%q is a whole response", body)
+					}
+					var failure Failure
+					if err != nil && !errors.As(err, &failure) {
+						t.Errorf("failed with %T %v", err, err)
+					}
 				}
-			}
-		})
+			})
+		}
 	}
 }
 
--- a/internal/traffic/hop/strict_test.go
+++ b/internal/traffic/hop/strict_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"banyanlug.example/banyanlug/internal/clock/timer"
+	"banyanlug.example/banyanlug/internal/standin/responder"
 	"banyanlug.example/banyanlug/internal/wire/message"
 )
 
@@ -285,11 +286,8 @@
 
 // responseTexts are responses of all kinds, sound and not.
 func responseTexts() (texts []string) {
-	for _, r := range invalidResponses {
-		texts = append(texts, r.text)
-	}
-	for _, r := range append(soundResponses, closedResponses...) {
-		texts = append(texts, r.text)
+	for _, r := range append(responder.Invalid(), responder.Sound()...) {
+		texts = append(texts, r.Text())
 	}
 	for _, r := range framedResponses {
 		texts = append(texts, r.head+r.body)
@@ -318,23 +316,23 @@
 // Guards against a strict reader that finds no fault because it takes nothing for whole.
 func TestTheStrictReaderAgreesOnWholeResponses(t *testing.T) {
 	t.Parallel()
-	for _, tc := range append(soundResponses, closedResponses...) {
-		for cut := range len(tc.text) + 1 {
+	for _, tc := range responder.Sound() {
+		for cut := range len(tc.Text()) + 1 {
 			for _, wasReset := range []bool{false, true} {
-				checkAgainstStrict(t, []byte(tc.text[:cut]), 1+cut%5, wasReset)
+				checkAgainstStrict(t, []byte(tc.Text()[:cut]), 1+cut%5, wasReset)
 			}
 		}
 		for name, read := range map[string]func(net.Conn) (parsed, error){"Client": readByClient, "http.Transport": readByTransport} {
-			got, err := read(newScriptedConn([]byte(tc.text), 3, false))
-			want, whole := strictRead(tc.text, false)
+			got, err := read(newScriptedConn([]byte(tc.Text()), 3, false))
+			want, whole := strictRead(tc.Text(), false)
 			if err != nil || !whole || got.status != want.status || got.body != want.body {
-				t.Errorf("%s, %s: %+v, %v; read strictly: %+v, whole %v", name, tc.part, got, err, want, whole)
+				t.Errorf("%s, %s: %+v, %v; read strictly: %+v, whole %v", name, tc.Part(), got, err, want, whole)
 			}
 		}
 	}
-	for _, tc := range invalidResponses {
-		if p, whole := strictRead(tc.text, true); whole {
-			t.Errorf("%s: read strictly: %+v", tc.part, p)
+	for _, tc := range responder.Invalid() {
+		if p, whole := strictRead(tc.Text(), true); whole {
+			t.Errorf("%s: read strictly: %+v", tc.Part(), p)
 		}
 	}
 }
@@ -342,12 +340,12 @@
 // Guards against a reader whose errors don't say what was wrong with a response.
 func TestAnInvalidResponseNamesItsFault(t *testing.T) {
 	t.Parallel()
-	for _, tc := range invalidResponses {
-		for _, size := range []int{1, len(tc.text)} {
-			_, err := readByTransport(newScriptedConn([]byte(tc.text), size, false))
+	for _, tc := range responder.Invalid() {
+		for _, size := range []int{1, len(tc.Text())} {
+			_, err := readByTransport(newScriptedConn([]byte(tc.Text()), size, false))
 			var invalid *message.InvalidError
 			if !errors.As(err, &invalid) || invalid.Reason == "" {
-				t.Errorf("%s, in blocks of %d: %v", tc.part, size, err)
+				t.Errorf("%s, in blocks of %d: %v", tc.Part(), size, err)
 			}
 		}
 	}
